--- /dev/null
+++ b/include/larkrack/ids.h
@@ -0,0 +1,91 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// Small handles for the things that the configuration names.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+
+namespace larkrack
+{
+/// Value of a handle that points at nothing.
+constexpr std::uint16_t k_invalid_index = UINT16_MAX;
+
+/// Index into one of the tables of a policy. The tag makes handles of different tables different types.
+template <typename Tag>
+struct handle
+{
+	std::uint16_t idx = k_invalid_index;
+
+	friend bool operator==(handle _a, handle _b)
+	{
+		return _a.idx == _b.idx;
+	}
+	friend bool operator!=(handle _a, handle _b)
+	{
+		return _a.idx != _b.idx;
+	}
+	friend bool operator<(handle _a, handle _b)
+	{
+		return _a.idx < _b.idx;
+	}
+};
+
+/// @returns Whether the handle points at something.
+template <typename Tag>
+constexpr bool is_valid(handle<Tag> _handle)
+{
+	return k_invalid_index != _handle.idx;
+}
+
+using region_handle = handle<struct region_tag>;
+using domain_handle = handle<struct domain_tag>;
+using entry_vm_handle = handle<struct entry_vm_tag>;
+using service_handle = handle<struct service_tag>;
+using backend_handle = handle<struct backend_tag>;
+using site_handle = handle<struct site_tag>;
+
+/// Revision of the configuration. Only grows.
+struct revision
+{
+	std::uint64_t value = 0;
+
+	friend bool operator==(revision _a, revision _b)
+	{
+		return _a.value == _b.value;
+	}
+	friend bool operator<(revision _a, revision _b)
+	{
+		return _a.value < _b.value;
+	}
+};
+
+/// Distinguishes two lives of a process on the same entry VM: start time in microseconds since 1970.
+struct incarnation
+{
+	std::uint64_t value = 0;
+
+	friend bool operator==(incarnation _a, incarnation _b)
+	{
+		return _a.value == _b.value;
+	}
+	friend bool operator<(incarnation _a, incarnation _b)
+	{
+		return _a.value < _b.value;
+	}
+};
+} // namespace larkrack
+
+namespace std
+{
+template <typename Tag>
+struct hash<larkrack::handle<Tag>>
+{
+	size_t operator()(larkrack::handle<Tag> _handle) const noexcept
+	{
+		return _handle.idx;
+	}
+};
+} // namespace std
--- /dev/null
+++ b/src/carrier_p.h
@@ -0,0 +1,145 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// Carries one request at a time from a caller, or from another entry VM, to a backend server and its answer
+/// back.
+#pragma once
+
+#include "gate_p.h"
+#include "grant_p.h"
+#include "http_p.h"
+#include "key_table_p.h"
+#include "lookup_p.h"
+#include "metrics_p.h"
+#include "retry_budget_p.h"
+#include "tracer_p.h"
+#include "traffic_view_p.h"
+
+#include <memory>
+#include <random>
+#include <string>
+
+namespace larkrack
+{
+/// How a request reached this entry VM.
+enum class request_origin
+{
+	caller,   ///< From a caller.
+	for_key,  ///< From another entry VM, because this one remembers the key.
+	for_slot, ///< From another entry VM, because this one owns backend servers: served or refused here.
+};
+
+/// A request on its way.
+struct carried
+{
+	const http_request* request = nullptr;
+	request_origin origin = request_origin::caller;
+	view_ptr view;
+	service_handle service;
+	std::string service_name;
+	std::string id; ///< Of this try; unique.
+	std::string key;
+	std::string way;         ///< Names of the entry VMs so far, comma between them.
+	std::string traceparent; ///< For the next hop.
+	asio::ip::address caller;
+	int priority = 5;
+	bool repeatable = false;
+	bool first_try = false;
+	steady_time deadline{};
+};
+
+/// What became of it.
+struct carried_end
+{
+	outcome result = outcome::not_run;
+	reason why = reason::none;
+	bool answered = false;      ///< The caller has its answer, or is gone.
+	bool may_try_again = false; ///< Nothing ran and nothing was sent to the caller.
+	std::chrono::milliseconds retry_after{0};
+	int status = 0; ///< Of the answer of the backend server.
+	std::string backend;
+	std::string content_type;
+	std::string body; ///< Kept for further tries of a key, when small.
+	bool body_kept = false;
+};
+
+/// One for each traffic thread. Not thread-safe, but many coroutines use it.
+class carrier
+{
+public:
+	carrier(asio::io_context& _context, const kernel& _kernel, retry_budget& _budget);
+
+	/// Serves a request from a caller.
+	void handle_caller(http_session& _session, http_request& _request, yield_context _yield);
+	/// Serves a request from another entry VM.
+	void handle_relay(http_session& _session, http_request& _request, yield_context _yield);
+	/// @returns Requests that are in flight here.
+	int in_flight() const
+	{
+		return m_in_flight;
+	}
+
+private:
+	struct upstream; // One exchange with a backend server or an entry VM.
+	struct read_ahead;
+
+	void handle(http_session& _session, carried& _call, yield_context _yield);
+	std::optional<reason> fill(carried& _call, const http_session& _session);
+	void answer_lookup(http_session& _session, const http_request& _request, yield_context _yield);
+	carried_end carry(http_session& _session, carried& _call, yield_context _yield);
+	carried_end carry_keyed(http_session& _session, carried& _call, yield_context _yield);
+	carried_end run_keyed(
+	    http_session& _session, carried& _call, steady_time _forget_at, yield_context _yield);
+	carried_end wait_for_key(const std::shared_ptr<kept_ptr>& _answer,
+	    const std::shared_ptr<asio::steady_timer>& _timer, yield_context _yield);
+	carried_end serve(http_session& _session, carried& _call, yield_context _yield);
+	carried_end try_once(
+	    http_session& _session, carried& _call, std::vector<bool>& _tried, yield_context _yield);
+	entry_vm_handle pick_owner(const carried& _call, region_handle _region, const std::vector<bool>& _tried);
+	carried_end serve_here(http_session& _session, carried& _call, yield_context _yield);
+	std::variant<ticket, reason> enter(const carried& _call, yield_context _yield);
+	carried_end exchange_backend(
+	    http_session& _session, carried& _call, const ticket& _ticket, yield_context _yield);
+	carried_end exchange_peer(http_session& _session, carried& _call, entry_vm_handle _to,
+	    request_origin _origin, yield_context _yield);
+	bool send_upstream(upstream& _up, const http_request& _request, yield_context _yield);
+	bool read_head(http_session& _session, upstream& _up, bool _repeatable, yield_context _yield);
+	http_request make_backend_request(
+	    const carried& _call, const backend_state& _backend, wall_time _expires) const;
+	http_request make_peer_request(
+	    const carried& _call, const endpoint& _where, request_origin _origin) const;
+	void deliver(http_session& _session, const carried& _call, const std::shared_ptr<upstream>& _up,
+	    carried_end& _end, yield_context _yield);
+	void deliver_small(
+	    http_session& _session, const carried& _call, upstream& _up, carried_end& _end, yield_context _yield);
+	void deliver_large(http_session& _session, const carried& _call, const std::shared_ptr<upstream>& _up,
+	    carried_end& _end, yield_context _yield);
+	void set_answer_head(const carried& _call, const upstream& _up, http::fields& _fields) const;
+	void finish(upstream& _up, exchange_end _end);
+	void abandon(const std::shared_ptr<upstream>& _up);
+	void cancel_run(const ticket& _ticket, const std::string& _id, steady_time _until, yield_context _yield);
+	void answer_end(
+	    http_session& _session, const carried& _call, const carried_end& _end, yield_context _yield);
+	std::chrono::milliseconds comes_back(const carried& _call, reason _reason);
+	bool is_relay_signed(const http_request& _request, request_origin& _origin) const;
+	std::string sign_relay(const std::string& _id, request_origin _origin) const;
+
+	asio::io_context& m_context;
+	const settings& m_settings;
+	clock_base& m_clock;
+	gate& m_gate;
+	key_table& m_keys;
+	view_board& m_board;
+	metrics& m_metrics;
+	const tracer_otlp& m_tracer;
+	retry_budget& m_budget;
+	signer m_signer;
+	connection_pool m_pool;
+	std::mt19937_64 m_random;
+	std::uint64_t m_next_id = 0;
+	std::string m_id_prefix;
+	std::size_t m_read_ahead = 0; ///< Bytes that all answers of this thread hold.
+	int m_in_flight = 0;
+};
+} // namespace larkrack
--- /dev/null
+++ b/src/chooser.cpp
@@ -0,0 +1,28 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "chooser_p.h"
+
+namespace larkrack
+{
+std::unique_ptr<chooser_base> create_chooser(const std::string& _name)
+{
+	if ("own_count" == _name)
+	{
+		return create_chooser_own_count();
+	}
+	if ("round_robin" == _name)
+	{
+		return create_chooser_round_robin();
+	}
+	if ("least_connections" == _name)
+	{
+		return create_chooser_least_connections();
+	}
+	if ("two_random" == _name)
+	{
+		return create_chooser_two_random();
+	}
+	return nullptr;
+}
+} // namespace larkrack
--- /dev/null
+++ b/src/clock_p.h
@@ -0,0 +1,67 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// Time, behind an interface, so that decisions can be tested on a virtual clock.
+#pragma once
+
+#include "kernel_p.h"
+
+#include <chrono>
+
+namespace larkrack
+{
+/// A point on a clock that never jumps; microseconds.
+using steady_time = std::chrono::time_point<std::chrono::steady_clock, std::chrono::microseconds>;
+/// A point on the wall clock; microseconds since 1970.
+using wall_time = std::chrono::time_point<std::chrono::system_clock, std::chrono::microseconds>;
+
+/// Source of time.
+class clock_base : public service_base
+{
+public:
+	const char* name() const override
+	{
+		return "clock";
+	}
+	/// @returns Time for intervals and timers.
+	virtual steady_time steady() const = 0;
+	/// @returns Time that can be compared between machines, within the assumed skew.
+	virtual wall_time wall() const = 0;
+};
+
+/// The clock of the operating system.
+class clock_system : public clock_base
+{
+public:
+	steady_time steady() const override;
+	wall_time wall() const override;
+};
+
+/// A clock that stands still until it is told to go on.
+class clock_virtual : public clock_base
+{
+public:
+	steady_time steady() const override;
+	wall_time wall() const override;
+	/// Moves both times on.
+	/// @param[in] _by Interval.
+	void advance(std::chrono::microseconds _by);
+
+private:
+	std::chrono::microseconds m_now{std::chrono::hours(24 * 365 * 50)};
+};
+
+/// @returns Microseconds since the clock's start.
+template <typename Time>
+std::int64_t to_us(Time _time)
+{
+	return _time.time_since_epoch().count();
+}
+
+/// @returns A wall time from microseconds since 1970.
+inline wall_time from_us(std::int64_t _us)
+{
+	return wall_time(std::chrono::microseconds(_us));
+}
+} // namespace larkrack
--- /dev/null
+++ b/src/config_book.cpp
@@ -0,0 +1,118 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "config_book_p.h"
+
+namespace larkrack
+{
+namespace
+{
+/// Changes that are kept to be passed on.
+constexpr std::size_t k_changes = 1000;
+} // namespace
+
+void config_book::remember(const config_state& _next)
+{
+	change one{m_state.rev, _next.rev, {}};
+	for (const auto& [key, value] : _next.resources)
+	{
+		const auto it = m_state.resources.find(key);
+		if (m_state.resources.end() == it || !(it->second.rev == value.rev))
+		{
+			one.keys.push_back(key);
+		}
+	}
+	for (const auto& [key, value] : m_state.resources)
+	{
+		if (0 == _next.resources.count(key))
+		{
+			one.keys.push_back(key);
+		}
+	}
+	m_changes.push_back(std::move(one));
+	if (k_changes < m_changes.size())
+	{
+		m_changes.pop_front();
+	}
+}
+
+take_status config_book::take(config_state _state)
+{
+	if (!(m_state.rev < _state.rev))
+	{
+		return take_status::not_newer;
+	}
+	auto built = build_policy(_state);
+	if (auto* mistakes = std::get_if<std::vector<mistake>>(&built))
+	{
+		m_mistakes = std::move(*mistakes);
+		return take_status::invalid;
+	}
+	remember(_state);
+	m_state = std::move(_state);
+	m_policy = std::get<policy_ptr>(built);
+	return take_status::taken;
+}
+
+take_status config_book::take(const message_config& _message)
+{
+	if (!(m_state.rev < _message.rev))
+	{
+		return take_status::not_newer;
+	}
+	const bool whole = 0 == _message.base.value;
+	// Changes from an older base say the whole difference, so they fit any revision between.
+	if (!whole && m_state.rev < _message.base)
+	{
+		return take_status::gap;
+	}
+	config_state next;
+	next.rev = _message.rev;
+	if (!whole)
+	{
+		next.resources = m_state.resources;
+	}
+	for (const auto& [key, value] : _message.changed)
+	{
+		next.resources[key] = value;
+	}
+	for (const std::string& key : _message.removed)
+	{
+		next.resources.erase(key);
+	}
+	return take(std::move(next));
+}
+
+message_config config_book::since(revision _have) const
+{
+	message_config reply;
+	reply.rev = m_state.rev;
+	const bool known = !m_changes.empty() && !(_have < m_changes.front().base) && 0 < _have.value;
+	if (!known)
+	{
+		reply.changed = m_state.resources;
+		return reply;
+	}
+	reply.base = _have;
+	for (const change& one : m_changes)
+	{
+		if (!(_have < one.rev))
+		{
+			continue;
+		}
+		for (const std::string& key : one.keys)
+		{
+			const auto it = m_state.resources.find(key);
+			if (m_state.resources.end() == it)
+			{
+				reply.removed.push_back(key);
+			}
+			else
+			{
+				reply.changed[key] = it->second;
+			}
+		}
+	}
+	return reply;
+}
+} // namespace larkrack
--- /dev/null
+++ b/src/events_p.h
@@ -0,0 +1,81 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// Catalogue of log events. docs/EVENTS.md holds the same table for people; a test compares both.
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+
+namespace larkrack
+{
+/// Weight of an event.
+enum class severity
+{
+	info,
+	warning,
+	error,
+};
+
+// Columns: number, name, severity, text. Numbers are never given to another event.
+#define LARKRACK_EVENTS(X)                                                                                   \
+	X(1001, node_started, info, "The process serves.")                                                       \
+	X(1002, node_stopping, info, "A planned stop began.")                                                    \
+	X(1003, node_stopped, info, "The process ends; no request was in flight.")                               \
+	X(1004, node_failed, error, "The process can not start.")                                                \
+	X(1005, node_paused, warning,                                                                            \
+	    "The control thread stood still; ownership is confirmed before the next send.")                      \
+	X(1101, platform_up, info, "The platform answers again.")                                                \
+	X(1102, platform_down, warning, "The platform does not answer; the node goes on with what it knows.")    \
+	X(1103, platform_older, warning,                                                                         \
+	    "The platform holds an older configuration than this node; it is not taken.")                        \
+	X(1104, platform_restored, warning, "This node wrote its newer configuration back to the platform.")     \
+	X(1201, config_taken, info, "A configuration is in force at this node.")                                 \
+	X(1202, config_refused, error, "A configuration is invalid and is not taken.")                           \
+	X(1203, config_written, info, "An operator's change was accepted.")                                      \
+	X(1204, config_conflict, warning, "An operator's change was refused: the resource had changed.")         \
+	X(1205, config_unsure, warning, "The answer to a write was lost; it is read back.")                      \
+	X(1301, peer_up, info, "An entry VM answers.")                                                           \
+	X(1302, peer_suspected, warning, "An entry VM is silent.")                                               \
+	X(1303, peer_left, info, "An entry VM said farewell.")                                                   \
+	X(1304, peer_refused, warning, "A peer was refused at the handshake.")                                   \
+	X(1305, peer_slow, warning, "A peer reads too slowly and was dropped.")                                  \
+	X(1401, owner_taken, info, "This node owns backend servers.")                                            \
+	X(1402, owner_released, info, "This node gave backend servers up.")                                      \
+	X(1403, owner_quarantine, warning,                                                                       \
+	    "Slots are taken as full until the longest deadline of the former owner.")                           \
+	X(1404, owner_lost, warning, "The record names another owner; no new work is sent.")                     \
+	X(1501, shift_step, info, "A shift advanced by a step.")                                                 \
+	X(1502, shift_waits, info, "A shift waits.")                                                             \
+	X(1503, shift_done, info, "A shift reached its goal.")                                                   \
+	X(1504, drain_started, info, "A backend server gets no new work.")                                       \
+	X(1505, drain_ended, info, "The last request of a draining backend server ended.")                       \
+	X(1601, backend_unreachable, warning, "A backend server refuses connections.")                           \
+	X(1602, backend_shedding, warning, "A backend server sheds; the pace towards it is lowered.")            \
+	X(1701, operator_refused, warning, "A change without the right token was refused.")                      \
+	X(1801, trace_dropped, warning, "Spans were dropped because the queue was full.")
+
+/// Numbered log event.
+enum class event : std::uint16_t
+{
+#define LARKRACK_EVENT_ENUM(_number, _name, _severity, _text) _name = (_number),
+	LARKRACK_EVENTS(LARKRACK_EVENT_ENUM)
+#undef LARKRACK_EVENT_ENUM
+};
+
+/// Row of the catalogue.
+struct event_info
+{
+	event id;
+	const char* name;
+	severity weight;
+	const char* text;
+};
+
+/// @returns All rows of the catalogue.
+const std::vector<event_info>& event_catalogue();
+/// @returns The row of an event.
+const event_info& info_of(event _event);
+} // namespace larkrack
--- /dev/null
+++ b/src/fake_platform_p.h
@@ -0,0 +1,72 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// The platform stand-in: a store engine behind HTTP, with faults that are set at run time.
+#pragma once
+
+#include "store_p.h"
+
+namespace larkrack
+{
+/// Faults of the platform stand-in.
+struct platform_faults
+{
+	bool outage = false;     ///< Connections are closed without an answer.
+	int slow_ms = 0;         ///< Each answer is held back.
+	int lose_answers = 0;    ///< So many next writes take effect, but get no answer.
+	int max_calls_s = 0;     ///< Calls above are refused; 0: no limit.
+	bool freeze_vms = false; ///< The list of VMs stands still.
+	int vms_lag_ms = 0;      ///< Changes to the list of VMs show later.
+};
+
+/// Serves the key-value calls, "/vms", and "/fake/..." for tests. Runs on one thread.
+class fake_platform
+{
+public:
+	explicit fake_platform(asio::io_context& _context);
+	/// Listens.
+	std::optional<error> init(const endpoint& _endpoint);
+	/// @returns The port in use.
+	std::uint16_t port() const
+	{
+		return m_server.port();
+	}
+	/// Sets faults from JSON; unknown fields are ignored.
+	void set_faults(const nlohmann::json& _faults);
+	/// @returns Calls by path, the peak of calls in one second, and watches that wait.
+	nlohmann::json counts() const;
+	store_engine& engine()
+	{
+		return m_engine;
+	}
+
+private:
+	void handle(http_session& _session, http_request& _request, yield_context _yield);
+	void handle_fake(http_session& _session, const http_request& _request, yield_context _yield);
+	void handle_watch(http_session& _session, const nlohmann::json& _body, yield_context _yield);
+	nlohmann::json call(const std::string& _path, const nlohmann::json& _body);
+	nlohmann::json call_range(const nlohmann::json& _body) const;
+	nlohmann::json call_txn(const nlohmann::json& _body);
+	nlohmann::json header() const;
+	nlohmann::json shown_vms();
+	void put_vm(const nlohmann::json& _vm);
+	bool over_rate();
+	void run_leases(yield_context _yield);
+
+	asio::io_context& m_context;
+	clock_system m_clock;
+	store_engine m_engine;
+	store_engine m_saved;
+	platform_faults m_faults;
+	std::map<std::string, std::uint64_t> m_calls;
+	std::int64_t m_second = 0;
+	int m_in_second = 0;
+	int m_peak = 0;
+	int m_watches = 0;
+	std::uint64_t m_epoch = 0; ///< Changes when all watches must break.
+	nlohmann::json m_vms = nlohmann::json::object();
+	std::vector<std::pair<steady_time, nlohmann::json>> m_vm_changes;
+	http_server m_server;
+};
+} // namespace larkrack
--- /dev/null
+++ b/src/gate.cpp
@@ -0,0 +1,340 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "gate_p.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace larkrack
+{
+namespace
+{
+/// Additive increase for each answer, multiplicative decrease for each shed request.
+constexpr double k_pace_increase = 0.25;
+constexpr double k_pace_decrease = 0.5;
+/// Sheds within this time count once.
+constexpr std::chrono::milliseconds k_shed_once{50};
+/// Weight of the newest latency.
+constexpr double k_latency_weight = 0.1;
+/// Age at which a load report says nothing any more.
+constexpr std::chrono::seconds k_report_life{5};
+/// Slots that a cold backend server gets at first.
+constexpr int k_cold_slots = 1;
+/// Waiting requests for each usable slot.
+constexpr double k_queue_per_slot = 0.5;
+} // namespace
+
+gate::gate(const std::string& _chooser) : m_chooser(create_chooser(_chooser))
+{
+}
+
+void gate::update(const std::vector<backend_grant>& _grants, double _max_share, steady_time _now)
+{
+	const std::lock_guard<std::mutex> lock(m_mutex);
+	m_max_share = _max_share;
+	for (auto& [name, pool] : m_pools)
+	{
+		pool.backends.clear();
+	}
+	std::map<std::string, backend_ptr> known;
+	for (const backend_grant& grant : _grants)
+	{
+		backend_ptr& state = known[grant.name];
+		const auto it = m_by_name.find(grant.name);
+		state = m_by_name.end() == it ? std::make_shared<backend_state>() : it->second;
+		if (m_by_name.end() == it || state->grant.slots != grant.slots)
+		{
+			state->pace = grant.slots;
+			state->warm_limit = grant.slots;
+		}
+		state->grant = grant;
+		m_pools[grant.service].backends.push_back(state);
+	}
+	for (const auto& [name, state] : m_by_name)
+	{
+		if (0 == known.count(name))
+		{
+			state->grant.owned = false;
+		}
+		if (0 == known.count(name) && 0 < state->running)
+		{
+			known[name] = state;
+		}
+	}
+	m_by_name = std::move(known);
+	for (auto& [name, pool] : m_pools)
+	{
+		serve_queue(pool, _now);
+	}
+}
+
+int gate::usable(const backend_state& _backend, steady_time _now) const
+{
+	if (!_backend.grant.owned || _backend.grant.drain || _now < _backend.grant.full_until)
+	{
+		return 0;
+	}
+	const int paced = std::max(1, static_cast<int>(std::floor(_backend.pace)));
+	return std::min({_backend.grant.slots, paced, _backend.warm_limit});
+}
+
+service_headroom gate::headroom_of(const pool& _pool, steady_time _now) const
+{
+	service_headroom sum;
+	for (const backend_ptr& backend : _pool.backends)
+	{
+		sum.usable += usable(*backend, _now);
+		sum.running += backend->running;
+		sum.slots += backend->grant.slots;
+	}
+	sum.usable = std::min(sum.usable, static_cast<int>(std::floor(sum.slots * m_max_share + 1e-9)));
+	sum.queued = static_cast<int>(_pool.queue.size());
+	return sum;
+}
+
+std::optional<ticket> gate::take(pool& _pool, steady_time _now)
+{
+	if (m_held)
+	{
+		return std::nullopt;
+	}
+	const service_headroom room = headroom_of(_pool, _now);
+	if (m_chooser->keeps_to_slots() && 0 == room.free())
+	{
+		return std::nullopt;
+	}
+	std::vector<candidate> candidates;
+	std::vector<backend_ptr> backends;
+	for (const backend_ptr& backend : _pool.backends)
+	{
+		const int slots = usable(*backend, _now);
+		if (0 == slots)
+		{
+			continue;
+		}
+		const double age = static_cast<double>((_now - backend->reported_at).count());
+		const double fresh =
+		    std::max(0.0, 1.0 - age / static_cast<double>(std::chrono::microseconds(k_report_life).count()));
+		candidates.push_back({backend->running, slots, backend->reported * fresh, backend->latency_us});
+		backends.push_back(backend);
+	}
+	const std::size_t chosen = candidates.empty() ? k_no_choice : m_chooser->choose(candidates);
+	if (k_no_choice == chosen)
+	{
+		return std::nullopt;
+	}
+	++backends[chosen]->running;
+	return ticket{backends[chosen], _now};
+}
+
+bool gate::enqueue(pool& _pool, const waiter_ptr& _waiter, int _limit)
+{
+	auto place = _pool.queue.end();
+	while (_pool.queue.begin() != place)
+	{
+		const auto before = std::prev(place);
+		if (_waiter->request.priority <= (*before)->request.priority)
+		{
+			break;
+		}
+		place = before;
+	}
+	if (_pool.queue.end() == place && _limit <= static_cast<int>(_pool.queue.size()))
+	{
+		return false;
+	}
+	_pool.queue.insert(place, _waiter);
+	if (_limit < static_cast<int>(_pool.queue.size()))
+	{
+		// The last of the lowest priority is told at once.
+		const waiter_ptr out = _pool.queue.back();
+		_pool.queue.pop_back();
+		out->given_up = true;
+		out->wake();
+	}
+	return true;
+}
+
+std::variant<ticket, waiter_ptr, reason> gate::admit(
+    const admission& _request, std::function<void()> _wake, steady_time _now)
+{
+	const std::lock_guard<std::mutex> lock(m_mutex);
+	const auto it = m_pools.find(_request.service);
+	if (m_pools.end() == it || it->second.backends.empty())
+	{
+		return reason::no_backend;
+	}
+	pool& pool = it->second;
+	if (pool.queue.empty())
+	{
+		std::optional<ticket> taken = take(pool, _now);
+		if (taken)
+		{
+			return *taken;
+		}
+	}
+	if (_request.queue_until <= _now)
+	{
+		return reason::no_headroom;
+	}
+	const service_headroom room = headroom_of(pool, _now);
+	const int limit = static_cast<int>(std::ceil(room.usable * k_queue_per_slot));
+	auto place = std::make_shared<waiter>();
+	place->request = _request;
+	place->wake = std::move(_wake);
+	if (!enqueue(pool, place, limit))
+	{
+		return reason::no_headroom;
+	}
+	return place;
+}
+
+std::optional<ticket> gate::give_up(const waiter_ptr& _waiter)
+{
+	const std::lock_guard<std::mutex> lock(m_mutex);
+	if (_waiter->granted)
+	{
+		return _waiter->granted;
+	}
+	if (!_waiter->given_up)
+	{
+		_waiter->given_up = true;
+		m_pools[_waiter->request.service].queue.remove(_waiter);
+	}
+	return std::nullopt;
+}
+
+void gate::serve_queue(pool& _pool, steady_time _now)
+{
+	while (!_pool.queue.empty())
+	{
+		const waiter_ptr next = _pool.queue.front();
+		if (next->request.queue_until <= _now)
+		{
+			_pool.queue.pop_front();
+			next->given_up = true;
+			next->wake();
+			continue;
+		}
+		next->granted = take(_pool, _now);
+		if (!next->granted)
+		{
+			return;
+		}
+		_pool.queue.pop_front();
+		next->wake();
+	}
+}
+
+void gate::release(const ticket& _ticket, exchange_end _end, steady_time _now)
+{
+	const std::lock_guard<std::mutex> lock(m_mutex);
+	backend_state& backend = *_ticket.backend;
+	if (exchange_end::shed == _end && k_shed_once <= _now - backend.shed_at)
+	{
+		backend.pace = std::max(1.0, backend.pace * k_pace_decrease);
+		backend.shed_at = _now;
+	}
+	if (exchange_end::whole == _end)
+	{
+		const auto took = static_cast<double>((_now - _ticket.started).count());
+		backend.latency_us +=
+		    (0.0 == backend.latency_us ? 1.0 : k_latency_weight) * (took - backend.latency_us);
+		backend.pace = std::min<double>(backend.grant.slots, backend.pace + k_pace_increase);
+		backend.warm_limit = std::min(backend.grant.slots, backend.warm_limit + 1);
+		++backend.served;
+	}
+	if (exchange_end::unsure == _end)
+	{
+		return;
+	}
+	--backend.running;
+	serve_queue(m_pools[backend.grant.service], _now);
+}
+
+void gate::confirm(const ticket& _ticket, steady_time _now)
+{
+	const std::lock_guard<std::mutex> lock(m_mutex);
+	--_ticket.backend->running;
+	serve_queue(m_pools[_ticket.backend->grant.service], _now);
+}
+
+void gate::report(const std::string& _backend, double _load, bool _cold, steady_time _now)
+{
+	const std::lock_guard<std::mutex> lock(m_mutex);
+	const auto it = m_by_name.find(_backend);
+	if (m_by_name.end() == it)
+	{
+		return;
+	}
+	it->second->reported = std::clamp(_load, 0.0, 1.0);
+	it->second->reported_at = _now;
+	if (_cold && 0 == it->second->running)
+	{
+		it->second->warm_limit = std::min(it->second->warm_limit, k_cold_slots);
+	}
+}
+
+void gate::tick(steady_time _now)
+{
+	const std::lock_guard<std::mutex> lock(m_mutex);
+	for (auto& [name, pool] : m_pools)
+	{
+		serve_queue(pool, _now);
+	}
+}
+
+std::map<std::string, service_headroom> gate::headroom(steady_time _now) const
+{
+	const std::lock_guard<std::mutex> lock(m_mutex);
+	std::map<std::string, service_headroom> all;
+	for (const auto& [name, pool] : m_pools)
+	{
+		if (!pool.backends.empty())
+		{
+			all[name] = headroom_of(pool, _now);
+		}
+	}
+	return all;
+}
+
+int gate::running(const std::string& _backend) const
+{
+	const std::lock_guard<std::mutex> lock(m_mutex);
+	const auto it = m_by_name.find(_backend);
+	return m_by_name.end() == it ? 0 : it->second->running;
+}
+
+int gate::in_flight() const
+{
+	const std::lock_guard<std::mutex> lock(m_mutex);
+	int sum = 0;
+	for (const auto& [name, state] : m_by_name)
+	{
+		sum += state->running;
+	}
+	for (const auto& [name, pool] : m_pools)
+	{
+		sum += static_cast<int>(pool.queue.size());
+	}
+	return sum;
+}
+
+std::vector<backend_state> gate::states() const
+{
+	const std::lock_guard<std::mutex> lock(m_mutex);
+	std::vector<backend_state> all;
+	for (const auto& [name, state] : m_by_name)
+	{
+		all.push_back(*state);
+	}
+	return all;
+}
+
+void gate::hold(bool _held)
+{
+	const std::lock_guard<std::mutex> lock(m_mutex);
+	m_held = _held;
+}
+} // namespace larkrack
--- /dev/null
+++ b/src/http_server.cpp
@@ -0,0 +1,326 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "http_p.h"
+
+#include "larkrack/config.h"
+
+namespace larkrack
+{
+namespace
+{
+constexpr int k_backlog = 1024;
+using reuse_port = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+std::size_t count_of(const http_request& _request, http::field _field)
+{
+	const auto range = _request.equal_range(_field);
+	return static_cast<std::size_t>(std::distance(range.first, range.second));
+}
+
+http::status status_of(const beast::error_code& _failure)
+{
+	if (http::error::header_limit == _failure)
+	{
+		return http::status::request_header_fields_too_large;
+	}
+	if (http::error::body_limit == _failure)
+	{
+		return http::status::payload_too_large;
+	}
+	if (beast::error::timeout == _failure)
+	{
+		return http::status::request_timeout;
+	}
+	return http::status::bad_request;
+}
+
+bool is_end(const beast::error_code& _failure)
+{
+	return http::error::end_of_stream == _failure || asio::error::connection_reset == _failure ||
+	       asio::error::operation_aborted == _failure || asio::error::eof == _failure;
+}
+} // namespace
+
+void sleep_for(const asio::any_io_executor& _executor, std::chrono::microseconds _time, yield_context _yield)
+{
+	asio::steady_timer timer(_executor, _time);
+	boost::system::error_code ignored;
+	timer.async_wait(_yield[ignored]);
+}
+
+bool is_closed_by_peer(tcp::socket& _socket)
+{
+	if (!_socket.is_open())
+	{
+		return true;
+	}
+	char byte = 0;
+	const auto size = ::recv(_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	return 0 == size || (size < 0 && EAGAIN != errno && EWOULDBLOCK != errno);
+}
+
+http_session::http_session(tcp::socket _socket, bool _secure_head)
+    : m_stream(std::move(_socket)), m_check_head(_secure_head)
+{
+	boost::system::error_code ignored;
+	m_peer = m_stream.socket().remote_endpoint(ignored);
+	m_stream.socket().set_option(tcp::no_delay(true), ignored);
+}
+
+std::string http_session::fault_of(const http_request& _request) const
+{
+	if (!m_check_head)
+	{
+		return "";
+	}
+	if (11 != _request.version() && 10 != _request.version())
+	{
+		return "the version of HTTP is not 1.0 or 1.1";
+	}
+	if (1 < count_of(_request, http::field::host))
+	{
+		return "several Host headers";
+	}
+	if (11 == _request.version() && 0 == count_of(_request, http::field::host))
+	{
+		return "no Host header";
+	}
+	if (1 < count_of(_request, http::field::content_length) ||
+	    (0 < count_of(_request, http::field::content_length) &&
+	        0 < count_of(_request, http::field::transfer_encoding)))
+	{
+		return "more than one length of the body";
+	}
+	return "";
+}
+
+bool http_session::read(http_request& _request, yield_context _yield)
+{
+	http::request_parser<http::string_body> parser;
+	parser.header_limit(k_header_limit);
+	parser.body_limit(k_body_limit);
+	m_stream.expires_after(k_caller_timeout);
+	beast::error_code failure;
+	http::async_read_header(m_stream, m_buffer, parser, _yield[failure]);
+	if (!failure && "100-continue" == parser.get()[http::field::expect])
+	{
+		http::response<http::empty_body> go_on(http::status::continue_, 11);
+		http::async_write(m_stream, go_on, _yield[failure]);
+	}
+	if (!failure)
+	{
+		http::async_read(m_stream, m_buffer, parser, _yield[failure]);
+	}
+	if (failure)
+	{
+		const bool nothing_came = !parser.got_some();
+		if (is_end(failure) || (beast::error::timeout == failure && nothing_came))
+		{
+			close();
+			return false;
+		}
+		// After a time-out the stream is closed, and no answer can be sent.
+		return beast::error::timeout == failure ? false
+		                                        : refuse(status_of(failure), failure.message(), _yield);
+	}
+	_request = parser.release();
+	++m_requests;
+	m_keep_alive = _request.keep_alive();
+	const std::string fault = fault_of(_request);
+	if (!fault.empty())
+	{
+		return refuse(http::status::bad_request, fault, _yield);
+	}
+	return true;
+}
+
+bool http_session::refuse(http::status _status, const std::string& _why, yield_context _yield)
+{
+	m_keep_alive = false;
+	const nlohmann::json body = {{"outcome", "not_run"}, {"reason", "bad_request"}, {"message", _why}};
+	http_response response = make_json(_status, body.dump());
+	response.set(k_header_outcome, to_string(outcome::not_run));
+	response.set(k_header_reason, to_string(reason::bad_request));
+	send(response, _yield);
+	close();
+	return false;
+}
+
+bool http_session::send(http_response& _response, yield_context _yield)
+{
+	_response.keep_alive(m_keep_alive);
+	_response.prepare_payload();
+	m_stream.expires_after(k_caller_timeout);
+	beast::error_code failure;
+	http::async_write(m_stream, _response, _yield[failure]);
+	if (failure)
+	{
+		m_keep_alive = false;
+	}
+	return !failure;
+}
+
+bool http_session::send_head_only(http_response& _response, yield_context _yield)
+{
+	_response.keep_alive(m_keep_alive);
+	m_stream.expires_after(k_caller_timeout);
+	http::response_serializer<http::string_body> serializer(_response);
+	beast::error_code failure;
+	http::async_write_header(m_stream, serializer, _yield[failure]);
+	m_keep_alive = m_keep_alive && !failure;
+	return !failure;
+}
+
+bool http_session::send_head(http::response<http::buffer_body>& _head, yield_context _yield)
+{
+	_head.keep_alive(m_keep_alive);
+	if (!_head.has_content_length())
+	{
+		_head.chunked(true);
+	}
+	_head.body().data = nullptr;
+	_head.body().more = true;
+	m_head = &_head;
+	m_serializer = std::make_unique<http::response_serializer<http::buffer_body>>(_head);
+	m_stream.expires_after(k_caller_timeout);
+	beast::error_code failure;
+	http::async_write_header(m_stream, *m_serializer, _yield[failure]);
+	return !failure;
+}
+
+bool http_session::send_piece(const char* _data, std::size_t _size, yield_context _yield)
+{
+	m_head->body().data = const_cast<char*>(_data);
+	m_head->body().size = _size;
+	m_head->body().more = true;
+	m_stream.expires_after(k_caller_timeout);
+	beast::error_code failure;
+	http::async_write(m_stream, *m_serializer, _yield[failure]);
+	return !failure || http::error::need_buffer == failure;
+}
+
+bool http_session::send_end(yield_context _yield)
+{
+	m_head->body().data = nullptr;
+	m_head->body().size = 0;
+	m_head->body().more = false;
+	beast::error_code failure;
+	if (!m_serializer->is_done())
+	{
+		http::async_write(m_stream, *m_serializer, _yield[failure]);
+	}
+	m_serializer.reset();
+	m_head = nullptr;
+	if (failure)
+	{
+		m_keep_alive = false;
+	}
+	return !failure;
+}
+
+bool http_session::is_gone()
+{
+	return is_closed_by_peer(m_stream.socket());
+}
+
+void http_session::close()
+{
+	m_keep_alive = false;
+	boost::system::error_code ignored;
+	m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+	m_stream.close();
+}
+
+http_server::http_server(asio::io_context& _context, http_handler _handler, std::size_t _limit)
+    : m_context(_context), m_acceptor(_context),
+      m_handler(std::make_shared<http_handler>(std::move(_handler))), m_limit(_limit),
+      m_sessions(std::make_shared<session_map>()), m_stopping(std::make_shared<bool>(false))
+{
+}
+
+http_server::~http_server()
+{
+	stop_accepting();
+}
+
+std::optional<error> http_server::listen(const endpoint& _endpoint, bool _shared)
+{
+	boost::system::error_code failure;
+	const tcp::endpoint where(asio::ip::make_address(_endpoint.host), _endpoint.port);
+	m_acceptor.open(where.protocol(), failure);
+	m_acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
+	if (_shared)
+	{
+		m_acceptor.set_option(reuse_port(true), failure);
+	}
+	m_acceptor.bind(where, failure);
+	if (!failure)
+	{
+		m_acceptor.listen(k_backlog, failure);
+	}
+	if (failure)
+	{
+		return error{"listen", "can not listen on " + to_string(_endpoint) + ": " + failure.message()};
+	}
+	accept();
+	return std::nullopt;
+}
+
+std::uint16_t http_server::port() const
+{
+	boost::system::error_code ignored;
+	return m_acceptor.local_endpoint(ignored).port();
+}
+
+void http_server::accept()
+{
+	m_acceptor.async_accept(
+	    [this, stopping = m_stopping](const boost::system::error_code& _failure, tcp::socket _socket)
+	    {
+		    if (*stopping || asio::error::operation_aborted == _failure)
+		    {
+			    return;
+		    }
+		    if (!_failure && m_sessions->size() < m_limit)
+		    {
+			    auto session = std::make_shared<http_session>(std::move(_socket), true);
+			    m_sessions->emplace(session.get(), session);
+			    start(m_context,
+			        [session, handler = m_handler, sessions = m_sessions, last = m_last_answers](
+			            yield_context _yield)
+			        {
+				        http_request request;
+				        while (session->keep_alive() && session->read(request, _yield))
+				        {
+					        if (*last)
+					        {
+						        session->set_last();
+					        }
+					        (*handler)(*session, request, _yield);
+				        }
+				        session->close();
+				        sessions->erase(session.get());
+			        });
+		    }
+		    accept();
+	    });
+}
+
+void http_server::stop_accepting()
+{
+	*m_stopping = true;
+	*m_last_answers = true;
+	boost::system::error_code ignored;
+	m_acceptor.close(ignored);
+}
+
+void http_server::close_all()
+{
+	stop_accepting();
+	for (const auto& [raw, session] : *m_sessions)
+	{
+		session->close();
+	}
+}
+} // namespace larkrack
--- /dev/null
+++ b/src/lookup.cpp
@@ -0,0 +1,145 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "lookup_p.h"
+
+#include "larkrack/config.h"
+
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace larkrack
+{
+namespace
+{
+/// Entry VMs in one answer.
+constexpr std::size_t k_choices = 4;
+constexpr double k_weight_digits = 1000.0;
+
+bool may_be_named(const traffic_view& _view, std::size_t _vm)
+{
+	const peer_view& peer = _view.peers[_vm];
+	const policy& rules = *_view.rules;
+	const entry_vm_spec& vm = rules.entry_vms[_vm];
+	return peer.alive && !peer.leaving && !rules.at(vm.domain).drain;
+}
+} // namespace
+
+double point_of(const boost::asio::ip::address& _caller, const std::string& _service)
+{
+	const wide_address wide = widen(_caller);
+	const std::uint64_t seed = XXH64(_service.data(), _service.size(), 0);
+	const std::uint64_t hash = XXH64(&wide, sizeof(wide), seed);
+	constexpr double k_steps = 9007199254740992.0; // 2^53, the doubles between 0 and 1 that are evenly spaced
+	return static_cast<double>(hash >> 11) / k_steps;
+}
+
+region_handle region_for(
+    const traffic_view& _view, service_handle _service, const boost::asio::ip::address& _caller)
+{
+	const service_view& service = _view.services[_service.idx];
+	return service.plan.choose(
+	    _view.rules->home_of(_caller), point_of(_caller, _view.rules->at(_service).name));
+}
+
+std::vector<lookup_choice> order_entry_vms(
+    const traffic_view& _view, service_handle _service, region_handle _region, double _draw)
+{
+	std::vector<lookup_choice> near;
+	std::vector<lookup_choice> far;
+	double sum = 0.0;
+	for (std::size_t at = 0; at < _view.peers.size(); ++at)
+	{
+		if (!may_be_named(_view, at))
+		{
+			continue;
+		}
+		const entry_vm_handle vm{static_cast<std::uint16_t>(at)};
+		const int usable = _view.peers[at].rooms[_service.idx].usable;
+		const bool here = _view.rules->region_of(vm) == _region;
+		(here ? near : far).push_back({vm, static_cast<double>(usable)});
+		sum += here ? usable : 0;
+	}
+	const auto heavier = [](const lookup_choice& _a, const lookup_choice& _b)
+	{
+		return _b.weight < _a.weight;
+	};
+	std::sort(near.begin(), near.end(), heavier);
+	std::stable_sort(far.begin(), far.end(), heavier);
+	double left = _draw * sum;
+	for (std::size_t at = 0; at < near.size(); ++at)
+	{
+		left -= near[at].weight;
+		if (left < 0.0)
+		{
+			std::rotate(near.begin(), near.begin() + static_cast<std::ptrdiff_t>(at),
+			    near.begin() + static_cast<std::ptrdiff_t>(at) + 1);
+			break;
+		}
+	}
+	near.insert(near.end(), far.begin(), far.end());
+	near.resize(std::min(near.size(), k_choices));
+	for (lookup_choice& choice : near)
+	{
+		choice.weight =
+		    sum <= 0.0 ? 0.0 : std::round(choice.weight / sum * k_weight_digits) / k_weight_digits;
+	}
+	return near;
+}
+
+entry_vm_handle key_owner(const policy& _policy, const std::string& _key)
+{
+	entry_vm_handle best;
+	std::uint64_t best_weight = 0;
+	for (std::size_t at = 0; at < _policy.entry_vms.size(); ++at)
+	{
+		const std::uint64_t weight = rendezvous(_key, _policy.entry_vms[at].name);
+		if (!is_valid(best) || best_weight < weight)
+		{
+			best = {static_cast<std::uint16_t>(at)};
+			best_weight = weight;
+		}
+	}
+	return best;
+}
+
+std::string lookup_answer(const traffic_view& _view, service_handle _service,
+    const boost::asio::ip::address& _caller, const signer& _signer, wall_time _now, std::mt19937_64& _random)
+{
+	const policy& rules = *_view.rules;
+	region_handle region = region_for(_view, _service, _caller);
+	if (!is_valid(region))
+	{
+		// Held back by the cap: the caller is told where it would go, and is refused there with a time to
+		// come back.
+		region = rules.home_of(_caller);
+	}
+	const double draw = std::uniform_real_distribution<double>(0.0, 1.0)(_random);
+	const std::vector<lookup_choice> choices = order_entry_vms(_view, _service, region, draw);
+	nlohmann::json list = nlohmann::json::array();
+	for (const lookup_choice& choice : choices)
+	{
+		const entry_vm_spec& vm = rules.at(choice.vm);
+		list.push_back(
+		    {{"name", vm.name}, {"address", to_string(vm.callers)}, {"domain", rules.at(vm.domain).name},
+		        {"region", rules.regions[rules.region_of(choice.vm).idx].name}, {"weight", choice.weight}});
+	}
+	nlohmann::json answer = {{"service", rules.at(_service).name}, {"entry_vms", list},
+	    {"ttl_ms", k_lookup_ttl.count()}, {"revision", rules.rev.value}};
+	if (!choices.empty())
+	{
+		grant given;
+		given.service = rules.at(_service).name;
+		given.entry_vm = rules.at(choices.front().vm).name;
+		given.life = _view.peers[choices.front().vm.idx].life;
+		given.issued = _now;
+		given.expires = _now + k_grant_life;
+		given.nonce = _random();
+		answer["grant"] = _signer.sign(given);
+	}
+	return answer.dump();
+}
+} // namespace larkrack
--- /dev/null
+++ b/src/membership.cpp
@@ -0,0 +1,258 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "membership_p.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace larkrack
+{
+namespace
+{
+/// Members of a failure domain up to which the shortest interval holds; above, it grows with the size.
+constexpr std::size_t k_small_domain = 16;
+/// Entries of others that one heartbeat passes on, at most.
+constexpr std::size_t k_news_near = 12;
+constexpr std::size_t k_news_far = 24;
+/// Heartbeats to other failure domains are rarer by this factor.
+constexpr std::size_t k_far_rounds = 2;
+/// Members of other failure domains are suspected later by this factor.
+constexpr int k_far_patience = 3;
+constexpr int k_suspect_intervals = 4;
+
+bool is_newer(const member_entry& _a, const member_entry& _b)
+{
+	if (!(_a.life == _b.life))
+	{
+		return _b.life < _a.life;
+	}
+	return _b.sequence < _a.sequence;
+}
+} // namespace
+
+std::uint64_t rendezvous(const std::string& _key, const std::string& _name)
+{
+	const std::uint64_t seed = XXH64(_key.data(), _key.size(), 0);
+	return XXH64(_name.data(), _name.size(), seed);
+}
+
+membership::membership(std::string _self, std::string _domain, incarnation _life)
+    : m_domain(std::move(_domain))
+{
+	m_self.vm = std::move(_self);
+	m_self.domain = m_domain;
+	m_self.life = _life;
+}
+
+void membership::configure(const std::vector<member_config>& _members)
+{
+	m_domain_of.clear();
+	m_domain_size.clear();
+	for (const member_config& member : _members)
+	{
+		m_domain_of[member.vm] = member.domain;
+		++m_domain_size[member.domain];
+	}
+	for (auto it = m_known.begin(); m_known.end() != it;)
+	{
+		it = 0 == m_domain_of.count(it->first) ? m_known.erase(it) : std::next(it);
+	}
+}
+
+std::chrono::microseconds membership::interval() const
+{
+	const auto it = m_domain_size.find(m_domain);
+	const std::size_t size = m_domain_size.end() == it ? 1 : it->second;
+	const std::size_t factor = std::max<std::size_t>(1, size / k_small_domain);
+	return k_heartbeat_interval * static_cast<int>(factor);
+}
+
+std::vector<heartbeat> membership::tick(steady_time _now)
+{
+	if (_now < m_next)
+	{
+		return {};
+	}
+	m_next = _now + interval();
+	++m_self.sequence;
+	++m_round;
+	std::vector<heartbeat> due;
+	for (const std::string& to : targets_near(_now))
+	{
+		due.push_back({to, news(m_domain, _now)});
+	}
+	if (0 == m_round % k_far_rounds && has_role("delegate", k_delegates, _now))
+	{
+		for (const std::string& to : targets_far(_now))
+		{
+			due.push_back({to, news(m_domain_of[to], _now)});
+		}
+	}
+	return due;
+}
+
+std::vector<std::string> membership::targets_near(steady_time)
+{
+	std::vector<std::string> near;
+	for (const auto& [vm, domain] : m_domain_of)
+	{
+		if (domain == m_domain && vm != m_self.vm)
+		{
+			near.push_back(vm);
+		}
+	}
+	if (near.size() <= k_heartbeat_fanout)
+	{
+		return near;
+	}
+	// Silent members stay in the rotation, so that they are found again.
+	std::vector<std::string> chosen;
+	for (std::size_t step = 0; step < k_heartbeat_fanout; ++step)
+	{
+		chosen.push_back(near[(m_round * k_heartbeat_fanout + step) % near.size()]);
+	}
+	return chosen;
+}
+
+std::vector<std::string> membership::targets_far(steady_time _now)
+{
+	std::vector<std::string> far;
+	for (const auto& [domain, size] : m_domain_size)
+	{
+		if (domain == m_domain)
+		{
+			continue;
+		}
+		std::vector<std::string> delegates = role_of("delegate", k_delegates, domain, _now);
+		if (delegates.empty())
+		{
+			// Nobody is known to answer there: try all in turn.
+			for (const auto& [vm, its_domain] : m_domain_of)
+			{
+				if (its_domain == domain)
+				{
+					delegates.push_back(vm);
+				}
+			}
+		}
+		far.push_back(delegates[(m_round / k_far_rounds) % delegates.size()]);
+	}
+	return far;
+}
+
+std::vector<member_entry> membership::news(const std::string& _for_domain, steady_time _now)
+{
+	std::vector<known*> others;
+	for (auto& [vm, one] : m_known)
+	{
+		const bool near = one.entry.domain == m_domain;
+		// To other failure domains a delegate speaks for its own; within its own it passes on all.
+		if (_for_domain == m_domain ? true : near)
+		{
+			others.push_back(&one);
+		}
+	}
+	const std::size_t limit = _for_domain == m_domain ? k_news_near : k_news_far;
+	const auto longest_unsent = [](const known* _a, const known* _b)
+	{
+		return _a->sent < _b->sent;
+	};
+	const std::size_t count = std::min(limit, others.size());
+	std::partial_sort(
+	    others.begin(), others.begin() + static_cast<std::ptrdiff_t>(count), others.end(), longest_unsent);
+	std::vector<member_entry> entries = {m_self};
+	for (std::size_t at = 0; at < count; ++at)
+	{
+		others[at]->sent = _now;
+		entries.push_back(others[at]->entry);
+	}
+	return entries;
+}
+
+void membership::receive(const std::vector<member_entry>& _entries, steady_time _now)
+{
+	for (const member_entry& entry : _entries)
+	{
+		if (entry.vm == m_self.vm || 0 == m_domain_of.count(entry.vm))
+		{
+			continue;
+		}
+		const auto it = m_known.find(entry.vm);
+		if (m_known.end() == it)
+		{
+			m_known[entry.vm] = {entry, _now, {}};
+		}
+		else if (is_newer(entry, it->second.entry))
+		{
+			it->second.entry = entry;
+			it->second.heard = _now;
+		}
+	}
+}
+
+member_state membership::state_of(const std::string& _vm, steady_time _now) const
+{
+	if (_vm == m_self.vm)
+	{
+		return member_state::alive;
+	}
+	const auto it = m_known.find(_vm);
+	if (m_known.end() == it)
+	{
+		return member_state::unknown;
+	}
+	if (it->second.entry.left)
+	{
+		return member_state::left;
+	}
+	const auto patience = interval() * k_suspect_intervals;
+	const bool near = it->second.entry.domain == m_domain;
+	const auto limit = near ? patience : patience * k_far_patience;
+	return limit < _now - it->second.heard ? member_state::suspected : member_state::alive;
+}
+
+const member_entry* membership::entry_of(const std::string& _vm) const
+{
+	if (_vm == m_self.vm)
+	{
+		return &m_self;
+	}
+	const auto it = m_known.find(_vm);
+	return m_known.end() == it ? nullptr : &it->second.entry;
+}
+
+std::vector<std::string> membership::alive_in(const std::string& _domain, steady_time _now) const
+{
+	std::vector<std::string> names;
+	for (const auto& [vm, domain] : m_domain_of)
+	{
+		if (domain == _domain && member_state::alive == state_of(vm, _now))
+		{
+			names.push_back(vm);
+		}
+	}
+	return names;
+}
+
+std::vector<std::string> membership::role_of(
+    const char* _role, std::size_t _count, const std::string& _domain, steady_time _now) const
+{
+	std::vector<std::string> names = alive_in(_domain, _now);
+	std::sort(names.begin(), names.end(),
+	    [&](const std::string& _a, const std::string& _b)
+	    {
+		    return rendezvous(_role, _b) < rendezvous(_role, _a);
+	    });
+	names.resize(std::min(names.size(), _count));
+	return names;
+}
+
+bool membership::has_role(const char* _role, std::size_t _count, steady_time _now) const
+{
+	const std::vector<std::string> names = role_of(_role, _count, m_domain, _now);
+	const bool configured = 0 < m_domain_of.count(m_self.vm);
+	return !configured || names.end() != std::find(names.begin(), names.end(), m_self.vm);
+}
+} // namespace larkrack
--- /dev/null
+++ b/src/metrics.cpp
@@ -0,0 +1,62 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "metrics_p.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace larkrack
+{
+namespace
+{
+prometheus::Counter* counter(prometheus::Registry& _registry, const char* _name, const char* _help)
+{
+	return &prometheus::BuildCounter().Name(_name).Help(_help).Register(_registry).Add({});
+}
+} // namespace
+
+metrics::metrics() : m_registry(std::make_shared<prometheus::Registry>())
+{
+	m_outcomes = &prometheus::BuildCounter()
+	                  .Name("larkrack_requests_total")
+	                  .Help("Requests by service, outcome and reason.")
+	                  .Register(*m_registry);
+	m_lookups = counter(*m_registry, "larkrack_lookups_total", "Look-ups answered.");
+	m_relays = counter(*m_registry, "larkrack_relays_total", "Requests sent on to another entry VM.");
+	m_retries = counter(*m_registry, "larkrack_retries_total", "Second tries of this entry VM.");
+	const prometheus::Histogram::BucketBoundaries bounds = {
+	    0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0};
+	m_seconds = &prometheus::BuildHistogram()
+	                 .Name("larkrack_request_seconds")
+	                 .Help("Time from taking a request to the end of its answer, in seconds.")
+	                 .Register(*m_registry)
+	                 .Add({}, bounds);
+}
+
+std::string metrics::text() const
+{
+	return prometheus::TextSerializer().Serialize(m_registry->Collect());
+}
+
+void metrics::count_outcome(const std::string& _service, outcome _outcome, reason _reason)
+{
+	m_outcomes->Add({{"service", _service}, {"outcome", to_string(_outcome)}, {"reason", to_string(_reason)}})
+	    .Increment();
+}
+
+void metrics::set(const std::string& _name, const std::string& _help, double _value)
+{
+	prometheus::BuildGauge().Name(_name).Help(_help).Register(*m_registry).Add({}).Set(_value);
+}
+
+void metrics::set(const std::string& _name, const std::string& _help, const std::string& _label,
+    const std::string& _label_value, double _value)
+{
+	prometheus::BuildGauge()
+	    .Name(_name)
+	    .Help(_help)
+	    .Register(*m_registry)
+	    .Add({{_label, _label_value}})
+	    .Set(_value);
+}
+} // namespace larkrack
--- /dev/null
+++ b/src/metrics_p.h
@@ -0,0 +1,68 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// Metrics by prometheus-cpp, with a small, fixed set of labels.
+#pragma once
+
+#include "kernel_p.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <memory>
+#include <string>
+
+namespace larkrack
+{
+/// All metrics of a node. Counters may be used from every thread.
+class metrics : public service_base
+{
+public:
+	metrics();
+	const char* name() const override
+	{
+		return "metrics";
+	}
+	/// @returns Text for a scrape.
+	std::string text() const;
+
+	/// Counts an outcome.
+	void count_outcome(const std::string& _service, outcome _outcome, reason _reason);
+	/// Counts a look-up.
+	void count_lookup()
+	{
+		m_lookups->Increment();
+	}
+	/// Counts a request that went on to another entry VM.
+	void count_relay()
+	{
+		m_relays->Increment();
+	}
+	/// Counts a retry.
+	void count_retry()
+	{
+		m_retries->Increment();
+	}
+	/// Takes the time from taking a request to its answer's end.
+	void observe_seconds(double _seconds)
+	{
+		m_seconds->Observe(_seconds);
+	}
+	/// Sets a gauge without labels.
+	void set(const std::string& _name, const std::string& _help, double _value);
+	/// Sets a gauge with one label.
+	void set(const std::string& _name, const std::string& _help, const std::string& _label,
+	    const std::string& _label_value, double _value);
+
+private:
+	std::shared_ptr<prometheus::Registry> m_registry;
+	prometheus::Family<prometheus::Counter>* m_outcomes = nullptr;
+	prometheus::Counter* m_lookups = nullptr;
+	prometheus::Counter* m_relays = nullptr;
+	prometheus::Counter* m_retries = nullptr;
+	prometheus::Histogram* m_seconds = nullptr;
+};
+} // namespace larkrack
--- /dev/null
+++ b/src/mix.cpp
@@ -0,0 +1,179 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "mix_p.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace larkrack
+{
+namespace
+{
+constexpr double k_nothing = 1e-12;
+/// Samples closer than this are merged; it bounds the memory of a limiter.
+constexpr std::chrono::milliseconds k_sample_gap{50};
+
+/// Leaves with open regions what no other region could gain yet.
+void give_back(
+    const std::vector<double>& _current, const std::vector<bool>& _open, std::vector<double>& _next)
+{
+	double left = 1.0 - std::accumulate(_next.begin(), _next.end(), 0.0);
+	for (std::size_t at = 0; at < _next.size() && k_nothing < left; ++at)
+	{
+		if (!_open[at] || _current[at] <= _next[at])
+		{
+			continue;
+		}
+		const double kept = std::min(left, _current[at] - _next[at]);
+		_next[at] += kept;
+		left -= kept;
+	}
+}
+} // namespace
+
+region_handle mix::choose(region_handle _home, double _point) const
+{
+	if (regions <= _home.idx)
+	{
+		return {};
+	}
+	double left = _point;
+	const double* row = &part[_home.idx * regions];
+	for (std::size_t at = 0; at < regions; ++at)
+	{
+		left -= row[at];
+		if (left < 0.0)
+		{
+			return {static_cast<std::uint16_t>(at)};
+		}
+	}
+	return {};
+}
+
+mix plan_mix(const std::vector<double>& _demand, const std::vector<double>& _shares)
+{
+	mix plan;
+	plan.regions = _demand.size();
+	plan.part.assign(plan.regions * plan.regions, 0.0);
+	std::vector<double> room(plan.regions);
+	double rooms = 0.0;
+	for (std::size_t at = 0; at < plan.regions; ++at)
+	{
+		room[at] = std::max(0.0, _shares[at] - _demand[at]);
+		rooms += room[at];
+	}
+	for (std::size_t home = 0; home < plan.regions; ++home)
+	{
+		double* row = &plan.part[home * plan.regions];
+		if (_demand[home] < k_nothing)
+		{
+			std::copy(_shares.begin(), _shares.end(), row);
+			continue;
+		}
+		const double kept = std::min(_demand[home], _shares[home]);
+		row[home] = kept / _demand[home];
+		if (rooms < k_nothing)
+		{
+			continue;
+		}
+		// What the regions with room can not take stays unassigned.
+		const double excess = _demand[home] - kept;
+		double excesses = 0.0;
+		for (std::size_t at = 0; at < plan.regions; ++at)
+		{
+			excesses += std::max(0.0, _demand[at] - _shares[at]);
+		}
+		const double taken = excesses < k_nothing ? 0.0 : std::min(1.0, rooms / excesses);
+		for (std::size_t at = 0; at < plan.regions; ++at)
+		{
+			row[at] += excess * taken * (room[at] / rooms) / _demand[home];
+		}
+	}
+	return plan;
+}
+
+std::vector<double> without_closed(const std::vector<double>& _shares, const std::vector<bool>& _open)
+{
+	double open_sum = 0.0;
+	std::size_t open_count = 0;
+	for (std::size_t at = 0; at < _shares.size(); ++at)
+	{
+		open_sum += _open[at] ? _shares[at] : 0.0;
+		open_count += _open[at] ? 1 : 0;
+	}
+	if (0 == open_count)
+	{
+		return _shares;
+	}
+	std::vector<double> shares(_shares.size(), 0.0);
+	for (std::size_t at = 0; at < _shares.size(); ++at)
+	{
+		if (_open[at])
+		{
+			shares[at] =
+			    open_sum < k_nothing ? 1.0 / static_cast<double>(open_count) : _shares[at] / open_sum;
+		}
+	}
+	return shares;
+}
+
+void mix_limiter::reset(const std::vector<double>& _shares, steady_time _now)
+{
+	m_current = _shares;
+	m_samples.clear();
+	m_samples.push_back({_now, _shares});
+}
+
+void mix_limiter::configure(double _cap, std::chrono::microseconds _window)
+{
+	m_cap = _cap;
+	m_window = _window;
+}
+
+double mix_limiter::lowest(std::size_t _region) const
+{
+	double low = m_current[_region];
+	for (const sample& one : m_samples)
+	{
+		low = std::min(low, one.shares[_region]);
+	}
+	return low;
+}
+
+const std::vector<double>& mix_limiter::advance(
+    const std::vector<double>& _target, const std::vector<bool>& _open, steady_time _now)
+{
+	if (_target.size() != m_current.size())
+	{
+		reset(_target, _now);
+		return m_current;
+	}
+	// The newest sample at or before the window's start still counts: it was in force when the window began.
+	while (1 < m_samples.size() && m_samples[1].at <= _now - m_window)
+	{
+		m_samples.pop_front();
+	}
+	const double elapsed = static_cast<double>((_now - m_samples.back().at).count());
+	const double pace = m_cap * std::min(1.0, elapsed / static_cast<double>(m_window.count()));
+	std::vector<double> next = m_current;
+	for (std::size_t at = 0; at < next.size(); ++at)
+	{
+		// An even pace, so that caches warm as the shift goes and no window sees a jump.
+		const double limit = std::min(lowest(at) + m_cap, m_current[at] + pace);
+		next[at] = std::min(_target[at], limit);
+	}
+	give_back(m_current, _open, next);
+	const bool moved = next != m_current;
+	if (moved && _now - m_samples.back().at < k_sample_gap)
+	{
+		return m_current;
+	}
+	m_current = next;
+	if (moved || k_sample_gap <= _now - m_samples.back().at)
+	{
+		m_samples.push_back({_now, m_current});
+	}
+	return m_current;
+}
+} // namespace larkrack
--- /dev/null
+++ b/src/mix_p.h
@@ -0,0 +1,78 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// How a service's traffic is divided among regions: the plan, and the limit on how fast it may move.
+#pragma once
+
+#include "clock_p.h"
+#include "policy_p.h"
+
+#include <deque>
+#include <vector>
+
+namespace larkrack
+{
+/// Part of the callers of each home region that goes to each region.
+struct mix
+{
+	std::size_t regions = 0;
+	std::vector<double> part; ///< [home * regions + destination]; each row's sum is 1.
+
+	/// Chooses by a number that is the same for the same caller, so that few callers move at a step.
+	/// @param[in] _point Number in [0, 1).
+	region_handle choose(region_handle _home, double _point) const;
+};
+
+/// Keeps as many callers in their home region as the shares allow.
+/// @param[in] _demand Share of callers that live nearest to each region.
+/// @param[in] _shares Share that each region shall serve.
+mix plan_mix(const std::vector<double>& _demand, const std::vector<double>& _shares);
+
+/// Moves the share of drained or dead regions to the others, in proportion to theirs.
+/// @param[in] _open Whether each region may serve.
+std::vector<double> without_closed(const std::vector<double>& _shares, const std::vector<bool>& _open);
+
+/// Limits what any region gains within one sliding window.
+///
+/// Losses are taken at once, gains only as the cap allows; what is lost by one region and not yet
+/// gained by another stays unassigned and is refused.
+/// @remarks The invariant is local. When every entry VM keeps it for its own mix, the sum keeps it too.
+class mix_limiter
+{
+public:
+	/// @param[in] _cap Share that a region may gain in one window.
+	/// @param[in] _window Length of the window, with a margin for the spread of steps.
+	mix_limiter(double _cap, std::chrono::microseconds _window) : m_cap(_cap), m_window(_window)
+	{
+	}
+	/// Starts over from known shares: nothing was gained before.
+	void reset(const std::vector<double>& _shares, steady_time _now);
+	/// Changes cap and window; the memory of what was gained stays.
+	void configure(double _cap, std::chrono::microseconds _window);
+	/// Moves towards a target as far as the cap allows.
+	/// @param[in] _open Whether each region may serve. An open one loses only what others gain; a closed one
+	/// loses all at once.
+	/// @returns Shares in force; their sum is 1 or less.
+	const std::vector<double>& advance(
+	    const std::vector<double>& _target, const std::vector<bool>& _open, steady_time _now);
+	/// @returns Shares in force.
+	const std::vector<double>& current() const
+	{
+		return m_current;
+	}
+
+private:
+	struct sample
+	{
+		steady_time at;
+		std::vector<double> shares;
+	};
+	double lowest(std::size_t _region) const;
+
+	double m_cap;
+	std::chrono::microseconds m_window;
+	std::vector<double> m_current;
+	std::deque<sample> m_samples;
+};
+} // namespace larkrack
--- /dev/null
+++ b/src/node.cpp
@@ -0,0 +1,100 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "node_p.h"
+
+#include "larkrack/config.h"
+
+#include "control_p.h"
+#include "log_p.h"
+#include "metrics_p.h"
+#include "operators_p.h"
+#include "tracer_p.h"
+#include "traffic_p.h"
+
+namespace larkrack
+{
+namespace
+{
+/// Longest time of a planned stop.
+constexpr std::chrono::seconds k_stop_limit{120};
+constexpr std::chrono::milliseconds k_stop_poll{20};
+/// Callers' copies of look-ups must have gone by, and a little more for those on their way.
+constexpr std::chrono::milliseconds k_stop_grace = k_lookup_ttl + std::chrono::milliseconds(500);
+constexpr std::chrono::milliseconds k_farewell_time{100};
+} // namespace
+
+node::node(const settings& _settings)
+{
+	add_services(_settings);
+}
+
+void node::add_services(const settings& _settings)
+{
+	auto clock = std::make_unique<clock_system>();
+	auto known = std::make_unique<settings_service>(_settings);
+	auto peers = create_peers_websocket(m_context, known->get(), *clock);
+	m_kernel.add(std::move(clock));
+	m_kernel.add(std::move(known));
+	m_kernel.add(std::make_unique<metrics>());
+	m_kernel.add(std::make_unique<tracer_service>(m_context));
+	m_kernel.add(std::make_unique<view_board>());
+	m_kernel.add(std::make_unique<gate>(_settings.chooser));
+	m_kernel.add(std::make_unique<key_table>());
+	m_kernel.add(std::make_unique<store_http>(m_context, _settings.platform));
+	m_kernel.add(std::move(peers));
+	m_kernel.add(std::make_unique<platform_sync>(m_context, _settings.name, _settings.platform));
+	m_kernel.add(std::make_unique<control>(m_context));
+	m_kernel.add(std::make_unique<traffic>());
+	m_kernel.add(std::make_unique<operators>(m_context));
+	m_control = m_kernel.find<control>("control");
+	m_traffic = m_kernel.find<traffic>("traffic");
+}
+
+int node::run()
+{
+	if (const std::optional<error> failure = m_kernel.init())
+	{
+		log_event(event::node_failed, {{"code", failure->code}, {"message", failure->message}});
+		return 1;
+	}
+	log_event(event::node_started, {{"version", LARKRACK_VERSION}});
+	boost::asio::signal_set signals(m_context, SIGINT, SIGTERM);
+	signals.async_wait(
+	    [this](const boost::system::error_code& _failure, int)
+	    {
+		    if (!_failure)
+		    {
+			    start(m_context,
+			        [this](yield_context _yield)
+			        {
+				        stop(_yield);
+			        });
+		    }
+	    });
+	m_context.run();
+	m_kernel.shutdown();
+	log_event(event::node_stopped, {{"in_flight", m_traffic->in_flight()}});
+	return 0;
+}
+
+void node::stop(yield_context _yield)
+{
+	const auto began = std::chrono::steady_clock::now();
+	m_control->begin_stop();
+	m_traffic->begin_stop();
+	sleep_for(m_context.get_executor(), k_stop_grace, _yield);
+	m_traffic->stop_accepting();
+	const auto late = [&]
+	{
+		return k_stop_limit < std::chrono::steady_clock::now() - began;
+	};
+	while (!late() && (0 < m_traffic->in_flight() || !m_control->is_handed_over()))
+	{
+		sleep_for(m_context.get_executor(), k_stop_poll, _yield);
+	}
+	m_control->say_farewell();
+	sleep_for(m_context.get_executor(), k_farewell_time, _yield);
+	m_context.stop();
+}
+} // namespace larkrack
--- /dev/null
+++ b/src/node_p.h
@@ -0,0 +1,38 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// All services of one larkrackd, and its planned stop.
+#pragma once
+
+#include "kernel_p.h"
+#include "settings_p.h"
+
+#include <boost/asio.hpp>
+#include <boost/asio/spawn.hpp>
+
+namespace larkrack
+{
+class control;
+class traffic;
+
+/// One entry VM's process.
+class node
+{
+public:
+	explicit node(const settings& _settings);
+	/// Serves until a planned stop has ended.
+	/// @returns Exit code of the process.
+	int run();
+
+private:
+	void add_services(const settings& _settings);
+	void stop(boost::asio::yield_context _yield);
+
+	boost::asio::io_context m_context{1};
+	kernel m_kernel;
+	control* m_control = nullptr;
+	traffic* m_traffic = nullptr;
+	bool m_stopping = false;
+};
+} // namespace larkrack
--- /dev/null
+++ b/src/operators.cpp
@@ -0,0 +1,492 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "operators_p.h"
+
+#include "log_p.h"
+#include "lookup_p.h"
+
+#include <boost/algorithm/string/classification.hpp>
+#include <boost/algorithm/string/split.hpp>
+
+namespace larkrack
+{
+namespace
+{
+constexpr const char* k_v1 = "/v1/";
+constexpr std::chrono::milliseconds k_watch_interval{200};
+
+http_response problem(http::status _status, const std::string& _code, const std::string& _message)
+{
+	return make_json(_status, nlohmann::json({{"error", _code}, {"message", _message}}).dump());
+}
+
+const char* to_string(member_state _state)
+{
+	switch (_state)
+	{
+	case member_state::alive:
+		return "alive";
+	case member_state::suspected:
+		return "suspected";
+	case member_state::left:
+		return "left";
+	case member_state::unknown:
+		break;
+	}
+	return "unknown";
+}
+
+std::optional<revision> revision_from(const std::string& _text)
+{
+	if (_text.empty() || "*" == _text)
+	{
+		return std::nullopt;
+	}
+	std::string digits;
+	for (const char one : _text)
+	{
+		if ('0' <= one && one <= '9')
+		{
+			digits += one;
+		}
+	}
+	return revision{std::strtoull(digits.c_str(), nullptr, 10)};
+}
+} // namespace
+
+operators::operators(asio::io_context& _context) : m_context(_context)
+{
+}
+
+std::optional<error> operators::init(kernel& _kernel)
+{
+	m_settings = &_kernel.find<settings_service>("settings")->get();
+	m_clock = _kernel.find<clock_base>("clock");
+	m_sync = _kernel.find<platform_sync>("platform_sync");
+	m_control = _kernel.find<control>("control");
+	m_gate = _kernel.find<gate>("gate");
+	m_peers = _kernel.find<peers_base>("peers");
+	m_metrics = _kernel.find<metrics>("metrics");
+	m_board = _kernel.find<view_board>("view_board");
+	m_keys = _kernel.find<key_table>("key_table");
+	m_server = std::make_unique<http_server>(m_context,
+	    [this](http_session& _session, http_request& _request, yield_context _yield)
+	    {
+		    handle(_session, _request, _yield);
+	    });
+	return m_server->listen(m_settings->operators);
+}
+
+void operators::shutdown()
+{
+	m_stopping = true;
+	m_server->close_all();
+}
+
+bool operators::is_allowed(const http_request& _request) const
+{
+	return signer::same("Bearer " + m_settings->operator_token, header_of(_request, "Authorization"));
+}
+
+void operators::handle(http_session& _session, http_request& _request, yield_context _yield)
+{
+	const bool reads = http::verb::get == _request.method() || http::verb::head == _request.method();
+	if (!reads && !is_allowed(_request))
+	{
+		log_event(event::operator_refused, {{"peer", _session.peer().address().to_string()},
+		                                       {"target", std::string(_request.target()).substr(0, 200)}});
+		http_response refusal =
+		    problem(http::status::unauthorized, "token", "the change needs the operators' token");
+		refusal.set(http::field::www_authenticate, "Bearer");
+		_session.send(refusal, _yield);
+		return;
+	}
+	if ("/v1/watch" == path_of(std::string(_request.target())))
+	{
+		watch(_session, _yield);
+		return;
+	}
+	http_response response = route(_request, _yield);
+	_session.send(response, _yield);
+}
+
+http_response operators::route(const http_request& _request, yield_context _yield)
+{
+	const std::string path = path_of(std::string(_request.target()));
+	if ("/metrics" == path)
+	{
+		return scrape();
+	}
+	if ("/" == path)
+	{
+		http_response page(http::status::ok, 11);
+		page.set(http::field::content_type, "text/html; charset=utf-8");
+		page.body() = status_page();
+		return page;
+	}
+	if ("/v1/status" == path)
+	{
+		return status();
+	}
+	if ("/v1/explain" == path)
+	{
+		return explain(std::string(_request.target()));
+	}
+	if ("/v1/apply" == path && http::verb::post == _request.method())
+	{
+		return apply(_request, _yield);
+	}
+	if ("/v1/test/cut" == path && http::verb::put == _request.method() && m_settings->test_faults)
+	{
+		return cut(_request);
+	}
+	std::vector<std::string> parts;
+	boost::split(parts, path, boost::is_any_of("/"));
+	const bool is_resource = 4 <= parts.size() && 0 == path.rfind(k_v1, 0) && "resources" == parts[2];
+	if (!is_resource)
+	{
+		return problem(http::status::not_found, "not_found", "no such page: " + path);
+	}
+	if (4 == parts.size() && http::verb::get == _request.method())
+	{
+		return list(parts[3]);
+	}
+	if (5 != parts.size())
+	{
+		return problem(http::status::not_found, "not_found", "no such page: " + path);
+	}
+	if (http::verb::get == _request.method())
+	{
+		return get(parts[3], parts[4]);
+	}
+	return change(_request, parts[3], parts[4], _yield);
+}
+
+nlohmann::json operators::resource_json(const std::string& _key, const resource_value& _value) const
+{
+	const std::size_t slash = _key.find('/');
+	const std::string kind = _key.substr(0, slash);
+	const std::string name = _key.substr(slash + 1);
+	nlohmann::json resource = {{"kind", kind}, {"name", name}, {"revision", _value.rev.value},
+	    {"spec", nlohmann::json::parse(_value.spec, nullptr, false)}};
+	if ("steering" == kind)
+	{
+		for (const shift_status& shift : m_control->shifts())
+		{
+			if (shift.service == name)
+			{
+				resource["status"] = {{"state", shift.step.state}, {"waits_for", shift.step.waits_for},
+				    {"shares", shift.step.shares}, {"goal", shift.step.goal}, {"step", shift.step.number}};
+			}
+		}
+	}
+	if ("backend_server" == kind)
+	{
+		resource["status"] = {{"running_from_here", m_gate->running(name)}};
+	}
+	return resource;
+}
+
+http_response operators::list(const std::string& _kind) const
+{
+	nlohmann::json items = nlohmann::json::array();
+	for (const auto& [key, value] : m_sync->configuration().state().resources)
+	{
+		if ("all" == _kind || 0 == key.rfind(_kind + "/", 0))
+		{
+			items.push_back(resource_json(key, value));
+		}
+	}
+	if ("all" != _kind && nullptr == schema_resource(_kind))
+	{
+		return problem(http::status::not_found, "unknown_kind", "no such kind: " + _kind);
+	}
+	const std::uint64_t at = m_sync->configuration().state().rev.value;
+	return make_json(http::status::ok, nlohmann::json({{"revision", at}, {"items", items}}).dump());
+}
+
+http_response operators::get(const std::string& _kind, const std::string& _name) const
+{
+	const resource_map& all = m_sync->configuration().state().resources;
+	const auto it = all.find(_kind + "/" + _name);
+	if (all.end() == it)
+	{
+		return problem(http::status::not_found, "not_found", "no such resource: " + _kind + "/" + _name);
+	}
+	http_response response = make_json(http::status::ok, resource_json(it->first, it->second).dump());
+	response.set(http::field::etag, "\"" + std::to_string(it->second.rev.value) + "\"");
+	return response;
+}
+
+http_response operators::change(
+    const http_request& _request, const std::string& _kind, const std::string& _name, yield_context _yield)
+{
+	config_change one;
+	one.kind = _kind;
+	one.name = _name;
+	one.expected = revision_from(header_of(_request, "If-Match"));
+	if ("*" == header_of(_request, "If-None-Match"))
+	{
+		one.expected = revision{0};
+	}
+	if (http::verb::put == _request.method())
+	{
+		const nlohmann::json body = nlohmann::json::parse(_request.body(), nullptr, false);
+		if (!body.is_object())
+		{
+			return problem(http::status::bad_request, "bad_json", "the body is not a JSON object");
+		}
+		one.spec = body.contains("spec") ? body["spec"] : body;
+	}
+	else if (http::verb::delete_ != _request.method())
+	{
+		return problem(http::status::method_not_allowed, "method", "GET, PUT and DELETE are known");
+	}
+	const bool dry_run = "true" == query_value(std::string(_request.target()), "dry_run");
+	return answer_write(m_sync->write({one}, dry_run, _yield));
+}
+
+http_response operators::apply(const http_request& _request, yield_context _yield)
+{
+	const nlohmann::json body = nlohmann::json::parse(_request.body(), nullptr, false);
+	if (!body.is_object() || !body.contains("resources") || !body["resources"].is_array())
+	{
+		return problem(http::status::bad_request, "bad_json", "the body is not {\"resources\": [...]}");
+	}
+	std::vector<config_change> changes;
+	for (const nlohmann::json& resource : body["resources"])
+	{
+		if (!resource.is_object() || !resource.contains("kind") || !resource.contains("name") ||
+		    !resource["kind"].is_string() || !resource["name"].is_string())
+		{
+			return problem(
+			    http::status::bad_request, "bad_resource", "each resource needs kind, name and spec");
+		}
+		config_change one;
+		one.kind = resource["kind"];
+		one.name = resource["name"];
+		one.spec = resource.value("spec", nlohmann::json::object());
+		if (resource.contains("revision"))
+		{
+			one.expected = revision{resource["revision"].get<std::uint64_t>()};
+		}
+		if (resource.value("delete", false))
+		{
+			one.spec.reset();
+		}
+		changes.push_back(std::move(one));
+	}
+	return answer_write(m_sync->write(changes, body.value("dry_run", false), _yield));
+}
+
+http_response operators::answer_write(const write_result& _result) const
+{
+	nlohmann::json body = {{"revision", _result.rev.value}};
+	switch (_result.status)
+	{
+	case write_status::accepted:
+		return make_json(http::status::ok, body.dump());
+	case write_status::conflict:
+		body["error"] = "conflict";
+		body["message"] = "changed by somebody else; read it again";
+		body["resource"] = _result.conflicting;
+		body["resource_revision"] = _result.conflicting_rev.value;
+		return make_json(http::status::conflict, body.dump());
+	case write_status::invalid:
+		body["error"] = "invalid";
+		body["message"] = "nothing was changed";
+		body["mistakes"] = nlohmann::json::array();
+		for (const mistake& one : _result.mistakes)
+		{
+			body["mistakes"].push_back({{"path", one.path}, {"value", one.value}, {"allowed", one.allowed}});
+		}
+		return make_json(http::status::unprocessable_entity, body.dump());
+	case write_status::unsure:
+		body["error"] = "unsure";
+		body["message"] = "the platform stopped answering; the change may be in force: read it again";
+		return make_json(http::status::gateway_timeout, body.dump());
+	case write_status::older:
+		body["error"] = "platform_older";
+		body["message"] = "the platform holds older data and is being restored; nothing was changed";
+		return make_json(http::status::service_unavailable, body.dump());
+	case write_status::not_done:
+		break;
+	}
+	body["error"] = "platform_down";
+	body["message"] = "the platform does not answer; nothing was changed";
+	return make_json(http::status::service_unavailable, body.dump());
+}
+
+nlohmann::json operators::status_json() const
+{
+	const steady_time now = m_clock->steady();
+	nlohmann::json answer = {{"node", m_settings->name}, {"domain", m_settings->domain},
+	    {"version", LARKRACK_VERSION}, {"revision", m_sync->configuration().state().rev.value},
+	    {"degraded", m_control->degraded_modes()}, {"platform_up", m_sync->is_up()},
+	    {"platform_calls", m_sync->calls()}, {"keys", m_keys->size()}, {"life", m_control->life().value}};
+	const peer_traffic sent = m_peers->traffic();
+	answer["control"] = {{"sent_messages", sent.sent_messages}, {"sent_bytes", sent.sent_bytes},
+	    {"received_messages", sent.received_messages}, {"received_bytes", sent.received_bytes}};
+	answer["backends"] = nlohmann::json::array();
+	for (const backend_state& backend : m_gate->states())
+	{
+		answer["backends"].push_back({{"name", backend.grant.name}, {"service", backend.grant.service},
+		    {"slots", backend.grant.slots}, {"running", backend.running}, {"pace", backend.pace},
+		    {"owned", backend.grant.owned}, {"drain", backend.grant.drain}, {"served", backend.served},
+		    {"full_ms", std::max<std::int64_t>(0, (backend.grant.full_until - now).count() / 1000)}});
+	}
+	answer["shifts"] = nlohmann::json::array();
+	answer["entry_vms"] = nlohmann::json::array();
+	answer["rooms"] = nlohmann::json::array();
+	const policy_ptr rules = m_sync->configuration().current();
+	if (!rules)
+	{
+		return answer;
+	}
+	for (const shift_status& shift : m_control->shifts())
+	{
+		answer["shifts"].push_back({{"service", shift.service}, {"state", shift.step.state},
+		    {"waits_for", shift.step.waits_for}, {"shares", shift.step.shares}, {"goal", shift.step.goal},
+		    {"step", shift.step.number}, {"in_force", shares_by_name(*rules, shift.in_force)}});
+	}
+	for (const entry_vm_spec& vm : rules->entry_vms)
+	{
+		const member_entry* entry = m_control->members().entry_of(vm.name);
+		const member_state state = m_control->members().state_of(vm.name, now);
+		const std::uint64_t at = nullptr == entry ? 0 : entry->rev.value;
+		const bool leaving = vm.drain || (nullptr != entry && entry->leaving);
+		answer["entry_vms"].push_back({{"name", vm.name}, {"domain", rules->at(vm.domain).name},
+		    {"state", leaving && member_state::alive == state ? "leaving" : to_string(state)},
+		    {"revision", at}, {"lags", at < rules->rev.value}});
+		for (std::size_t service = 0; nullptr != entry && service < rules->services.size(); ++service)
+		{
+			const auto load = entry->loads.find(rules->services[service].name);
+			if (entry->loads.end() != load)
+			{
+				const domain_spec& domain = rules->at(vm.domain);
+				answer["rooms"].push_back(
+				    {{"region", rules->regions[domain.region.idx].name}, {"domain", domain.name},
+				        {"entry_vm", vm.name}, {"service", load->first}, {"slots", load->second.slots},
+				        {"usable", load->second.usable}, {"running", load->second.running}});
+			}
+		}
+	}
+	return answer;
+}
+
+http_response operators::status() const
+{
+	return make_json(http::status::ok, status_json().dump());
+}
+
+http_response operators::explain(const std::string& _target) const
+{
+	const view_ptr view = m_board->get();
+	boost::system::error_code failure;
+	const auto caller = asio::ip::make_address(query_value(_target, "caller"), failure);
+	const service_handle service =
+	    view ? view->rules->find_service(query_value(_target, "service")) : service_handle{};
+	if (failure || !is_valid(service))
+	{
+		return problem(http::status::bad_request, "bad_query", "needs service=NAME and caller=IP");
+	}
+	const policy& rules = *view->rules;
+	const region_handle home = rules.home_of(caller);
+	const region_handle region = region_for(*view, service, caller);
+	nlohmann::json steps = nlohmann::json::array();
+	const site_handle site = rules.clients->find(caller);
+	steps.push_back(
+	    {{"rule", "client_block"}, {"result", is_valid(site) ? rules.sites[site.idx].name : "(no block)"}});
+	steps.push_back({{"rule", "home_region"}, {"result", rules.regions[home.idx].name}});
+	const double point = point_of(caller, rules.at(service).name);
+	const mix& plan = view->services[service.idx].plan;
+	nlohmann::json parts = nlohmann::json::object();
+	for (std::size_t at = 0; at < plan.regions; ++at)
+	{
+		parts[rules.regions[at].name] = plan.part[home.idx * plan.regions + at];
+	}
+	steps.push_back({{"rule", "mix"}, {"parts", parts}, {"point", point},
+	    {"result", is_valid(region) ? rules.regions[region.idx].name : "refused: cap"}});
+	nlohmann::json answer = {
+	    {"service", rules.at(service).name}, {"caller", caller.to_string()}, {"revision", rules.rev.value}};
+	nlohmann::json choices = nlohmann::json::array();
+	if (is_valid(region))
+	{
+		for (const lookup_choice& choice : order_entry_vms(*view, service, region, 0.0))
+		{
+			const service_headroom& room = view->peers[choice.vm.idx].rooms[service.idx];
+			choices.push_back({{"entry_vm", rules.at(choice.vm).name},
+			    {"domain", rules.at(rules.at(choice.vm).domain).name}, {"weight", choice.weight},
+			    {"usable", room.usable}, {"running", room.running}});
+		}
+		answer["region"] = rules.regions[region.idx].name;
+	}
+	answer["steps"] = steps;
+	answer["entry_vms"] = choices;
+	return make_json(http::status::ok, answer.dump());
+}
+
+http_response operators::scrape()
+{
+	const steady_time now = m_clock->steady();
+	m_metrics->set("larkrack_configuration_revision", "Revision of the configuration in force.",
+	    static_cast<double>(m_sync->configuration().state().rev.value));
+	m_metrics->set("larkrack_platform_up", "1 when the platform answers.", m_sync->is_up() ? 1 : 0);
+	m_metrics->set("larkrack_degraded_modes", "Number of degraded modes that hold.",
+	    static_cast<double>(m_control->degraded_modes().size()));
+	for (const auto& [use, count] : m_sync->calls())
+	{
+		m_metrics->set("larkrack_platform_calls", "Calls to the platform since the start.", "use", use,
+		    static_cast<double>(count));
+	}
+	for (const auto& [service, room] : m_gate->headroom(now))
+	{
+		m_metrics->set(
+		    "larkrack_slots_usable", "Slots that may be used now.", "service", service, room.usable);
+		m_metrics->set("larkrack_slots_running", "Slots in use.", "service", service, room.running);
+	}
+	const peer_traffic sent = m_peers->traffic();
+	m_metrics->set("larkrack_control_sent_bytes", "Bytes of control messages sent.",
+	    static_cast<double>(sent.sent_bytes));
+	m_metrics->set("larkrack_control_received_bytes", "Bytes of control messages received.",
+	    static_cast<double>(sent.received_bytes));
+	http_response response(http::status::ok, 11);
+	response.set(http::field::content_type, "text/plain; version=0.0.4");
+	response.body() = m_metrics->text();
+	return response;
+}
+
+http_response operators::cut(const http_request& _request)
+{
+	const nlohmann::json body = nlohmann::json::parse(_request.body(), nullptr, false);
+	if (!body.is_object())
+	{
+		return problem(http::status::bad_request, "bad_json", "the body is not a JSON object");
+	}
+	m_control->set_cut(body.value("entry_vms", std::set<std::string>()), body.value("platform", false));
+	return make_json(http::status::ok, "{}");
+}
+
+void operators::watch(http_session& _session, yield_context _yield)
+{
+	http::response<http::buffer_body> head(http::status::ok, 11);
+	head.set(http::field::content_type, "application/x-ndjson");
+	bool open = _session.send_head(head, _yield);
+	std::string last;
+	while (open && !m_stopping && !_session.is_gone())
+	{
+		const nlohmann::json status = status_json();
+		const nlohmann::json news = {{"revision", status["revision"]}, {"shifts", status["shifts"]},
+		    {"degraded", status["degraded"]}, {"entry_vms", status["entry_vms"]}};
+		const std::string line = news.dump() + "\n";
+		if (line != last)
+		{
+			open = _session.send_piece(line.data(), line.size(), _yield);
+			last = line;
+		}
+		sleep_for(m_context.get_executor(), k_watch_interval, _yield);
+	}
+	_session.close();
+}
+} // namespace larkrack
--- /dev/null
+++ b/src/ownership.cpp
@@ -0,0 +1,122 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "ownership_p.h"
+
+#include "membership_p.h"
+
+#include <algorithm>
+
+namespace larkrack
+{
+std::map<std::string, std::string> plan_owners(const std::string& _domain, const std::string& _service,
+    const std::vector<std::string>& _backends, const std::set<std::string>& _present, std::size_t _owners)
+{
+	std::vector<std::string> ranked(_present.begin(), _present.end());
+	const std::string key = _domain + "/" + _service;
+	std::sort(ranked.begin(), ranked.end(),
+	    [&](const std::string& _a, const std::string& _b)
+	    {
+		    return rendezvous(key, _b) < rendezvous(key, _a);
+	    });
+	ranked.resize(std::min(ranked.size(), _owners));
+	std::map<std::string, std::string> wanted;
+	for (std::size_t at = 0; at < _backends.size() && !ranked.empty(); ++at)
+	{
+		wanted[_backends[at]] = ranked[at % ranked.size()];
+	}
+	return wanted;
+}
+
+bool is_giving_up(const owner_entry& _entry, const std::string& _backend,
+    const std::map<std::string, std::string>& _wanted, const owner_facts& _facts)
+{
+	if (_entry.vm != _facts.self || !(_entry.life == _facts.life))
+	{
+		return false;
+	}
+	const auto it = _wanted.find(_backend);
+	if (_wanted.end() == it)
+	{
+		// Without a successor a leaving holder still lets go, so that the next one need not wait.
+		return _facts.self_leaving;
+	}
+	return it->second != _facts.self;
+}
+
+std::optional<owner_record> next_owners(
+    const owner_record& _record, const std::map<std::string, std::string>& _wanted, const owner_facts& _facts)
+{
+	owner_record next = _record;
+	bool changed = false;
+	for (const auto& [backend, wanted] : _wanted)
+	{
+		owner_entry& entry = next.backends[backend];
+		const bool mine = entry.vm == _facts.self;
+		const bool in_this_life = mine && entry.life == _facts.life;
+		if (in_this_life || wanted != _facts.self)
+		{
+			continue;
+		}
+		const bool free = entry.vm.empty();
+		const bool former_is_dead = mine || 0 < _facts.gone.count(entry.vm);
+		if (!free && !former_is_dead)
+		{
+			continue;
+		}
+		const wall_time full_until = free ? entry.full_until : _facts.now + _facts.longest_run;
+		entry = {_facts.self, _facts.life, std::max(entry.full_until, full_until)};
+		changed = true;
+	}
+	for (auto& [backend, entry] : next.backends)
+	{
+		if (!is_giving_up(entry, backend, _wanted, _facts))
+		{
+			continue;
+		}
+		const auto running = _facts.running.find(backend);
+		if (_facts.running.end() == running || 0 == running->second)
+		{
+			entry.vm.clear();
+			changed = true;
+		}
+	}
+	if (!changed)
+	{
+		return std::nullopt;
+	}
+	++next.sequence;
+	return next;
+}
+
+std::string to_text(const owner_record& _record)
+{
+	nlohmann::json backends = nlohmann::json::object();
+	for (const auto& [name, entry] : _record.backends)
+	{
+		backends[name] = {
+		    {"vm", entry.vm}, {"life", entry.life.value}, {"full_until_us", to_us(entry.full_until)}};
+	}
+	return nlohmann::json({{"seq", _record.sequence}, {"backends", backends}}).dump();
+}
+
+owner_record owners_from_text(const std::string& _text)
+{
+	owner_record record;
+	const nlohmann::json document = nlohmann::json::parse(_text, nullptr, false);
+	if (!document.is_object())
+	{
+		return record;
+	}
+	record.sequence = document.value("seq", std::uint64_t{0});
+	const nlohmann::json backends = document.value("backends", nlohmann::json::object());
+	for (const auto& [name, entry] : backends.items())
+	{
+		owner_entry& read = record.backends[name];
+		read.vm = entry.value("vm", "");
+		read.life.value = entry.value("life", std::uint64_t{0});
+		read.full_until = from_us(entry.value("full_until_us", std::int64_t{0}));
+	}
+	return record;
+}
+} // namespace larkrack
--- /dev/null
+++ b/src/peers_websocket.cpp
@@ -0,0 +1,274 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "peers_p.h"
+
+#include "larkrack/config.h"
+
+#include "log_p.h"
+
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+namespace larkrack
+{
+namespace
+{
+namespace ws = websocketpp;
+
+/// Version of the messages; both sides must have the same.
+constexpr const char* k_protocol = "1";
+constexpr const char* k_header_peer = "Larkrack-Peer";
+constexpr const char* k_header_sign = "Larkrack-Peer-Sign";
+/// Age of a signed handshake that is still taken.
+constexpr std::chrono::seconds k_handshake_age{30};
+/// Bytes that may wait for a slow peer.
+constexpr std::size_t k_send_limit = 64 * 1024 * 1024;
+constexpr std::size_t k_message_limit = 256 * 1024 * 1024;
+constexpr long k_connect_timeout_ms = 1500;
+constexpr std::size_t k_waiting_messages = 8;
+
+using server_type = ws::server<ws::config::asio>;
+using client_type = ws::client<ws::config::asio_client>;
+
+class peers_websocket : public peers_base
+{
+public:
+	peers_websocket(boost::asio::io_context& _context, const settings& _settings, const clock_base& _clock)
+	    : m_settings(_settings), m_clock(_clock), m_signer(_settings.secret), m_context(_context)
+	{
+	}
+
+	std::optional<error> init(kernel&) override
+	{
+		init_server();
+		m_client.clear_access_channels(ws::log::alevel::all);
+		m_client.clear_error_channels(ws::log::elevel::all);
+		m_client.init_asio(&m_context);
+		m_client.set_max_message_size(k_message_limit);
+		ws::lib::error_code failure;
+		const boost::asio::ip::tcp::endpoint where(
+		    boost::asio::ip::make_address(m_settings.peers.host), m_settings.peers.port);
+		m_server.listen(where, failure);
+		if (failure)
+		{
+			return error{
+			    "listen", "can not listen on " + to_string(m_settings.peers) + ": " + failure.message()};
+		}
+		m_server.start_accept(failure);
+		return std::nullopt;
+	}
+
+	void shutdown() override
+	{
+		ws::lib::error_code ignored;
+		m_server.stop_listening(ignored);
+		for (auto& [vm, link] : m_links)
+		{
+			if (link.connection)
+			{
+				link.connection->terminate(ignored);
+			}
+		}
+		m_links.clear();
+	}
+
+	void on_message(receiver _receiver) override
+	{
+		m_receiver = std::move(_receiver);
+	}
+
+	void send(const std::string& _vm, const endpoint& _where, const envelope& _envelope) override
+	{
+		if (0 < m_cut.count(_vm))
+		{
+			return;
+		}
+		const std::vector<std::uint8_t> bytes = encode(_envelope);
+		link& to = m_links[_vm];
+		if (!to.connection)
+		{
+			connect(_vm, _where);
+		}
+		if (!to.connection || !to.open)
+		{
+			if (to.waiting.size() < k_waiting_messages)
+			{
+				to.waiting.emplace_back(bytes.begin(), bytes.end());
+			}
+			return;
+		}
+		write(_vm, to, std::string(bytes.begin(), bytes.end()));
+	}
+
+	void set_cut(std::set<std::string> _vms) override
+	{
+		m_cut = std::move(_vms);
+	}
+
+	peer_traffic traffic() const override
+	{
+		return m_traffic;
+	}
+
+private:
+	struct link
+	{
+		client_type::connection_ptr connection;
+		bool open = false;
+		std::vector<std::string> waiting;
+	};
+
+	void init_server()
+	{
+		m_server.clear_access_channels(ws::log::alevel::all);
+		m_server.clear_error_channels(ws::log::elevel::all);
+		m_server.init_asio(&m_context);
+		m_server.set_reuse_addr(true);
+		m_server.set_max_message_size(k_message_limit);
+		m_server.set_validate_handler(
+		    [this](const ws::connection_hdl& _handle)
+		    {
+			    return validate(_handle);
+		    });
+		m_server.set_message_handler(
+		    [this](const ws::connection_hdl&, const server_type::message_ptr& _message)
+		    {
+			    receive(_message->get_payload());
+		    });
+	}
+
+	std::string identity() const
+	{
+		return m_settings.name + "|" + m_settings.domain + "|" + k_protocol + "|" +
+		       std::to_string(to_us(m_clock.wall()));
+	}
+
+	bool validate(const ws::connection_hdl& _handle)
+	{
+		const auto connection = m_server.get_con_from_hdl(_handle);
+		const std::string who = connection->get_request_header(k_header_peer);
+		const std::string sign = connection->get_request_header(k_header_sign);
+		const std::size_t last = who.rfind('|');
+		const bool signed_well = std::string::npos != last && signer::same(m_signer.signature(who), sign);
+		std::string why = signed_well ? "" : "signature";
+		if (signed_well)
+		{
+			const std::int64_t at = std::strtoll(who.c_str() + last + 1, nullptr, 10);
+			const auto age = std::chrono::microseconds(to_us(m_clock.wall()) - at);
+			const bool fresh = age < k_handshake_age && -k_handshake_age < age;
+			const bool same_version = std::string::npos != who.find(std::string("|") + k_protocol + "|");
+			why = !fresh ? "age" : (!same_version ? "version" : "");
+		}
+		if (!why.empty())
+		{
+			log_event(event::peer_refused, {{"peer", who.substr(0, 64)}, {"why", why}});
+			connection->set_status(ws::http::status_code::forbidden);
+			return false;
+		}
+		return true;
+	}
+
+	void receive(const std::string& _bytes)
+	{
+		++m_traffic.received_messages;
+		m_traffic.received_bytes += _bytes.size();
+		result<envelope> read = decode(_bytes);
+		const envelope* message = value_of(read);
+		if (nullptr == message || 0 < m_cut.count(message->from) || !m_receiver)
+		{
+			return;
+		}
+		m_receiver(*message);
+	}
+
+	void connect(const std::string& _vm, const endpoint& _where)
+	{
+		ws::lib::error_code failure;
+		auto connection = m_client.get_connection("ws://" + to_string(_where) + "/", failure);
+		if (failure)
+		{
+			return;
+		}
+		const std::string who = identity();
+		connection->append_header(k_header_peer, who);
+		connection->append_header(k_header_sign, m_signer.signature(who));
+		connection->set_open_handshake_timeout(k_connect_timeout_ms);
+		connection->set_open_handler(
+		    [this, _vm](const ws::connection_hdl&)
+		    {
+			    opened(_vm);
+		    });
+		const auto lost = [this, _vm, raw = connection.get()](const ws::connection_hdl&)
+		{
+			closed(_vm, raw);
+		};
+		connection->set_fail_handler(lost);
+		connection->set_close_handler(lost);
+		m_links[_vm].connection = connection;
+		m_client.connect(connection);
+	}
+
+	void opened(const std::string& _vm)
+	{
+		link& to = m_links[_vm];
+		to.open = true;
+		const std::vector<std::string> waiting = std::move(to.waiting);
+		to.waiting.clear();
+		for (const std::string& bytes : waiting)
+		{
+			write(_vm, to, bytes);
+		}
+	}
+
+	void closed(const std::string& _vm, const client_type::connection_type* _which)
+	{
+		const auto it = m_links.find(_vm);
+		if (m_links.end() != it && it->second.connection.get() == _which)
+		{
+			m_links.erase(it);
+		}
+	}
+
+	void write(const std::string& _vm, link& _to, const std::string& _bytes)
+	{
+		if (!_to.connection)
+		{
+			return;
+		}
+		if (k_send_limit < _to.connection->get_buffered_amount() + _bytes.size())
+		{
+			log_event(event::peer_slow, {{"peer", _vm}});
+			ws::lib::error_code ignored;
+			_to.connection->terminate(ignored);
+			return;
+		}
+		if (_to.connection->send(_bytes, ws::frame::opcode::binary))
+		{
+			return;
+		}
+		++m_traffic.sent_messages;
+		m_traffic.sent_bytes += _bytes.size();
+	}
+
+	const settings& m_settings;
+	const clock_base& m_clock;
+	signer m_signer;
+	boost::asio::io_context& m_context;
+	server_type m_server;
+	client_type m_client;
+	receiver m_receiver;
+	std::map<std::string, link> m_links;
+	std::set<std::string> m_cut;
+	peer_traffic m_traffic;
+};
+} // namespace
+
+std::unique_ptr<peers_base> create_peers_websocket(
+    boost::asio::io_context& _context, const settings& _settings, const clock_base& _clock)
+{
+	return std::make_unique<peers_websocket>(_context, _settings, _clock);
+}
+} // namespace larkrack
--- /dev/null
+++ b/src/policy_p.h
@@ -0,0 +1,150 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// The operators' resources as typed, immutable tables.
+#pragma once
+
+#include "lookup_table_p.h"
+#include "schema_p.h"
+#include "settings_p.h"
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace larkrack
+{
+/// A resource as it is stored and passed on.
+struct resource_value
+{
+	std::string spec; ///< JSON text, which is far smaller than parsed JSON.
+	revision rev;     ///< Configuration revision of its last change.
+	std::string by;   ///< Id of the write that changed it last.
+};
+
+/// Resources by "kind/name".
+using resource_map = std::map<std::string, resource_value>;
+
+/// The configuration as it is agreed and passed on.
+struct config_state
+{
+	revision rev;
+	resource_map resources;
+};
+
+struct region_spec
+{
+	std::string name;
+	double max_share = 1.0;
+	bool drain = false;
+};
+
+struct domain_spec
+{
+	std::string name;
+	region_handle region;
+	bool drain = false;
+};
+
+struct site_spec
+{
+	std::string name;
+	domain_handle domain;
+};
+
+struct entry_vm_spec
+{
+	std::string name;
+	domain_handle domain;
+	endpoint callers;
+	endpoint relay;
+	endpoint peers;
+	bool drain = false;
+};
+
+/// Desired division of a service's traffic.
+struct steering_spec
+{
+	std::vector<double> shares; ///< By region handle; the sum is 1.
+	std::vector<double> demand; ///< By region handle; the sum is 1.
+	double cap = 0.1;
+	std::chrono::microseconds window{std::chrono::seconds(10)};
+};
+
+struct service_spec
+{
+	std::string name;
+	std::chrono::milliseconds run_limit{0};
+	std::chrono::milliseconds deadline{0};
+	std::size_t owners = 1;
+	steering_spec steering;
+};
+
+struct backend_spec
+{
+	std::string name;
+	service_handle service;
+	domain_handle domain;
+	endpoint address;
+	int slots = 0;
+	int connections = 0;
+	bool drain = false;
+};
+
+/// All tables at one revision. Handles index them and are valid for this policy only.
+struct policy
+{
+	revision rev;
+	std::vector<region_spec> regions;
+	std::vector<domain_spec> domains;
+	std::vector<site_spec> sites;
+	std::vector<entry_vm_spec> entry_vms;
+	std::vector<service_spec> services;
+	std::vector<backend_spec> backends;
+	std::shared_ptr<const lookup_table> clients;
+
+	/// @returns Handle of the thing of that name, or an invalid one.
+	region_handle find_region(const std::string& _name) const;
+	domain_handle find_domain(const std::string& _name) const;
+	entry_vm_handle find_entry_vm(const std::string& _name) const;
+	service_handle find_service(const std::string& _name) const;
+
+	const domain_spec& at(domain_handle _handle) const
+	{
+		return domains[_handle.idx];
+	}
+	const entry_vm_spec& at(entry_vm_handle _handle) const
+	{
+		return entry_vms[_handle.idx];
+	}
+	const service_spec& at(service_handle _handle) const
+	{
+		return services[_handle.idx];
+	}
+	const backend_spec& at(backend_handle _handle) const
+	{
+		return backends[_handle.idx];
+	}
+	/// @returns Region of an entry VM.
+	region_handle region_of(entry_vm_handle _handle) const
+	{
+		return at(at(_handle).domain).region;
+	}
+	/// @returns Home region of a caller; the first region when its block is not known.
+	region_handle home_of(const boost::asio::ip::address& _caller) const;
+};
+
+using policy_ptr = std::shared_ptr<const policy>;
+
+/// Builds and checks a policy.
+/// @returns The policy, or every mistake; a policy with a mistake is never taken in part.
+std::variant<policy_ptr, std::vector<mistake>> build_policy(const config_state& _state);
+
+/// Checks one resource by itself.
+std::vector<mistake> check_resource(
+    const std::string& _kind, const std::string& _name, const nlohmann::json& _spec);
+} // namespace larkrack
--- /dev/null
+++ b/src/record_book.cpp
@@ -0,0 +1,62 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "record_book_p.h"
+
+#include <xxhash.h>
+
+namespace larkrack
+{
+namespace
+{
+std::uint64_t mark_of(const record& _record)
+{
+	return XXH64(_record.key.data(), _record.key.size(), _record.sequence);
+}
+} // namespace
+
+bool record_book::take(const record& _record)
+{
+	record& known = m_records[_record.key];
+	const bool is_new = known.key.empty();
+	if (!is_new && _record.sequence <= known.sequence)
+	{
+		return false;
+	}
+	// The sum of marks does not depend on the order of arrival.
+	m_digest -= is_new ? 0 : mark_of(known);
+	known = _record;
+	m_digest += mark_of(known);
+	return true;
+}
+
+std::string record_book::value_of(const std::string& _key) const
+{
+	const auto it = m_records.find(_key);
+	return m_records.end() == it ? std::string() : it->second.value;
+}
+
+std::map<std::string, std::uint64_t> record_book::sequences() const
+{
+	std::map<std::string, std::uint64_t> all;
+	for (const auto& [key, one] : m_records)
+	{
+		all[key] = one.sequence;
+	}
+	return all;
+}
+
+std::vector<record> record_book::newer_than(const std::map<std::string, std::uint64_t>& _have) const
+{
+	std::vector<record> newer;
+	for (const auto& [key, one] : m_records)
+	{
+		const auto it = _have.find(key);
+		if (_have.end() == it || it->second < one.sequence)
+		{
+			newer.push_back(one);
+		}
+	}
+	return newer;
+}
+} // namespace larkrack
--- /dev/null
+++ b/src/record_book_p.h
@@ -0,0 +1,38 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// Copies of the platform's small records (owners, steps of shifts) at this node.
+#pragma once
+
+#include "message_p.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace larkrack
+{
+/// Takes only higher sequences. One thread.
+class record_book
+{
+public:
+	/// @returns Whether the record was newer and was taken.
+	bool take(const record& _record);
+	/// @returns Value of a record, or an empty text.
+	std::string value_of(const std::string& _key) const;
+	/// @returns Digest of all keys and sequences.
+	std::uint64_t digest() const
+	{
+		return m_digest;
+	}
+	/// @returns Sequences by key.
+	std::map<std::string, std::uint64_t> sequences() const;
+	/// @returns Records that are newer than these.
+	std::vector<record> newer_than(const std::map<std::string, std::uint64_t>& _have) const;
+
+private:
+	std::map<std::string, record> m_records;
+	std::uint64_t m_digest = 0;
+};
+} // namespace larkrack
--- /dev/null
+++ b/src/shift.cpp
@@ -0,0 +1,111 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "shift_p.h"
+
+#include <cmath>
+
+namespace larkrack
+{
+namespace
+{
+/// Part of the usable slots that must be free where traffic is to go.
+constexpr double k_room_wanted = 0.08;
+/// Part of the window that is left for steps to reach all nodes.
+constexpr double k_margin = 0.1;
+constexpr std::chrono::milliseconds k_margin_least{200};
+constexpr double k_moved = 1e-9;
+} // namespace
+
+std::string waits_for(const std::vector<double>& _from, const std::vector<double>& _goal,
+    const std::vector<region_room>& _rooms)
+{
+	for (std::size_t at = 0; at < _goal.size(); ++at)
+	{
+		if (_goal[at] <= _from[at] + k_moved)
+		{
+			continue;
+		}
+		const region_room& room = _rooms[at];
+		if (room.cold)
+		{
+			return "cold";
+		}
+		if (!room.open || room.usable - room.running < std::ceil(room.usable * k_room_wanted))
+		{
+			return "headroom";
+		}
+	}
+	return "";
+}
+
+std::vector<double> goal_shares(const policy& _policy, const service_spec& _service)
+{
+	std::vector<bool> open(_policy.regions.size(), false);
+	for (const domain_spec& domain : _policy.domains)
+	{
+		const bool drained = domain.drain || _policy.regions[domain.region.idx].drain;
+		open[domain.region.idx] = open[domain.region.idx] || !drained;
+	}
+	return without_closed(_service.steering.shares, open);
+}
+
+std::chrono::microseconds limiter_window(const steering_spec& _steering)
+{
+	const auto margin =
+	    std::chrono::microseconds(std::llround(static_cast<double>(_steering.window.count()) * k_margin));
+	return _steering.window + std::max<std::chrono::microseconds>(margin, k_margin_least);
+}
+
+std::string to_text(const step_record& _record)
+{
+	return nlohmann::json({{"seq", _record.sequence}, {"shares", _record.shares}, {"goal", _record.goal},
+	                          {"state", _record.state}, {"waits_for", _record.waits_for},
+	                          {"at_us", to_us(_record.at)}, {"number", _record.number}, {"by", _record.by}})
+	    .dump();
+}
+
+step_record step_from_text(const std::string& _text)
+{
+	step_record record;
+	const nlohmann::json document = nlohmann::json::parse(_text, nullptr, false);
+	if (!document.is_object())
+	{
+		return record;
+	}
+	record.sequence = document.value("seq", std::uint64_t{0});
+	record.shares = document.value("shares", record.shares);
+	record.goal = document.value("goal", record.goal);
+	record.state = document.value("state", record.state);
+	record.waits_for = document.value("waits_for", "");
+	record.at = from_us(document.value("at_us", std::int64_t{0}));
+	record.number = document.value("number", std::uint64_t{0});
+	record.by = document.value("by", "");
+	return record;
+}
+
+std::vector<double> shares_of(const policy& _policy, const std::map<std::string, double>& _by_name)
+{
+	std::vector<double> shares(_policy.regions.size(), 0.0);
+	for (const auto& [name, share] : _by_name)
+	{
+		const region_handle region = _policy.find_region(name);
+		if (!is_valid(region))
+		{
+			return {};
+		}
+		shares[region.idx] = share;
+	}
+	return _by_name.empty() ? std::vector<double>{} : shares;
+}
+
+std::map<std::string, double> shares_by_name(const policy& _policy, const std::vector<double>& _shares)
+{
+	std::map<std::string, double> by_name;
+	for (std::size_t at = 0; at < _shares.size(); ++at)
+	{
+		by_name[_policy.regions[at].name] = _shares[at];
+	}
+	return by_name;
+}
+} // namespace larkrack
--- /dev/null
+++ b/src/store_http.cpp
@@ -0,0 +1,267 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "store_p.h"
+
+#include "larkrack/config.h"
+
+#include <boost/beast/core/detail/base64.hpp>
+
+namespace larkrack
+{
+namespace
+{
+/// A watch that carries nothing for so long is opened anew.
+constexpr std::chrono::seconds k_watch_silence{30};
+
+std::int64_t number(const nlohmann::json& _object, const char* _field)
+{
+	const auto it = _object.find(_field);
+	if (_object.end() == it)
+	{
+		return 0;
+	}
+	return it->is_string() ? std::strtoll(it->get<std::string>().c_str(), nullptr, 10)
+	                       : it->get<std::int64_t>();
+}
+
+store_value value_of_json(const nlohmann::json& _kv)
+{
+	store_value value;
+	value.key = from_base64(_kv.value("key", ""));
+	value.value = from_base64(_kv.value("value", ""));
+	value.mod_revision = number(_kv, "mod_revision");
+	value.lease = number(_kv, "lease");
+	return value;
+}
+
+std::vector<store_value> values_of_json(const nlohmann::json& _reply)
+{
+	std::vector<store_value> values;
+	for (const nlohmann::json& kv : _reply.value("kvs", nlohmann::json::array()))
+	{
+		values.push_back(value_of_json(kv));
+	}
+	return values;
+}
+
+std::int64_t revision_of(const nlohmann::json& _reply)
+{
+	return _reply.contains("header") ? number(_reply["header"], "revision") : 0;
+}
+
+nlohmann::json range_json(const std::string& _key, bool _prefix)
+{
+	nlohmann::json body = {{"key", to_base64(_key)}};
+	if (_prefix)
+	{
+		body["range_end"] = to_base64(prefix_end(_key));
+	}
+	return body;
+}
+
+watch_batch batch_of_json(const nlohmann::json& _result)
+{
+	watch_batch batch;
+	batch.store_revision = revision_of(_result);
+	for (const nlohmann::json& event : _result.value("events", nlohmann::json::array()))
+	{
+		const store_value value = value_of_json(event.at("kv"));
+		if ("DELETE" == event.value("type", "PUT"))
+		{
+			batch.deletes.push_back(value.key);
+		}
+		else
+		{
+			batch.puts.push_back(value);
+		}
+	}
+	return batch;
+}
+} // namespace
+
+std::string to_base64(const std::string& _text)
+{
+	std::string out(beast::detail::base64::encoded_size(_text.size()), '\0');
+	out.resize(beast::detail::base64::encode(out.data(), _text.data(), _text.size()));
+	return out;
+}
+
+std::string from_base64(const std::string& _text)
+{
+	std::string out(beast::detail::base64::decoded_size(_text.size()), '\0');
+	out.resize(beast::detail::base64::decode(out.data(), _text.data(), _text.size()).first);
+	return out;
+}
+
+std::string prefix_end(std::string _prefix)
+{
+	while (!_prefix.empty())
+	{
+		if (static_cast<unsigned char>(_prefix.back()) < 0xff)
+		{
+			++_prefix.back();
+			return _prefix;
+		}
+		_prefix.pop_back();
+	}
+	return std::string(1, '\0');
+}
+
+store_http::store_http(asio::io_context& _context, endpoint _endpoint)
+    : m_context(_context), m_endpoint(std::move(_endpoint)), m_caller(_context.get_executor())
+{
+}
+
+store_http::reply store_http::post(
+    const char* _use, const char* _path, const nlohmann::json& _body, bool _writes, yield_context _yield)
+{
+	count(_use);
+	if (m_cut)
+	{
+		return {call_status::not_done, {}};
+	}
+	http_request request = make_request(http::verb::post, _path, m_endpoint, _body.dump());
+	result<http_response> called = m_caller.call(m_endpoint, std::move(request), k_platform_deadline, _yield);
+	if (const error* failure = std::get_if<error>(&called))
+	{
+		const bool may_have_run = _writes && "unsure" == failure->code;
+		return {may_have_run ? call_status::unsure : call_status::not_done, {}};
+	}
+	const http_response& response = std::get<http_response>(called);
+	nlohmann::json body = nlohmann::json::parse(response.body(), nullptr, false);
+	if (http::status::ok != response.result() || body.is_discarded())
+	{
+		return {call_status::not_done, {}};
+	}
+	return {call_status::done, std::move(body)};
+}
+
+range_reply store_http::range(const char* _use, const std::string& _key, bool _prefix, yield_context _yield)
+{
+	const reply got = post(_use, "/v3/kv/range", range_json(_key, _prefix), false, _yield);
+	if (call_status::done != got.status)
+	{
+		return {};
+	}
+	return {call_status::done, values_of_json(got.body), revision_of(got.body)};
+}
+
+txn_reply store_http::txn(const char* _use, const std::vector<store_compare>& _conditions,
+    const std::vector<store_write>& _writes, yield_context _yield)
+{
+	nlohmann::json body = {{"compare", nlohmann::json::array()}, {"success", nlohmann::json::array()},
+	    {"failure", nlohmann::json::array()}};
+	for (const store_compare& condition : _conditions)
+	{
+		body["compare"].push_back({{"key", to_base64(condition.key)}, {"target", "MOD"}, {"result", "EQUAL"},
+		    {"mod_revision", std::to_string(condition.mod_revision)}});
+		body["failure"].push_back({{"requestRange", range_json(condition.key, false)}});
+	}
+	for (const store_write& write : _writes)
+	{
+		if (!write.value)
+		{
+			body["success"].push_back({{"requestDeleteRange", range_json(write.key, false)}});
+			continue;
+		}
+		nlohmann::json put = {{"key", to_base64(write.key)}, {"value", to_base64(*write.value)}};
+		if (0 != write.lease)
+		{
+			put["lease"] = std::to_string(write.lease);
+		}
+		body["success"].push_back({{"requestPut", put}});
+	}
+	const reply got = post(_use, "/v3/kv/txn", body, true, _yield);
+	txn_reply answer;
+	answer.status = got.status;
+	if (call_status::done != got.status)
+	{
+		return answer;
+	}
+	answer.succeeded = got.body.value("succeeded", false);
+	answer.store_revision = revision_of(got.body);
+	for (const nlohmann::json& part : got.body.value("responses", nlohmann::json::array()))
+	{
+		if (part.contains("response_range"))
+		{
+			const std::vector<store_value> values = values_of_json(part["response_range"]);
+			answer.current.insert(answer.current.end(), values.begin(), values.end());
+		}
+	}
+	return answer;
+}
+
+lease_reply store_http::lease_grant(const char* _use, std::chrono::seconds _ttl, yield_context _yield)
+{
+	const reply got = post(_use, "/v3/lease/grant", {{"TTL", std::to_string(_ttl.count())}}, true, _yield);
+	if (call_status::done != got.status)
+	{
+		return {got.status, 0, {}};
+	}
+	return {got.status, number(got.body, "ID"), std::chrono::seconds(number(got.body, "TTL"))};
+}
+
+lease_reply store_http::lease_keep_alive(const char* _use, std::int64_t _id, yield_context _yield)
+{
+	const reply got = post(_use, "/v3/lease/keepalive", {{"ID", std::to_string(_id)}}, true, _yield);
+	if (call_status::done != got.status || !got.body.contains("result"))
+	{
+		return {call_status::done == got.status ? call_status::not_done : got.status, _id, {}};
+	}
+	return {got.status, _id, std::chrono::seconds(number(got.body["result"], "TTL"))};
+}
+
+lease_reply store_http::lease_revoke(const char* _use, std::int64_t _id, yield_context _yield)
+{
+	return {post(_use, "/v3/lease/revoke", {{"ID", std::to_string(_id)}}, true, _yield).status, _id, {}};
+}
+
+void store_http::watch(const char* _use, const std::string& _prefix, std::int64_t _from,
+    const std::function<bool(const watch_batch&)>& _on_batch, yield_context _yield)
+{
+	count(_use);
+	if (m_cut)
+	{
+		return;
+	}
+	connection_pool pool(m_context.get_executor());
+	connection_ptr connection = pool.connect(m_endpoint, k_platform_deadline, _yield);
+	if (!connection)
+	{
+		return;
+	}
+	nlohmann::json create = range_json(_prefix, true);
+	if (0 != _from)
+	{
+		create["start_revision"] = std::to_string(_from);
+	}
+	const nlohmann::json body = {{"create_request", create}};
+	http_request request = make_request(http::verb::post, "/v3/watch", m_endpoint, body.dump());
+	beast::error_code failure;
+	http::async_write(connection->stream, request, _yield[failure]);
+	http::response_parser<http::string_body> parser;
+	parser.body_limit(k_any_length);
+	while (!failure && !m_cut)
+	{
+		connection->stream.expires_after(k_watch_silence);
+		http::async_read_some(connection->stream, connection->buffer, parser, _yield[failure]);
+		std::string& text = parser.get().body();
+		std::size_t end = text.find('\n');
+		while (std::string::npos != end)
+		{
+			const nlohmann::json line = nlohmann::json::parse(text.substr(0, end), nullptr, false);
+			text.erase(0, end + 1);
+			if (line.is_discarded() || !line.contains("result") || !_on_batch(batch_of_json(line["result"])))
+			{
+				return;
+			}
+			end = text.find('\n');
+		}
+		if (parser.is_done())
+		{
+			return;
+		}
+	}
+}
+} // namespace larkrack
--- /dev/null
+++ b/src/store_p.h
@@ -0,0 +1,226 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// The platform's key-value service: compare-and-swap, leases, watches.
+#pragma once
+
+#include "http_p.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace larkrack
+{
+/// What is known of a call.
+enum class call_status
+{
+	done,     ///< It took effect, or its answer is complete.
+	not_done, ///< It had no effect.
+	unsure,   ///< It may have had an effect; read back before anything follows.
+};
+
+struct store_value
+{
+	std::string key;
+	std::string value;
+	std::int64_t mod_revision = 0;
+	std::int64_t lease = 0;
+};
+
+/// Condition of a transaction. Revision 0: the key does not exist.
+struct store_compare
+{
+	std::string key;
+	std::int64_t mod_revision = 0;
+};
+
+/// Write of a transaction. No value: delete.
+struct store_write
+{
+	std::string key;
+	std::optional<std::string> value;
+	std::int64_t lease = 0;
+};
+
+struct range_reply
+{
+	call_status status = call_status::not_done;
+	std::vector<store_value> values;
+	std::int64_t store_revision = 0;
+};
+
+struct txn_reply
+{
+	call_status status = call_status::not_done;
+	bool succeeded = false; ///< Whether all conditions held.
+	std::int64_t store_revision = 0;
+	std::vector<store_value> current; ///< When they did not: the compared keys as they are.
+};
+
+struct lease_reply
+{
+	call_status status = call_status::not_done;
+	std::int64_t id = 0;
+	std::chrono::seconds ttl{0}; ///< 0 from a keep-alive: the lease has lapsed.
+};
+
+/// One batch of a watch.
+struct watch_batch
+{
+	std::vector<store_value> puts;
+	std::vector<std::string> deletes;
+	std::int64_t store_revision = 0;
+};
+
+/// Each call names its use; calls are counted by that name.
+class store_base : public service_base
+{
+public:
+	const char* name() const override
+	{
+		return "store";
+	}
+	/// Reads one key, or all keys with a prefix.
+	virtual range_reply range(
+	    const char* _use, const std::string& _key, bool _prefix, yield_context _yield) = 0;
+	/// Writes if all conditions hold.
+	virtual txn_reply txn(const char* _use, const std::vector<store_compare>& _conditions,
+	    const std::vector<store_write>& _writes, yield_context _yield) = 0;
+	virtual lease_reply lease_grant(const char* _use, std::chrono::seconds _ttl, yield_context _yield) = 0;
+	virtual lease_reply lease_keep_alive(const char* _use, std::int64_t _id, yield_context _yield) = 0;
+	virtual lease_reply lease_revoke(const char* _use, std::int64_t _id, yield_context _yield) = 0;
+	/// Calls back for each change to keys with a prefix, until the callback returns false or the watch
+	/// breaks.
+	/// @param[in] _from First store revision of interest; 0: from now on.
+	virtual void watch(const char* _use, const std::string& _prefix, std::int64_t _from,
+	    const std::function<bool(const watch_batch&)>& _on_batch, yield_context _yield) = 0;
+
+	/// @returns Calls by use, since the start.
+	const std::map<std::string, std::uint64_t>& calls() const
+	{
+		return m_calls;
+	}
+
+protected:
+	void count(const char* _use)
+	{
+		++m_calls[_use];
+	}
+
+private:
+	std::map<std::string, std::uint64_t> m_calls;
+};
+
+/// Data and rules of a key-value service, without any transport. Also the heart of the platform stand-in.
+class store_engine
+{
+public:
+	/// @param[in] _prefix Whether all keys that start with the key are meant.
+	std::vector<store_value> range(const std::string& _key, bool _prefix) const;
+	txn_reply txn(const std::vector<store_compare>& _conditions, const std::vector<store_write>& _writes);
+	std::int64_t lease_grant(std::chrono::seconds _ttl, steady_time _now);
+	/// @returns Time to live; 0 when there is no such lease.
+	std::chrono::seconds lease_keep_alive(std::int64_t _id, steady_time _now);
+	void lease_revoke(std::int64_t _id);
+	/// Removes leases that have lapsed, and their keys.
+	void tick(steady_time _now);
+	/// Lets every lease lapse.
+	void lapse_all();
+	/// @returns Revision of the newest change.
+	std::int64_t revision() const
+	{
+		return m_revision;
+	}
+	/// @returns Changes from a revision on.
+	std::vector<watch_batch> changes(const std::string& _prefix, std::int64_t _from) const;
+	/// Called after each change.
+	void on_change(std::function<void()> _tell)
+	{
+		m_tell = std::move(_tell);
+	}
+
+private:
+	struct lease
+	{
+		std::chrono::seconds ttl{0};
+		steady_time ends{};
+	};
+	void apply(const std::vector<store_write>& _writes);
+
+	std::map<std::string, store_value> m_values;
+	std::map<std::int64_t, lease> m_leases;
+	std::vector<std::pair<std::int64_t, std::vector<store_write>>> m_log;
+	std::int64_t m_revision = 1;
+	std::int64_t m_next_lease = 1000;
+	std::function<void()> m_tell;
+};
+
+/// The platform over the etcd v3 JSON gateway.
+class store_http : public store_base
+{
+public:
+	store_http(asio::io_context& _context, endpoint _endpoint);
+	range_reply range(const char* _use, const std::string& _key, bool _prefix, yield_context _yield) override;
+	txn_reply txn(const char* _use, const std::vector<store_compare>& _conditions,
+	    const std::vector<store_write>& _writes, yield_context _yield) override;
+	lease_reply lease_grant(const char* _use, std::chrono::seconds _ttl, yield_context _yield) override;
+	lease_reply lease_keep_alive(const char* _use, std::int64_t _id, yield_context _yield) override;
+	lease_reply lease_revoke(const char* _use, std::int64_t _id, yield_context _yield) override;
+	void watch(const char* _use, const std::string& _prefix, std::int64_t _from,
+	    const std::function<bool(const watch_batch&)>& _on_batch, yield_context _yield) override;
+	/// Cuts the node off from the platform. For tests.
+	void set_cut(bool _cut)
+	{
+		m_cut = _cut;
+	}
+
+private:
+	struct reply
+	{
+		call_status status;
+		nlohmann::json body;
+	};
+	reply post(
+	    const char* _use, const char* _path, const nlohmann::json& _body, bool _writes, yield_context _yield);
+
+	asio::io_context& m_context;
+	endpoint m_endpoint;
+	http_caller m_caller;
+	bool m_cut = false;
+};
+
+/// A store in the same process. For tests.
+class store_memory : public store_base
+{
+public:
+	store_memory(store_engine& _engine, const clock_base& _clock) : m_engine(_engine), m_clock(_clock)
+	{
+	}
+	range_reply range(const char* _use, const std::string& _key, bool _prefix, yield_context _yield) override;
+	txn_reply txn(const char* _use, const std::vector<store_compare>& _conditions,
+	    const std::vector<store_write>& _writes, yield_context _yield) override;
+	lease_reply lease_grant(const char* _use, std::chrono::seconds _ttl, yield_context _yield) override;
+	lease_reply lease_keep_alive(const char* _use, std::int64_t _id, yield_context _yield) override;
+	lease_reply lease_revoke(const char* _use, std::int64_t _id, yield_context _yield) override;
+	void watch(const char* _use, const std::string& _prefix, std::int64_t _from,
+	    const std::function<bool(const watch_batch&)>& _on_batch, yield_context _yield) override;
+
+	bool down = false;    ///< Calls end as not done.
+	int lose_answers = 0; ///< So many next writes take effect and end as unsure.
+
+private:
+	store_engine& m_engine;
+	const clock_base& m_clock;
+};
+
+/// @returns Base64 of a text, as the gateway wants keys and values.
+std::string to_base64(const std::string& _text);
+/// @returns Text of base64.
+std::string from_base64(const std::string& _text);
+/// @returns End of the range of all keys with a prefix.
+std::string prefix_end(std::string _prefix);
+} // namespace larkrack
--- /dev/null
+++ b/src/traffic.cpp
@@ -0,0 +1,102 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "traffic_p.h"
+
+#include "larkrack/config.h"
+
+namespace larkrack
+{
+traffic::worker::worker(const kernel& _kernel, retry_budget& _budget)
+    : carry(context, _kernel, _budget),
+      callers(context,
+          [this](http_session& _session, http_request& _request, yield_context _yield)
+          {
+	          ++in_flight;
+	          carry.handle_caller(_session, _request, _yield);
+	          --in_flight;
+          }),
+      relays(context,
+          [this](http_session& _session, http_request& _request, yield_context _yield)
+          {
+	          ++in_flight;
+	          carry.handle_relay(_session, _request, _yield);
+	          --in_flight;
+          })
+{
+}
+
+std::optional<error> traffic::init(kernel& _kernel)
+{
+	const settings& ours = _kernel.find<settings_service>("settings")->get();
+	const bool shared = 1 < ours.traffic_threads;
+	for (std::size_t at = 0; at < ours.traffic_threads; ++at)
+	{
+		m_workers.push_back(std::make_unique<worker>(_kernel, m_budget));
+		worker& one = *m_workers.back();
+		std::optional<error> failure = one.callers.listen(ours.callers, shared);
+		failure = failure ? failure : one.relays.listen(ours.relay, shared);
+		if (failure)
+		{
+			return failure;
+		}
+	}
+	for (const auto& one : m_workers)
+	{
+		one->thread = std::thread(
+		    [raw = one.get()]
+		    {
+			    raw->context.run();
+		    });
+	}
+	return std::nullopt;
+}
+
+void traffic::begin_stop()
+{
+	for (const auto& one : m_workers)
+	{
+		asio::post(one->context,
+		    [raw = one.get()]
+		    {
+			    raw->callers.begin_stop();
+			    raw->relays.begin_stop();
+		    });
+	}
+}
+
+void traffic::stop_accepting()
+{
+	for (const auto& one : m_workers)
+	{
+		asio::post(one->context,
+		    [raw = one.get()]
+		    {
+			    raw->callers.stop_accepting();
+			    raw->relays.stop_accepting();
+		    });
+	}
+}
+
+void traffic::shutdown()
+{
+	for (const auto& one : m_workers)
+	{
+		one->context.stop();
+		if (one->thread.joinable())
+		{
+			one->thread.join();
+		}
+	}
+}
+
+int traffic::in_flight() const
+{
+	int sum = 0;
+	for (const auto& one : m_workers)
+	{
+		sum += one->in_flight.load();
+	}
+	return sum;
+}
+} // namespace larkrack
--- /dev/null
+++ b/src/traffic_view_p.h
@@ -0,0 +1,70 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// What traffic threads see of the control state: one immutable snapshot.
+#pragma once
+
+#include "gate_p.h"
+#include "membership_p.h"
+#include "mix_p.h"
+#include "policy_p.h"
+
+#include <atomic>
+#include <memory>
+#include <vector>
+
+namespace larkrack
+{
+/// An entry VM as traffic threads see it.
+struct peer_view
+{
+	bool alive = false;
+	bool leaving = false; ///< Gets no new look-ups and no relays.
+	incarnation life;
+	std::vector<service_headroom> rooms; ///< By service handle.
+};
+
+/// One service as traffic threads see it.
+struct service_view
+{
+	mix plan;
+	std::vector<bool> open; ///< By region handle: somebody there can serve.
+};
+
+/// One snapshot.
+struct traffic_view
+{
+	policy_ptr rules;
+	entry_vm_handle self;
+	region_handle region;
+	incarnation life;
+	std::vector<peer_view> peers;       ///< By entry VM handle.
+	std::vector<service_view> services; ///< By service handle.
+	bool stopping = false;
+	bool first_life = false; ///< No earlier process of this entry VM can have run a key.
+};
+using view_ptr = std::shared_ptr<const traffic_view>;
+
+/// Hands snapshots from the control thread to traffic threads.
+class view_board : public service_base
+{
+public:
+	const char* name() const override
+	{
+		return "view_board";
+	}
+	void publish(view_ptr _view)
+	{
+		std::atomic_store(&m_view, std::move(_view));
+	}
+	/// @returns The newest snapshot; null before the first.
+	view_ptr get() const
+	{
+		return std::atomic_load(&m_view);
+	}
+
+private:
+	view_ptr m_view;
+};
+} // namespace larkrack
--- /dev/null
+++ b/tests/gate_test.cpp
@@ -0,0 +1,251 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// Admission: slots, queue, drains, shedding, former owners.
+
+#include "fixtures.h"
+
+#include "gate_p.h"
+
+#include <rapidcheck.h>
+
+namespace larkrack
+{
+class gate_test : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(gate_test);
+	CPPUNIT_TEST(admission_when_slot_free_gets_ticket);
+	CPPUNIT_TEST(admission_when_slots_full_waits_and_gets_released_slot);
+	CPPUNIT_TEST(admission_when_queue_full_is_refused_at_once);
+	CPPUNIT_TEST(admission_when_higher_priority_comes_pushes_out_lower);
+	CPPUNIT_TEST(admission_when_draining_is_refused);
+	CPPUNIT_TEST(admission_when_former_owner_may_run_counts_slots_as_full);
+	CPPUNIT_TEST(admission_when_held_after_pause_waits);
+	CPPUNIT_TEST(release_when_unsure_keeps_slot_until_confirmed);
+	CPPUNIT_TEST(pace_when_shed_is_lowered_and_recovers);
+	CPPUNIT_TEST(region_share_when_reached_stops_admission);
+	CPPUNIT_TEST(running_when_faults_are_random_never_exceeds_slots);
+	CPPUNIT_TEST_SUITE_END();
+
+	static backend_grant grant_of(const std::string& _name, int _slots)
+	{
+		backend_grant one;
+		one.name = _name;
+		one.service = "shop";
+		one.slots = _slots;
+		one.owned = true;
+		return one;
+	}
+
+	admission wish(int _wait_ms = 0, int _priority = 5) const
+	{
+		return {"shop", _priority, m_clock.steady() + std::chrono::milliseconds(_wait_ms)};
+	}
+
+	std::variant<ticket, waiter_ptr, reason> enter(int _wait_ms = 0, int _priority = 5)
+	{
+		return m_gate.admit(
+		    wish(_wait_ms, _priority),
+		    [this]
+		    {
+			    ++m_woken;
+		    },
+		    m_clock.steady());
+	}
+
+	void own(std::vector<backend_grant> _grants, double _max_share = 1.0)
+	{
+		m_gate.update(_grants, _max_share, m_clock.steady());
+	}
+
+	clock_virtual m_clock;
+	gate m_gate{"own_count"};
+	int m_woken = 0;
+
+public:
+	void admission_when_slot_free_gets_ticket()
+	{
+		own({grant_of("a", 2)});
+		CPPUNIT_ASSERT(std::holds_alternative<ticket>(enter()));
+		CPPUNIT_ASSERT_EQUAL(1, m_gate.running("a"));
+	}
+
+	void admission_when_slots_full_waits_and_gets_released_slot()
+	{
+		own({grant_of("a", 1)});
+		const ticket first = std::get<ticket>(enter());
+		const waiter_ptr place = std::get<waiter_ptr>(enter(30));
+		m_gate.release(first, exchange_end::whole, m_clock.steady());
+		CPPUNIT_ASSERT_EQUAL(1, m_woken);
+		CPPUNIT_ASSERT(m_gate.give_up(place).has_value());
+		CPPUNIT_ASSERT_EQUAL(1, m_gate.running("a"));
+	}
+
+	void admission_when_queue_full_is_refused_at_once()
+	{
+		own({grant_of("a", 2)});
+		enter();
+		enter();
+		CPPUNIT_ASSERT(std::holds_alternative<waiter_ptr>(enter(30)));
+		CPPUNIT_ASSERT(reason::no_headroom == std::get<reason>(enter(30)));
+	}
+
+	void admission_when_higher_priority_comes_pushes_out_lower()
+	{
+		own({grant_of("a", 1)});
+		enter();
+		const waiter_ptr low = std::get<waiter_ptr>(enter(30, 1));
+		const waiter_ptr high = std::get<waiter_ptr>(enter(30, 9));
+		CPPUNIT_ASSERT_EQUAL(1, m_woken);
+		CPPUNIT_ASSERT(low->given_up);
+		CPPUNIT_ASSERT(!high->given_up);
+	}
+
+	void admission_when_draining_is_refused()
+	{
+		backend_grant one = grant_of("a", 2);
+		one.drain = true;
+		own({one});
+		CPPUNIT_ASSERT(reason::no_headroom == std::get<reason>(enter()));
+	}
+
+	void admission_when_former_owner_may_run_counts_slots_as_full()
+	{
+		backend_grant one = grant_of("a", 2);
+		one.full_until = m_clock.steady() + std::chrono::seconds(2);
+		own({one});
+		CPPUNIT_ASSERT(std::holds_alternative<reason>(enter()));
+		m_clock.advance(std::chrono::seconds(2));
+		CPPUNIT_ASSERT(std::holds_alternative<ticket>(enter()));
+	}
+
+	void admission_when_held_after_pause_waits()
+	{
+		own({grant_of("a", 2)});
+		m_gate.hold(true);
+		const waiter_ptr place = std::get<waiter_ptr>(enter(30));
+		m_gate.hold(false);
+		m_gate.tick(m_clock.steady());
+		CPPUNIT_ASSERT(m_gate.give_up(place).has_value());
+	}
+
+	void release_when_unsure_keeps_slot_until_confirmed()
+	{
+		own({grant_of("a", 1)});
+		const ticket one = std::get<ticket>(enter());
+		m_gate.release(one, exchange_end::unsure, m_clock.steady());
+		CPPUNIT_ASSERT(std::holds_alternative<reason>(enter()));
+		m_gate.confirm(one, m_clock.steady());
+		CPPUNIT_ASSERT(std::holds_alternative<ticket>(enter()));
+	}
+
+	void pace_when_shed_is_lowered_and_recovers()
+	{
+		own({grant_of("a", 8)});
+		m_gate.release(std::get<ticket>(enter()), exchange_end::shed, m_clock.steady());
+		CPPUNIT_ASSERT_EQUAL(4, m_gate.headroom(m_clock.steady()).at("shop").usable);
+		for (int round = 0; round < 16; ++round)
+		{
+			m_gate.release(std::get<ticket>(enter()), exchange_end::whole, m_clock.steady());
+		}
+		CPPUNIT_ASSERT_EQUAL(8, m_gate.headroom(m_clock.steady()).at("shop").usable);
+	}
+
+	void region_share_when_reached_stops_admission()
+	{
+		own({grant_of("a", 3), grant_of("b", 3)}, 0.5);
+		enter();
+		enter();
+		CPPUNIT_ASSERT(std::holds_alternative<ticket>(enter()));
+		CPPUNIT_ASSERT(std::holds_alternative<reason>(enter()));
+	}
+
+	void running_when_faults_are_random_never_exceeds_slots()
+	{
+		const bool held = rc::check("running requests never exceed the slots",
+		    [](const std::vector<std::uint8_t>& _steps)
+		    {
+			    clock_virtual clock;
+			    gate one("own_count");
+			    one.update({grant_of("a", 3), grant_of("b", 2)}, 1.0, clock.steady());
+			    std::vector<ticket> open;
+			    std::vector<ticket> unsure;
+			    std::vector<waiter_ptr> waiting;
+			    for (const std::uint8_t step : _steps)
+			    {
+				    clock.advance(std::chrono::milliseconds(step % 7));
+				    random_step(one, clock, step, open, unsure, waiting);
+				    RC_ASSERT(one.running("a") <= 3);
+				    RC_ASSERT(one.running("b") <= 2);
+				    RC_ASSERT(
+				        static_cast<int>(open.size() + unsure.size()) <= one.running("a") + one.running("b"));
+			    }
+		    });
+		CPPUNIT_ASSERT(held);
+	}
+
+private:
+	static void random_step(gate& _gate, const clock_virtual& _clock, std::uint8_t _step,
+	    std::vector<ticket>& _open, std::vector<ticket>& _unsure, std::vector<waiter_ptr>& _waiting)
+	{
+		const steady_time now = _clock.steady();
+		switch (_step % 6)
+		{
+		case 0:
+		case 1:
+		{
+			auto entered = _gate.admit(
+			    {"shop", _step % 10, now + std::chrono::milliseconds(20)},
+			    []
+			    {
+			    },
+			    now);
+			if (const ticket* got = std::get_if<ticket>(&entered))
+			{
+				_open.push_back(*got);
+			}
+			if (const waiter_ptr* place = std::get_if<waiter_ptr>(&entered))
+			{
+				_waiting.push_back(*place);
+			}
+			return;
+		}
+		case 2:
+			if (!_open.empty())
+			{
+				_gate.release(_open.back(), 0 == _step % 4 ? exchange_end::shed : exchange_end::whole, now);
+				_open.pop_back();
+			}
+			return;
+		case 3:
+			if (!_open.empty())
+			{
+				_gate.release(_open.back(), exchange_end::unsure, now);
+				_unsure.push_back(_open.back());
+				_open.pop_back();
+			}
+			return;
+		case 4:
+			if (!_unsure.empty())
+			{
+				_gate.confirm(_unsure.back(), now);
+				_unsure.pop_back();
+			}
+			return;
+		default:
+			if (!_waiting.empty())
+			{
+				const std::optional<ticket> got = _gate.give_up(_waiting.back());
+				_waiting.pop_back();
+				if (got)
+				{
+					_open.push_back(*got);
+				}
+			}
+		}
+	}
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(gate_test);
+} // namespace larkrack
--- /dev/null
+++ b/tools/larkrack_load_bench.cpp
@@ -0,0 +1,301 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// Brings the system to a known state, offers load, and carries out the actions of an experiment.
+
+#include "larkrack_load_p.h"
+
+#include <csignal>
+#include <fstream>
+
+namespace larkrack
+{
+namespace
+{
+constexpr std::chrono::milliseconds k_operator_timeout{8000};
+constexpr std::chrono::milliseconds k_ready_poll{200};
+constexpr int k_ready_polls = 300;
+constexpr int k_operator_tries = 6;
+/// Callers of each region; each keeps its own copy of look-ups.
+constexpr int k_callers = 120;
+constexpr int k_files = 20;
+/// Operations in flight at which no more are started: the tool itself is at its limit.
+constexpr int k_in_flight_limit = 6000;
+
+/// Finds the service with the most, or the fewest, backend servers.
+std::string by_size(const deployment& _deployment, bool _largest)
+{
+	const deployed_service* best = nullptr;
+	for (const deployed_service& one : _deployment.services)
+	{
+		if (nullptr == best || _largest == (best->backends < one.backends))
+		{
+			best = &one;
+		}
+	}
+	return best->name;
+}
+} // namespace
+
+load_bench::load_bench(
+    asio::io_context& _context, const deployment& _deployment, const load_options& _options)
+    : m_context(_context), m_deployment(_deployment), m_options(_options),
+      m_history(_options.report.empty() ? "" : _options.report + "/callers.jsonl"),
+      m_callers(_context, _deployment, m_history, _options.seed * 7919 + 1),
+      m_caller(_context.get_executor()), m_random(_options.seed)
+{
+}
+
+std::string load_bench::interactive() const
+{
+	return by_size(m_deployment, true);
+}
+
+std::string load_bench::files() const
+{
+	return by_size(m_deployment, false);
+}
+
+std::optional<http_response> load_bench::to_operators(http::verb _verb, const std::string& _target,
+    const std::string& _body, const std::string& _if_match, yield_context _yield)
+{
+	for (int attempt = 0; attempt < k_operator_tries; ++attempt)
+	{
+		const deployed_vm& vm = m_deployment.entry_vms[m_random() % m_deployment.entry_vms.size()];
+		http_request request = make_request(_verb, _target, vm.operators, _body);
+		request.set("Authorization", "Bearer " + m_deployment.token);
+		if (!_if_match.empty())
+		{
+			request.set("If-Match", _if_match);
+		}
+		result<http_response> called =
+		    m_caller.call(vm.operators, std::move(request), k_operator_timeout, _yield);
+		if (http_response* response = value_of(called))
+		{
+			return *response;
+		}
+	}
+	return std::nullopt;
+}
+
+nlohmann::json load_bench::status(yield_context _yield)
+{
+	const auto response = to_operators(http::verb::get, "/v1/status", "", "", _yield);
+	return response ? nlohmann::json::parse(response->body(), nullptr, false) : nlohmann::json();
+}
+
+int load_bench::operate(
+    const std::string& _kind, const std::string& _name, const nlohmann::json& _fields, yield_context _yield)
+{
+	const std::string target = "/v1/resources/" + _kind + "/" + _name;
+	const auto read = to_operators(http::verb::get, target, "", "", _yield);
+	if (!read || http::status::ok != read->result())
+	{
+		return 0;
+	}
+	const nlohmann::json resource = nlohmann::json::parse(read->body(), nullptr, false);
+	nlohmann::json spec = resource.value("spec", nlohmann::json::object());
+	spec.update(_fields);
+	const std::string at = std::to_string(resource.value("revision", std::uint64_t{0}));
+	const auto written = to_operators(
+	    http::verb::put, target, nlohmann::json({{"spec", spec}}).dump(), "\"" + at + "\"", _yield);
+	return written ? static_cast<int>(written->result_int()) : 0;
+}
+
+void load_bench::fault_backends(const nlohmann::json& _faults, yield_context _yield)
+{
+	const endpoint& where = m_deployment.backend_control;
+	m_caller.call(where, make_request(http::verb::put, "/fake/faults", where, _faults.dump()),
+	    k_operator_timeout, _yield);
+}
+
+void load_bench::fault_platform(const nlohmann::json& _faults, yield_context _yield)
+{
+	const endpoint& where = m_deployment.platform;
+	m_caller.call(where, make_request(http::verb::put, "/fake/faults", where, _faults.dump()),
+	    k_operator_timeout, _yield);
+}
+
+void load_bench::signal_vm(const std::string& _vm, int _signal)
+{
+	std::ifstream file(m_options.dir + "/" + _vm + ".pid");
+	pid_t pid = 0;
+	if (file >> pid && 1 < pid)
+	{
+		kill(pid, _signal);
+	}
+}
+
+void load_bench::cut(
+    const std::string& _vm, const std::vector<std::string>& _from, bool _platform, yield_context _yield)
+{
+	for (const deployed_vm& vm : m_deployment.entry_vms)
+	{
+		if (vm.name != _vm)
+		{
+			continue;
+		}
+		const nlohmann::json body = {{"entry_vms", _from}, {"platform", _platform}};
+		http_request request = make_request(http::verb::put, "/v1/test/cut", vm.operators, body.dump());
+		request.set("Authorization", "Bearer " + m_deployment.token);
+		m_caller.call(vm.operators, std::move(request), k_operator_timeout, _yield);
+	}
+}
+
+bool load_bench::is_ready(const nlohmann::json& _status) const
+{
+	if (!_status.is_object() || _status["shifts"].empty())
+	{
+		return false;
+	}
+	for (const nlohmann::json& shift : _status["shifts"])
+	{
+		if ("done" != shift.value("state", "") || shift["shares"] != shift["goal"])
+		{
+			return false;
+		}
+	}
+	std::map<std::string, int> usable;
+	for (const nlohmann::json& room : _status["rooms"])
+	{
+		usable[room.value("service", "")] += room.value("usable", 0);
+	}
+	for (const deployed_service& service : m_deployment.services)
+	{
+		if (usable[service.name] < service.backends * service.slots)
+		{
+			return false;
+		}
+	}
+	return true;
+}
+
+std::optional<error> load_bench::prepare(yield_context _yield)
+{
+	fault_platform(
+	    {{"outage", false}, {"slow_ms", 0}, {"lose_answers", 0}, {"max_calls_s", 0}, {"freeze_vms", false}},
+	    _yield);
+	fault_backends({{"shed_share", 0.0}, {"slow", 1.0}, {"lie", -1.0}, {"report_lag_ms", 0}, {"dead", false},
+	                   {"cut_share", 0.0}, {"cold_requests", 0}},
+	    _yield);
+	for (const deployed_vm& vm : m_deployment.entry_vms)
+	{
+		cut(vm.name, {}, false, _yield);
+	}
+	result<nlohmann::json> policy = read_json_file(m_options.policy_file);
+	if (const error* failure = std::get_if<error>(&policy))
+	{
+		return *failure;
+	}
+	bool applied = false;
+	for (int poll = 0; poll < k_ready_polls; ++poll)
+	{
+		if (!applied)
+		{
+			const auto answer = to_operators(
+			    http::verb::post, "/v1/apply", std::get<nlohmann::json>(policy).dump(), "", _yield);
+			applied = answer && http::status::ok == answer->result();
+		}
+		if (applied && is_ready(status(_yield)))
+		{
+			return std::nullopt;
+		}
+		sleep_for(m_context.get_executor(), k_ready_poll, _yield);
+	}
+	return error{"not_ready",
+	    applied ? "not every slot may be used: " + status(_yield).dump() : "the policy was not accepted"};
+}
+
+caller_operation load_bench::draw(const std::string& _service)
+{
+	caller_operation one;
+	const std::size_t home = m_random() % m_deployment.regions.size();
+	const int number = static_cast<int>(m_random() % k_callers);
+	one.home = m_deployment.regions[home];
+	one.caller = m_deployment.caller_prefix.at(one.home) + "." + std::to_string((number * 37) % 256) + "." +
+	             std::to_string(number % 250 + 1);
+	one.service = _service;
+	one.second_tries = second_tries;
+	one.deadline_ms = deadline_ms;
+	const bool is_files = files() == _service;
+	const double dice = std::uniform_real_distribution<double>(0.0, 1.0)(m_random);
+	one.work_us = is_files ? files_us : interactive_us;
+	if (dice < payments)
+	{
+		one.kind = "payment";
+		one.bytes = 300;
+		one.priority = 7;
+		one.object = "p" + std::to_string(++m_next_object) + "-" + std::to_string(m_options.seed);
+		return one;
+	}
+	one.kind = is_files ? "download" : "page";
+	const bool is_large = is_files && dice < payments + large_files;
+	one.bytes = is_files ? (is_large ? large_bytes : file_bytes) : 4000;
+	one.read_rate = is_files ? read_rate : 0;
+	one.priority = is_files ? 3 : 5;
+	one.object = is_files ? (is_large ? "image" : "file") + std::to_string(m_random() % k_files)
+	                      : "o" + std::to_string(++m_next_object) + "-" + std::to_string(m_options.seed);
+	return one;
+}
+
+void load_bench::offer(const std::string& _service, yield_context _yield)
+{
+	asio::steady_timer timer(m_context);
+	auto next = std::chrono::steady_clock::now();
+	boost::system::error_code ignored;
+	while (m_running)
+	{
+		const double work_s = static_cast<double>(files() == _service ? files_us : interactive_us) / 1e6;
+		const double rate = std::max(0.1, load * m_deployment.slots_of(_service) / work_s);
+		const double gap_s = std::exponential_distribution<double>(rate)(m_random);
+		next += std::chrono::nanoseconds(static_cast<std::int64_t>(gap_s * 1e9));
+		timer.expires_at(next);
+		timer.async_wait(_yield[ignored]);
+		if (!m_running || k_in_flight_limit < m_callers.in_flight())
+		{
+			continue;
+		}
+		start(m_context,
+		    [this, one = draw(_service)](yield_context _inner)
+		    {
+			    m_callers.operate(one, _inner);
+		    });
+	}
+}
+
+void load_bench::run(const std::vector<load_action>& _actions, double _seconds, yield_context _yield)
+{
+	started_us = to_us(m_clock.wall());
+	m_running = true;
+	for (const deployed_service& service : m_deployment.services)
+	{
+		start(m_context,
+		    [this, name = service.name](yield_context _inner)
+		    {
+			    offer(name, _inner);
+		    });
+	}
+	for (const load_action& action : _actions)
+	{
+		start(m_context,
+		    [this, action](yield_context _inner)
+		    {
+			    sleep_for(m_context.get_executor(),
+			        std::chrono::microseconds(static_cast<std::int64_t>(action.at_s * 1e6)), _inner);
+			    action.run(_inner);
+		    });
+	}
+	sleep_for(m_context.get_executor(), std::chrono::microseconds(static_cast<std::int64_t>(_seconds * 1e6)),
+	    _yield);
+	m_running = false;
+	ended_us = to_us(m_clock.wall());
+	while (0 < m_callers.in_flight())
+	{
+		sleep_for(m_context.get_executor(), std::chrono::milliseconds(50), _yield);
+	}
+	// The stand-ins write their runs out a little later.
+	fault_backends({{"backend", "none"}}, _yield);
+	m_history.flush();
+}
+} // namespace larkrack
