--- a/include/larkrack/config.h
+++ b/include/larkrack/config.h
@@ -10,7 +10,7 @@
 #include <cstdint>
 
 #ifndef LARKRACK_CONFIG_QUEUE_WAIT_MS
-#define LARKRACK_CONFIG_QUEUE_WAIT_MS 30
+#define LARKRACK_CONFIG_QUEUE_WAIT_MS 40
 #endif
 
 #ifndef LARKRACK_CONFIG_HEARTBEAT_MS
@@ -51,25 +51,25 @@
 /// Life of a caller's copy of a look-up.
 constexpr std::chrono::milliseconds k_lookup_ttl{1000};
 /// Limits of a caller's request.
-constexpr std::uint32_t k_header_limit = 16 * 1024;
-constexpr std::uint64_t k_body_limit = 8 * 1024 * 1024;
+constexpr std::uint32_t k_header_limit = 16ULL * 1024;
+constexpr std::uint64_t k_body_limit = 8ULL * 1024 * 1024;
 /// Longest time a caller may take to send a head, or to send or read on by one piece.
 constexpr std::chrono::seconds k_caller_timeout{20};
 /// Callers' connections that one traffic thread holds at once.
 constexpr std::size_t k_caller_connections = 4000;
 /// Bytes of an answer that an entry VM reads ahead of a slow caller.
-constexpr std::size_t k_read_ahead = 8 * 1024 * 1024;
+constexpr std::size_t k_read_ahead = 8ULL * 1024 * 1024;
 /// Bytes that all answers in one traffic thread may hold in read-ahead.
-constexpr std::size_t k_read_ahead_total = 96 * 1024 * 1024;
+constexpr std::size_t k_read_ahead_total = 96ULL * 1024 * 1024;
 /// Size of one piece of a streamed body.
-constexpr std::size_t k_piece = 64 * 1024;
+constexpr std::size_t k_piece = 64ULL * 1024;
 /// Answers of non-repeatable requests up to this size are kept for a second try.
-constexpr std::size_t k_kept_body = 16 * 1024;
+constexpr std::size_t k_kept_body = 16ULL * 1024;
 /// Keys that one entry VM remembers at the same time.
 constexpr std::size_t k_keys = 200000;
 /// Share of first tries that may be spent on retries, and the burst.
 constexpr double k_retry_share = 0.1;
 constexpr double k_retry_burst = 10.0;
 /// Stack of one coroutine.
-constexpr std::size_t k_stack = 128 * 1024;
+constexpr std::size_t k_stack = 128ULL * 1024;
 } // namespace larkrack
--- a/src/callers.cpp
+++ b/src/callers.cpp
@@ -34,7 +34,7 @@
 }
 
 std::optional<callers::looked_up> callers::ask(
-    const endpoint& _where, const caller_operation& _operation, yield_context _yield)
+    const endpoint& _where, const caller_operation& _operation, const yield_context& _yield)
 {
 	http_caller caller(m_context.get_executor());
 	http_request request =
@@ -44,7 +44,7 @@
 	{
 		request.set(k_header_traceparent, m_traceparent);
 	}
-	result<http_response> called = caller.call(_where, std::move(request), k_lookup_timeout, _yield);
+	result<http_response> called = caller.call(_where, request, k_lookup_timeout, _yield);
 	const http_response* response = value_of(called);
 	const nlohmann::json body =
 	    nullptr == response ? nlohmann::json() : nlohmann::json::parse(response->body(), nullptr, false);
@@ -66,7 +66,7 @@
 	return found;
 }
 
-callers::looked_up callers::look_up(const caller_operation& _operation, yield_context _yield)
+callers::looked_up callers::look_up(const caller_operation& _operation, const yield_context& _yield)
 {
 	const std::string key = _operation.caller + "/" + _operation.service;
 	const auto it = m_cache.find(key);
@@ -123,7 +123,7 @@
 }
 
 void callers::read_body(client_connection& _connection, http::response_parser<http::buffer_body>& _parser,
-    const caller_operation& _operation, answer& _answer, yield_context _yield)
+    const caller_operation& _operation, answer& _answer, const yield_context& _yield)
 {
 	const body_pattern pattern(_operation.object);
 	std::vector<char> piece(0 < _operation.read_rate ? k_piece / 8 : k_piece);
@@ -149,7 +149,7 @@
 }
 
 callers::answer callers::send(const caller_operation& _operation, const choice& _to, const std::string& _key,
-    bool _first_try, yield_context _yield)
+    bool _first_try, const yield_context& _yield)
 {
 	answer got;
 	got.way = _to.name;
@@ -180,7 +180,7 @@
 	}
 	const auto& head = parser.get();
 	got.got_head = true;
-	got.status = head.result_int();
+	got.status = static_cast<int>(head.result_int());
 	got.outcome = header_of(head, k_header_outcome);
 	got.reason = header_of(head, k_header_reason);
 	got.way = header_of(head, k_header_entry_vm);
@@ -213,7 +213,7 @@
 	    {"retry_after_ms", _answer.retry_after_ms}});
 }
 
-void callers::operate(const caller_operation& _operation, yield_context _yield)
+void callers::operate(const caller_operation& _operation, const yield_context& _yield)
 {
 	++m_in_flight;
 	std::string key;
--- a/src/callers_p.h
+++ b/src/callers_p.h
@@ -42,7 +42,7 @@
 	    std::uint64_t _seed);
 
 	/// Does one operation, with its second tries, and writes a line of history for each try.
-	void operate(const caller_operation& _operation, yield_context _yield);
+	void operate(const caller_operation& _operation, const yield_context& _yield);
 	/// @returns Operations in flight.
 	int in_flight() const
 	{
@@ -81,13 +81,13 @@
 		std::string id;
 		std::string retry_after_ms;
 	};
-	looked_up look_up(const caller_operation& _operation, yield_context _yield);
+	looked_up look_up(const caller_operation& _operation, const yield_context& _yield);
 	std::optional<looked_up> ask(
-	    const endpoint& _where, const caller_operation& _operation, yield_context _yield);
+	    const endpoint& _where, const caller_operation& _operation, const yield_context& _yield);
 	answer send(const caller_operation& _operation, const choice& _to, const std::string& _key,
-	    bool _first_try, yield_context _yield);
+	    bool _first_try, const yield_context& _yield);
 	void read_body(client_connection& _connection, http::response_parser<http::buffer_body>& _parser,
-	    const caller_operation& _operation, answer& _answer, yield_context _yield);
+	    const caller_operation& _operation, answer& _answer, const yield_context& _yield);
 	http_request make(
 	    const caller_operation& _operation, const choice& _to, const std::string& _key, bool _first_try);
 	void write(const caller_operation& _operation, const std::string& _key, const answer& _answer,
--- a/src/carrier.cpp
+++ b/src/carrier.cpp
@@ -19,6 +19,8 @@
 constexpr std::chrono::seconds k_relay_age{30};
 constexpr int k_tries = 3;
 constexpr std::chrono::milliseconds k_come_back{250};
+/// A request rather waits here for so long than goes on to another entry VM.
+constexpr std::chrono::milliseconds k_wait_rather{10};
 /// What is left of a deadline for the way back.
 constexpr std::chrono::milliseconds k_way_back{5};
 
@@ -86,7 +88,7 @@
 	m_id_prefix = m_settings.name + "-" + std::to_string(m_random() % 1000000000) + "-";
 }
 
-void carrier::handle_caller(http_session& _session, http_request& _request, yield_context _yield)
+void carrier::handle_caller(http_session& _session, http_request& _request, const yield_context& _yield)
 {
 	if (k_path_lookup == path_of(std::string(_request.target())))
 	{
@@ -100,7 +102,7 @@
 	handle(_session, call, _yield);
 }
 
-void carrier::handle_relay(http_session& _session, http_request& _request, yield_context _yield)
+void carrier::handle_relay(http_session& _session, http_request& _request, const yield_context& _yield)
 {
 	carried call;
 	call.request = &_request;
@@ -114,7 +116,7 @@
 	handle(_session, call, _yield);
 }
 
-void carrier::handle(http_session& _session, carried& _call, yield_context _yield)
+void carrier::handle(http_session& _session, carried& _call, const yield_context& _yield)
 {
 	const steady_time started = m_clock.steady();
 	++m_in_flight;
@@ -183,7 +185,7 @@
 	return std::nullopt;
 }
 
-void carrier::answer_lookup(http_session& _session, const http_request& _request, yield_context _yield)
+void carrier::answer_lookup(http_session& _session, const http_request& _request, const yield_context& _yield)
 {
 	m_metrics.count_lookup();
 	const view_ptr view = m_board.get();
@@ -216,7 +218,7 @@
 	_session.send(response, _yield);
 }
 
-carried_end carrier::carry(http_session& _session, carried& _call, yield_context _yield)
+carried_end carrier::carry(http_session& _session, carried& _call, const yield_context& _yield)
 {
 	if (_call.key.empty() || request_origin::for_slot == _call.origin)
 	{
@@ -225,7 +227,7 @@
 	return carry_keyed(_session, _call, _yield);
 }
 
-carried_end carrier::carry_keyed(http_session& _session, carried& _call, yield_context _yield)
+carried_end carrier::carry_keyed(http_session& _session, carried& _call, const yield_context& _yield)
 {
 	const policy& rules = *_call.view->rules;
 	// What an earlier try with this key may have done is not known here, unless the caller says there was
@@ -291,13 +293,13 @@
 }
 
 carried_end carrier::run_keyed(
-    http_session& _session, carried& _call, steady_time _forget_at, yield_context _yield)
+    http_session& _session, carried& _call, steady_time _forget_at, const yield_context& _yield)
 {
 	auto timer = std::make_shared<asio::steady_timer>(m_context, _call.deadline);
 	auto answer = std::make_shared<kept_ptr>();
 	const key_verdict verdict = m_keys.begin(
 	    _call.key, _forget_at,
-	    [timer, answer, &context = m_context](kept_ptr _answer)
+	    [timer, answer, &context = m_context](const kept_ptr& _answer)
 	    {
 		    asio::post(context,
 		        [timer, answer, _answer]
@@ -319,7 +321,7 @@
 	case key_verdict::what::run:
 		break;
 	}
-	const carried_end end = serve(_session, _call, _yield);
+	carried_end end = serve(_session, _call, _yield);
 	kept_answer kept;
 	kept.result = end.result;
 	kept.why = end.why;
@@ -333,7 +335,7 @@
 }
 
 carried_end carrier::wait_for_key(const std::shared_ptr<kept_ptr>& _answer,
-    const std::shared_ptr<asio::steady_timer>& _timer, yield_context _yield)
+    const std::shared_ptr<asio::steady_timer>& _timer, const yield_context& _yield)
 {
 	if (_timer && !*_answer)
 	{
@@ -356,7 +358,7 @@
 	return end;
 }
 
-carried_end carrier::serve(http_session& _session, carried& _call, yield_context _yield)
+carried_end carrier::serve(http_session& _session, carried& _call, const yield_context& _yield)
 {
 	m_budget.earn();
 	std::vector<bool> tried(_call.view->rules->entry_vms.size(), false);
@@ -378,63 +380,64 @@
 }
 
 carried_end carrier::try_once(
-    http_session& _session, carried& _call, std::vector<bool>& _tried, yield_context _yield)
+    http_session& _session, carried& _call, std::vector<bool>& _tried, const yield_context& _yield)
 {
-	const entry_vm_handle self = _call.view->self;
 	if (request_origin::for_slot == _call.origin)
 	{
-		return serve_here(_session, _call, _yield);
+		return serve_here(_session, _call, k_queue_wait, _yield);
 	}
 	const region_handle region = region_for(*_call.view, _call.service, _call.caller);
 	if (!is_valid(region))
 	{
 		return refused(reason::cap, false);
 	}
-	const entry_vm_handle to = pick_owner(_call, region, _tried);
-	if (!is_valid(to))
-	{
-		return refused(reason::no_headroom, false);
-	}
-	_tried[to.idx] = true;
-	if (to == self)
-	{
-		return serve_here(_session, _call, _yield);
+	const entry_vm_handle self = _call.view->self;
+	const bool here = may_serve_here(_call, region) && !_tried[self.idx];
+	const auto wait =
+	    here ? m_gate.expected_wait(_call.service_name, m_clock.steady()) : std::chrono::microseconds(0);
+	const entry_vm_handle other =
+	    here && wait <= k_wait_rather ? entry_vm_handle{} : pick_other(_call, region, _tried);
+	if (!is_valid(other))
+	{
+		if (!here)
+		{
+			return refused(reason::no_headroom, false);
+		}
+		_tried[self.idx] = true;
+		return serve_here(_session, _call, k_queue_wait, _yield);
 	}
-	return exchange_peer(_session, _call, to, request_origin::for_slot, _yield);
+	_tried[other.idx] = true;
+	return exchange_peer(_session, _call, other, request_origin::for_slot, _yield);
+}
+
+bool carrier::may_serve_here(const carried& _call, region_handle _region) const
+{
+	const traffic_view& view = *_call.view;
+	return is_valid(view.self) && view.region == _region && !view.stopping &&
+	       0 < view.peers[view.self.idx].rooms[_call.service.idx].usable;
 }
 
-entry_vm_handle carrier::pick_owner(
+entry_vm_handle carrier::pick_other(
     const carried& _call, region_handle _region, const std::vector<bool>& _tried)
 {
 	const traffic_view& view = *_call.view;
-	const entry_vm_handle self = view.self;
-	const bool self_fits = is_valid(self) && view.region == _region && !_tried[self.idx] && !view.stopping;
-	if (self_fits && 0 < view.peers[self.idx].rooms[_call.service.idx].free())
-	{
-		return self;
-	}
 	std::vector<double> weights(view.peers.size(), 0.0);
 	double sum = 0.0;
+	// A full one still gets a few, for what is heard of it is old.
+	constexpr double k_full_weight = 1e-3;
+	const bool here = may_serve_here(_call, _region);
 	for (std::size_t at = 0; at < view.peers.size(); ++at)
 	{
 		const entry_vm_handle vm{static_cast<std::uint16_t>(at)};
 		const peer_view& peer = view.peers[at];
-		const bool fits =
-		    vm != self && peer.alive && !peer.leaving && !_tried[at] && view.rules->region_of(vm) == _region;
-		if (!fits)
+		const bool fits = vm != view.self && peer.alive && !peer.leaving && !_tried[at] &&
+		                  view.rules->region_of(vm) == _region;
+		const service_headroom& room = peer.rooms[_call.service.idx];
+		if (fits && 0 < room.usable)
 		{
-			continue;
+			weights[at] = room.free() + (here ? 0.0 : k_full_weight * room.usable);
+			sum += weights[at];
 		}
-		const service_headroom& room = peer.rooms[_call.service.idx];
-		weights[at] = 0 == room.usable ? 0.0 : room.free() + 1e-3 * room.usable;
-		sum += weights[at];
-	}
-	const service_headroom own =
-	    self_fits ? view.peers[self.idx].rooms[_call.service.idx] : service_headroom{};
-	// A short wait here is better than a hop to somebody who is full as well.
-	if (0 < own.usable && sum < 1.0)
-	{
-		return self;
 	}
 	if (sum <= 0.0)
 	{
@@ -457,10 +460,11 @@
 	return last;
 }
 
-std::variant<ticket, reason> carrier::enter(const carried& _call, yield_context _yield)
+std::variant<ticket, reason> carrier::enter(
+    const carried& _call, std::chrono::microseconds _wait, const yield_context& _yield)
 {
 	const steady_time now = m_clock.steady();
-	const auto wait = std::min<std::chrono::microseconds>(k_queue_wait, _call.deadline - k_way_back - now);
+	const auto wait = std::min<std::chrono::microseconds>(_wait, _call.deadline - k_way_back - now);
 	auto timer = std::make_shared<asio::steady_timer>(m_context, now + wait);
 	const auto wake = [timer, &context = m_context]
 	{
@@ -491,13 +495,14 @@
 	return reason::no_headroom;
 }
 
-carried_end carrier::serve_here(http_session& _session, carried& _call, yield_context _yield)
+carried_end carrier::serve_here(
+    http_session& _session, carried& _call, std::chrono::microseconds _wait, const yield_context& _yield)
 {
 	if (_call.deadline <= m_clock.steady() + k_way_back)
 	{
 		return refused(reason::deadline, false);
 	}
-	const std::variant<ticket, reason> entered = enter(_call, _yield);
+	const std::variant<ticket, reason> entered = enter(_call, _wait, _yield);
 	if (const reason* why = std::get_if<reason>(&entered))
 	{
 		return refused(*why);
@@ -506,7 +511,7 @@
 }
 
 void carrier::answer_end(
-    http_session& _session, const carried& _call, const carried_end& _end, yield_context _yield)
+    http_session& _session, const carried& _call, const carried_end& _end, const yield_context& _yield)
 {
 	http_response response;
 	if (outcome::served == _end.result)
--- a/src/carrier_p.h
+++ b/src/carrier_p.h
@@ -71,9 +71,9 @@
 	carrier(asio::io_context& _context, const kernel& _kernel, retry_budget& _budget);
 
 	/// Serves a request from a caller.
-	void handle_caller(http_session& _session, http_request& _request, yield_context _yield);
+	void handle_caller(http_session& _session, http_request& _request, const yield_context& _yield);
 	/// Serves a request from another entry VM.
-	void handle_relay(http_session& _session, http_request& _request, yield_context _yield);
+	void handle_relay(http_session& _session, http_request& _request, const yield_context& _yield);
 	/// @returns Requests that are in flight here.
 	int in_flight() const
 	{
@@ -84,43 +84,47 @@
 	struct upstream; // One exchange with a backend server or an entry VM.
 	struct read_ahead;
 
-	void handle(http_session& _session, carried& _call, yield_context _yield);
+	void handle(http_session& _session, carried& _call, const yield_context& _yield);
 	std::optional<reason> fill(carried& _call, const http_session& _session);
-	void answer_lookup(http_session& _session, const http_request& _request, yield_context _yield);
-	carried_end carry(http_session& _session, carried& _call, yield_context _yield);
-	carried_end carry_keyed(http_session& _session, carried& _call, yield_context _yield);
+	void answer_lookup(http_session& _session, const http_request& _request, const yield_context& _yield);
+	carried_end carry(http_session& _session, carried& _call, const yield_context& _yield);
+	carried_end carry_keyed(http_session& _session, carried& _call, const yield_context& _yield);
 	carried_end run_keyed(
-	    http_session& _session, carried& _call, steady_time _forget_at, yield_context _yield);
+	    http_session& _session, carried& _call, steady_time _forget_at, const yield_context& _yield);
 	carried_end wait_for_key(const std::shared_ptr<kept_ptr>& _answer,
-	    const std::shared_ptr<asio::steady_timer>& _timer, yield_context _yield);
-	carried_end serve(http_session& _session, carried& _call, yield_context _yield);
+	    const std::shared_ptr<asio::steady_timer>& _timer, const yield_context& _yield);
+	carried_end serve(http_session& _session, carried& _call, const yield_context& _yield);
 	carried_end try_once(
-	    http_session& _session, carried& _call, std::vector<bool>& _tried, yield_context _yield);
-	entry_vm_handle pick_owner(const carried& _call, region_handle _region, const std::vector<bool>& _tried);
-	carried_end serve_here(http_session& _session, carried& _call, yield_context _yield);
-	std::variant<ticket, reason> enter(const carried& _call, yield_context _yield);
+	    http_session& _session, carried& _call, std::vector<bool>& _tried, const yield_context& _yield);
+	bool may_serve_here(const carried& _call, region_handle _region) const;
+	entry_vm_handle pick_other(const carried& _call, region_handle _region, const std::vector<bool>& _tried);
+	carried_end serve_here(
+	    http_session& _session, carried& _call, std::chrono::microseconds _wait, const yield_context& _yield);
+	std::variant<ticket, reason> enter(
+	    const carried& _call, std::chrono::microseconds _wait, const yield_context& _yield);
 	carried_end exchange_backend(
-	    http_session& _session, carried& _call, const ticket& _ticket, yield_context _yield);
+	    http_session& _session, carried& _call, const ticket& _ticket, const yield_context& _yield);
 	carried_end exchange_peer(http_session& _session, carried& _call, entry_vm_handle _to,
-	    request_origin _origin, yield_context _yield);
-	bool send_upstream(upstream& _up, const http_request& _request, yield_context _yield);
-	bool read_head(http_session& _session, upstream& _up, bool _repeatable, yield_context _yield);
+	    request_origin _origin, const yield_context& _yield);
+	bool send_upstream(upstream& _up, const http_request& _request, const yield_context& _yield);
+	bool read_head(http_session& _session, upstream& _up, bool _repeatable, const yield_context& _yield);
 	http_request make_backend_request(
 	    const carried& _call, const backend_state& _backend, wall_time _expires) const;
 	http_request make_peer_request(
 	    const carried& _call, const endpoint& _where, request_origin _origin) const;
 	void deliver(http_session& _session, const carried& _call, const std::shared_ptr<upstream>& _up,
-	    carried_end& _end, yield_context _yield);
-	void deliver_small(
-	    http_session& _session, const carried& _call, upstream& _up, carried_end& _end, yield_context _yield);
+	    carried_end& _end, const yield_context& _yield);
+	void deliver_small(http_session& _session, const carried& _call, upstream& _up, carried_end& _end,
+	    const yield_context& _yield);
 	void deliver_large(http_session& _session, const carried& _call, const std::shared_ptr<upstream>& _up,
-	    carried_end& _end, yield_context _yield);
+	    carried_end& _end, const yield_context& _yield);
 	void set_answer_head(const carried& _call, const upstream& _up, http::fields& _fields) const;
 	void finish(upstream& _up, exchange_end _end);
 	void abandon(const std::shared_ptr<upstream>& _up);
-	void cancel_run(const ticket& _ticket, const std::string& _id, steady_time _until, yield_context _yield);
+	void cancel_run(
+	    const ticket& _ticket, const std::string& _id, steady_time _until, const yield_context& _yield);
 	void answer_end(
-	    http_session& _session, const carried& _call, const carried_end& _end, yield_context _yield);
+	    http_session& _session, const carried& _call, const carried_end& _end, const yield_context& _yield);
 	std::chrono::milliseconds comes_back(const carried& _call, reason _reason);
 	bool is_relay_signed(const http_request& _request, request_origin& _origin) const;
 	std::string sign_relay(const std::string& _id, request_origin _origin) const;
--- a/src/carrier_upstream.cpp
+++ b/src/carrier_upstream.cpp
@@ -97,7 +97,7 @@
 	return out;
 }
 
-bool carrier::send_upstream(upstream& _up, const http_request& _request, yield_context _yield)
+bool carrier::send_upstream(upstream& _up, const http_request& _request, const yield_context& _yield)
 {
 	_up.wrote = true;
 	beast::error_code failure;
@@ -105,7 +105,7 @@
 	return !failure;
 }
 
-bool carrier::read_head(http_session& _session, upstream& _up, bool _repeatable, yield_context _yield)
+bool carrier::read_head(http_session& _session, upstream& _up, bool _repeatable, const yield_context& _yield)
 {
 	// While the answer is awaited, a caller that closes its connection cancels the exchange. What may not be
 	// repeated goes on: its answer is kept for the caller's second try.
@@ -159,14 +159,14 @@
 		return;
 	}
 	start(m_context,
-	    [this, slot = *slot, id = _up->id, until = _up->expires](yield_context _yield)
+	    [this, slot = *slot, id = _up->id, until = _up->expires](const yield_context& _yield)
 	    {
 		    cancel_run(slot, id, until, _yield);
 	    });
 }
 
 void carrier::cancel_run(
-    const ticket& _ticket, const std::string& _id, steady_time _until, yield_context _yield)
+    const ticket& _ticket, const std::string& _id, steady_time _until, const yield_context& _yield)
 {
 	const endpoint& where = _ticket.backend->grant.address;
 	http_caller caller(m_context.get_executor());
@@ -183,7 +183,7 @@
 }
 
 carried_end carrier::exchange_backend(
-    http_session& _session, carried& _call, const ticket& _ticket, yield_context _yield)
+    http_session& _session, carried& _call, const ticket& _ticket, const yield_context& _yield)
 {
 	const backend_state& backend = *_ticket.backend;
 	const endpoint where = backend.grant.address;
@@ -235,8 +235,8 @@
 	return end;
 }
 
-carried_end carrier::exchange_peer(
-    http_session& _session, carried& _call, entry_vm_handle _to, request_origin _origin, yield_context _yield)
+carried_end carrier::exchange_peer(http_session& _session, carried& _call, entry_vm_handle _to,
+    request_origin _origin, const yield_context& _yield)
 {
 	m_metrics.count_relay();
 	const endpoint where = _call.view->rules->at(_to).relay;
@@ -288,11 +288,11 @@
 }
 
 void carrier::deliver(http_session& _session, const carried& _call, const std::shared_ptr<upstream>& _up,
-    carried_end& _end, yield_context _yield)
+    carried_end& _end, const yield_context& _yield)
 {
 	const auto& head = _up->parser.get();
 	_end.answered = true;
-	_end.status = head.result_int();
+	_end.status = static_cast<int>(head.result_int());
 	_end.backend = _up->backend;
 	_end.content_type = header_of(head, "Content-Type");
 	const boost::optional<std::uint64_t> length = _up->parser.content_length();
@@ -308,8 +308,8 @@
 	abandon(_up);
 }
 
-void carrier::deliver_small(
-    http_session& _session, const carried& _call, upstream& _up, carried_end& _end, yield_context _yield)
+void carrier::deliver_small(http_session& _session, const carried& _call, upstream& _up, carried_end& _end,
+    const yield_context& _yield)
 {
 	std::string body(_up.parser.is_done() ? 0 : _up.parser.content_length().value_or(0), '\0');
 	beast::error_code failure;
@@ -344,7 +344,7 @@
 }
 
 void carrier::deliver_large(http_session& _session, const carried& _call,
-    const std::shared_ptr<upstream>& _up, carried_end& _end, yield_context _yield)
+    const std::shared_ptr<upstream>& _up, carried_end& _end, const yield_context& _yield)
 {
 	(void)_end;
 	http::response<http::buffer_body> head(_up->parser.get().result(), 11);
@@ -358,7 +358,7 @@
 	const std::size_t ahead = m_settings.read_ahead ? k_read_ahead : k_piece;
 	auto queue = std::make_shared<read_ahead>(m_context);
 	start(m_context,
-	    [this, queue, up = _up, ahead](yield_context _inner)
+	    [this, queue, up = _up, ahead](const yield_context& _inner)
 	    {
 		    beast::error_code failure;
 		    while (!failure && !up->parser.is_done() && !queue->stopped)
--- a/src/carrier_upstream_p.h
+++ b/src/carrier_upstream_p.h
@@ -51,7 +51,7 @@
 		changed.cancel();
 	}
 	/// Waits until something changes.
-	void wait(yield_context _yield)
+	void wait(const yield_context& _yield)
 	{
 		changed.expires_at(std::chrono::steady_clock::time_point::max());
 		boost::system::error_code ignored;
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -53,12 +53,12 @@
 	    {
 		    on_envelope(_envelope);
 	    });
-	using loop = void (control::*)(yield_context);
+	using loop = void (control::*)(const yield_context&);
 	for (const loop run :
 	    {&control::tick_for_ever, &control::own_for_ever, &control::drive_for_ever, &control::probe_for_ever})
 	{
 		start(m_context,
-		    [this, run](yield_context _yield)
+		    [this, run](const yield_context& _yield)
 		    {
 			    (this->*run)(_yield);
 		    });
@@ -77,7 +77,7 @@
 	m_sync->set_cut(_platform);
 }
 
-void control::tick_for_ever(yield_context _yield)
+void control::tick_for_ever(const yield_context& _yield)
 {
 	while (!m_stopping)
 	{
@@ -122,7 +122,7 @@
 	log_event(event::node_paused, {{"gap_ms", gap.count() / 1000}});
 	m_gate->hold(true);
 	start(m_context,
-	    [this](yield_context _yield)
+	    [this](const yield_context& _yield)
 	    {
 		    const policy_ptr rules_now = m_sync->configuration().current();
 		    for (std::size_t at = 0; rules_now && at < rules_now->services.size(); ++at)
@@ -431,7 +431,7 @@
 	}
 }
 
-void control::own_for_ever(yield_context _yield)
+void control::own_for_ever(const yield_context& _yield)
 {
 	while (!m_stopping)
 	{
@@ -453,7 +453,7 @@
 	}
 }
 
-void control::own(domain_handle _domain, service_handle _service, yield_context _yield)
+void control::own(domain_handle _domain, service_handle _service, const yield_context& _yield)
 {
 	const policy& now = *rules();
 	const std::vector<std::string> backends = backends_of(_domain, _service);
@@ -561,7 +561,7 @@
 	}
 }
 
-void control::drive_for_ever(yield_context _yield)
+void control::drive_for_ever(const yield_context& _yield)
 {
 	steady_time lease_at{};
 	bool holds = false;
@@ -593,7 +593,7 @@
 	}
 }
 
-void control::drive(service_handle _service, yield_context _yield)
+void control::drive(service_handle _service, const yield_context& _yield)
 {
 	const policy_ptr held = m_sync->configuration().current();
 	const std::string key = record_of_step(held->at(_service).name);
@@ -740,7 +740,7 @@
 	m_board->publish(view);
 }
 
-void control::probe_for_ever(yield_context _yield)
+void control::probe_for_ever(const yield_context& _yield)
 {
 	while (!m_stopping)
 	{
@@ -750,7 +750,7 @@
 			if (backend.grant.owned)
 			{
 				start(m_context,
-				    [this, backend](yield_context _inner)
+				    [this, backend](const yield_context& _inner)
 				    {
 					    probe(backend, _inner);
 				    });
@@ -759,7 +759,7 @@
 	}
 }
 
-void control::probe(const backend_state& _backend, yield_context _yield)
+void control::probe(const backend_state& _backend, const yield_context& _yield)
 {
 	const endpoint& where = _backend.grant.address;
 	result<http_response> called =
--- a/src/control_p.h
+++ b/src/control_p.h
@@ -69,11 +69,11 @@
 		std::vector<bool> seen_open; ///< By region handle.
 	};
 
-	void tick_for_ever(yield_context _yield);
-	void drive_for_ever(yield_context _yield);
-	void own_for_ever(yield_context _yield);
-	void probe_for_ever(yield_context _yield);
-	void probe(const backend_state& _backend, yield_context _yield);
+	void tick_for_ever(const yield_context& _yield);
+	void drive_for_ever(const yield_context& _yield);
+	void own_for_ever(const yield_context& _yield);
+	void probe_for_ever(const yield_context& _yield);
+	void probe(const backend_state& _backend, const yield_context& _yield);
 	void tick(steady_time _now);
 	void check_pause(steady_time _now);
 	void on_envelope(const envelope& _envelope);
@@ -85,8 +85,8 @@
 	void update_gate(steady_time _now);
 	void update_shares(steady_time _now);
 	void publish(steady_time _now);
-	void own(domain_handle _domain, service_handle _service, yield_context _yield);
-	void drive(service_handle _service, yield_context _yield);
+	void own(domain_handle _domain, service_handle _service, const yield_context& _yield);
+	void drive(service_handle _service, const yield_context& _yield);
 	std::optional<std::string> next_step(const std::string& _old, service_handle _service);
 	std::vector<region_room> rooms(service_handle _service, steady_time _now) const;
 	std::set<std::string> present_in(domain_handle _domain, steady_time _now) const;
--- a/src/fake_backend.cpp
+++ b/src/fake_backend.cpp
@@ -26,7 +26,7 @@
     : m_context(_context), m_options(std::move(_options)), m_runs(_runs), m_random(_seed),
       m_server(
           _context,
-          [this](http_session& _session, http_request& _request, yield_context _yield)
+          [this](http_session& _session, http_request& _request, const yield_context& _yield)
           {
 	          handle(_session, _request, _yield);
           },
@@ -61,7 +61,7 @@
 	return std::uniform_real_distribution<double>(0.0, 1.0)(m_random);
 }
 
-void fake_backend::handle(http_session& _session, http_request& _request, yield_context _yield)
+void fake_backend::handle(http_session& _session, http_request& _request, const yield_context& _yield)
 {
 	if (m_faults.dead)
 	{
@@ -88,7 +88,7 @@
 	}
 }
 
-void fake_backend::handle_load(http_session& _session, yield_context _yield)
+void fake_backend::handle_load(http_session& _session, const yield_context& _yield)
 {
 	const std::int64_t now = to_us(m_clock.steady());
 	const std::int64_t wanted = now - std::int64_t{1000} * m_faults.report_lag_ms;
@@ -109,7 +109,7 @@
 	_session.send(response, _yield);
 }
 
-void fake_backend::handle_cancel(http_session& _session, const std::string& _id, yield_context _yield)
+void fake_backend::handle_cancel(http_session& _session, const std::string& _id, const yield_context& _yield)
 {
 	const auto it = m_active.find(_id);
 	const bool ran = m_active.end() != it;
@@ -132,14 +132,14 @@
 }
 
 void fake_backend::refuse(
-    http_session& _session, http::status _status, const char* _why, yield_context _yield)
+    http_session& _session, http::status _status, const char* _why, const yield_context& _yield)
 {
 	http_response response = make_json(_status, nlohmann::json({{"refused", _why}}).dump());
 	response.set(k_header_shed, "1");
 	_session.send(response, _yield);
 }
 
-bool fake_backend::refuses(http_session& _session, const http_request& _request, yield_context _yield)
+bool fake_backend::refuses(http_session& _session, const http_request& _request, const yield_context& _yield)
 {
 	const std::string id = header_of(_request, k_header_request_id);
 	const std::int64_t expires = number_or(header_of(_request, k_header_expires), INT64_MAX);
@@ -161,7 +161,7 @@
 	return false;
 }
 
-void fake_backend::serve(http_session& _session, const http_request& _request, yield_context _yield)
+void fake_backend::serve(http_session& _session, const http_request& _request, const yield_context& _yield)
 {
 	const std::string target(_request.target());
 	auto one = std::make_shared<run>(m_context.get_executor());
@@ -199,7 +199,7 @@
 	end(one);
 }
 
-void fake_backend::work(run& _run, std::chrono::microseconds _time, yield_context _yield)
+void fake_backend::work(run& _run, std::chrono::microseconds _time, const yield_context& _yield)
 {
 	const std::int64_t left = std::max<std::int64_t>(0, _run.expires - to_us(m_clock.wall()));
 	_run.timer.expires_after(std::min(_time, std::chrono::microseconds(left)));
@@ -208,7 +208,7 @@
 }
 
 void fake_backend::answer(
-    http_session& _session, const http_request& _request, const run_ptr& _run, yield_context _yield)
+    http_session& _session, const http_request& _request, const run_ptr& _run, const yield_context& _yield)
 {
 	const std::string target(_request.target());
 	const auto size = static_cast<std::uint64_t>(number_or(query_value(target, "bytes"), 200));
--- a/src/fake_backend_p.h
+++ b/src/fake_backend_p.h
@@ -76,15 +76,15 @@
 	};
 	using run_ptr = std::shared_ptr<run>;
 
-	void handle(http_session& _session, http_request& _request, yield_context _yield);
-	void handle_load(http_session& _session, yield_context _yield);
-	void handle_cancel(http_session& _session, const std::string& _id, yield_context _yield);
-	void refuse(http_session& _session, http::status _status, const char* _why, yield_context _yield);
-	bool refuses(http_session& _session, const http_request& _request, yield_context _yield);
-	void serve(http_session& _session, const http_request& _request, yield_context _yield);
-	void work(run& _run, std::chrono::microseconds _time, yield_context _yield);
-	void answer(
-	    http_session& _session, const http_request& _request, const run_ptr& _run, yield_context _yield);
+	void handle(http_session& _session, http_request& _request, const yield_context& _yield);
+	void handle_load(http_session& _session, const yield_context& _yield);
+	void handle_cancel(http_session& _session, const std::string& _id, const yield_context& _yield);
+	void refuse(http_session& _session, http::status _status, const char* _why, const yield_context& _yield);
+	bool refuses(http_session& _session, const http_request& _request, const yield_context& _yield);
+	void serve(http_session& _session, const http_request& _request, const yield_context& _yield);
+	void work(run& _run, std::chrono::microseconds _time, const yield_context& _yield);
+	void answer(http_session& _session, const http_request& _request, const run_ptr& _run,
+	    const yield_context& _yield);
 	void end(const run_ptr& _run);
 	double chance();
 
--- a/src/fake_platform.cpp
+++ b/src/fake_platform.cpp
@@ -49,25 +49,26 @@
 } // namespace
 
 fake_platform::fake_platform(asio::io_context& _context)
-    : m_context(_context), m_server(_context,
-                               [this](http_session& _session, http_request& _request, yield_context _yield)
-                               {
-	                               handle(_session, _request, _yield);
-                               })
+    : m_context(_context),
+      m_server(_context,
+          [this](http_session& _session, http_request& _request, const yield_context& _yield)
+          {
+	          handle(_session, _request, _yield);
+          })
 {
 }
 
 std::optional<error> fake_platform::init(const endpoint& _endpoint)
 {
 	start(m_context,
-	    [this](yield_context _yield)
+	    [this](const yield_context& _yield)
 	    {
 		    run_leases(_yield);
 	    });
 	return m_server.listen(_endpoint);
 }
 
-void fake_platform::run_leases(yield_context _yield)
+void fake_platform::run_leases(const yield_context& _yield)
 {
 	while (true)
 	{
@@ -122,7 +123,7 @@
 	return 0 < m_faults.max_calls_s && m_faults.max_calls_s < m_in_second;
 }
 
-void fake_platform::handle(http_session& _session, http_request& _request, yield_context _yield)
+void fake_platform::handle(http_session& _session, http_request& _request, const yield_context& _yield)
 {
 	const std::string path = path_of(std::string(_request.target()));
 	if (0 == path.rfind("/fake/", 0))
@@ -249,7 +250,8 @@
 	return {{"header", header()}, {"succeeded", reply.succeeded}, {"responses", responses}};
 }
 
-void fake_platform::handle_watch(http_session& _session, const nlohmann::json& _body, yield_context _yield)
+void fake_platform::handle_watch(
+    http_session& _session, const nlohmann::json& _body, const yield_context& _yield)
 {
 	const nlohmann::json create = _body.value("create_request", nlohmann::json::object());
 	const std::string prefix = from_base64(create.value("key", ""));
@@ -309,7 +311,8 @@
 	m_vm_changes.emplace_back(m_clock.steady() + std::chrono::milliseconds(m_faults.vms_lag_ms), _vm);
 }
 
-void fake_platform::handle_fake(http_session& _session, const http_request& _request, yield_context _yield)
+void fake_platform::handle_fake(
+    http_session& _session, const http_request& _request, const yield_context& _yield)
 {
 	const std::string path = path_of(std::string(_request.target()));
 	const nlohmann::json body = nlohmann::json::parse(_request.body(), nullptr, false);
--- a/src/fake_platform_p.h
+++ b/src/fake_platform_p.h
@@ -42,9 +42,9 @@
 	}
 
 private:
-	void handle(http_session& _session, http_request& _request, yield_context _yield);
-	void handle_fake(http_session& _session, const http_request& _request, yield_context _yield);
-	void handle_watch(http_session& _session, const nlohmann::json& _body, yield_context _yield);
+	void handle(http_session& _session, http_request& _request, const yield_context& _yield);
+	void handle_fake(http_session& _session, const http_request& _request, const yield_context& _yield);
+	void handle_watch(http_session& _session, const nlohmann::json& _body, const yield_context& _yield);
 	nlohmann::json call(const std::string& _path, const nlohmann::json& _body);
 	nlohmann::json call_range(const nlohmann::json& _body) const;
 	nlohmann::json call_txn(const nlohmann::json& _body);
@@ -52,7 +52,7 @@
 	nlohmann::json shown_vms();
 	void put_vm(const nlohmann::json& _vm);
 	bool over_rate();
-	void run_leases(yield_context _yield);
+	void run_leases(const yield_context& _yield);
 
 	asio::io_context& m_context;
 	clock_system m_clock;
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -21,8 +21,8 @@
 constexpr std::chrono::seconds k_report_life{5};
 /// Slots that a cold backend server gets at first.
 constexpr int k_cold_slots = 1;
-/// Waiting requests for each usable slot.
-constexpr double k_queue_per_slot = 0.5;
+/// Latency that is assumed before the first answer, microseconds.
+constexpr double k_latency_first = 100000.0;
 } // namespace
 
 gate::gate(const std::string& _chooser) : m_chooser(create_chooser(_chooser))
@@ -179,7 +179,9 @@
 		return reason::no_headroom;
 	}
 	const service_headroom room = headroom_of(pool, _now);
-	const int limit = static_cast<int>(std::ceil(room.usable * k_queue_per_slot));
+	// As many may wait as will be served in time.
+	const auto patience = static_cast<double>((_request.queue_until - _now).count());
+	const int limit = static_cast<int>(std::ceil(room.usable * patience / mean_latency(pool)));
 	auto place = std::make_shared<waiter>();
 	place->request = _request;
 	place->wake = std::move(_wake);
@@ -190,6 +192,35 @@
 	return place;
 }
 
+double gate::mean_latency(const pool& _pool)
+{
+	double sum = 0.0;
+	int known = 0;
+	for (const backend_ptr& backend : _pool.backends)
+	{
+		sum += backend->latency_us;
+		known += 0.0 < backend->latency_us ? 1 : 0;
+	}
+	return 0 == known ? k_latency_first : std::max(1.0, sum / known);
+}
+
+std::chrono::microseconds gate::expected_wait(const std::string& _service, steady_time _now) const
+{
+	const std::lock_guard<std::mutex> lock(m_mutex);
+	const auto it = m_pools.find(_service);
+	const service_headroom room = m_pools.end() == it ? service_headroom{} : headroom_of(it->second, _now);
+	if (0 == room.usable)
+	{
+		return std::chrono::hours(1);
+	}
+	if (0 < room.free() && 0 == room.queued)
+	{
+		return std::chrono::microseconds(0);
+	}
+	const double us = (room.queued + 1) * mean_latency(it->second) / room.usable;
+	return std::chrono::microseconds(static_cast<std::int64_t>(us));
+}
+
 std::optional<ticket> gate::give_up(const waiter_ptr& _waiter)
 {
 	const std::lock_guard<std::mutex> lock(m_mutex);
--- a/src/gate_p.h
+++ b/src/gate_p.h
@@ -126,6 +126,8 @@
 	/// Grants waiting requests what time has freed. Called at each tick.
 	void tick(steady_time _now);
 
+	/// @returns How long a request that joins the queue now would wait, by the pace of the last answers.
+	std::chrono::microseconds expected_wait(const std::string& _service, steady_time _now) const;
 	/// @returns Headroom of each service that has a backend server here.
 	std::map<std::string, service_headroom> headroom(steady_time _now) const;
 	/// @returns Requests that run at a backend server, or may run.
@@ -147,6 +149,7 @@
 	service_headroom headroom_of(const pool& _pool, steady_time _now) const;
 	std::optional<ticket> take(pool& _pool, steady_time _now);
 	void serve_queue(pool& _pool, steady_time _now);
+	static double mean_latency(const pool& _pool);
 	static bool enqueue(pool& _pool, const waiter_ptr& _waiter, int _limit);
 
 	mutable std::mutex m_mutex;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -71,7 +71,7 @@
 }
 
 connection_ptr connection_pool::connect(
-    const endpoint& _endpoint, std::chrono::milliseconds _timeout, yield_context _yield)
+    const endpoint& _endpoint, std::chrono::milliseconds _timeout, const yield_context& _yield)
 {
 	auto connection = std::make_unique<client_connection>(m_executor);
 	connection->stream.expires_after(_timeout);
@@ -86,8 +86,8 @@
 	return connection;
 }
 
-result<http_response> http_caller::call(const endpoint& _endpoint, http_request _request,
-    std::chrono::milliseconds _timeout, yield_context _yield)
+result<http_response> http_caller::call(const endpoint& _endpoint, const http_request& _request,
+    std::chrono::milliseconds _timeout, const yield_context& _yield)
 {
 	connection_ptr connection = m_pool.take(_endpoint, k_control_idle);
 	if (!connection)
--- a/src/http_p.h
+++ b/src/http_p.h
@@ -51,7 +51,8 @@
 }
 
 /// Suspends a coroutine.
-void sleep_for(const asio::any_io_executor& _executor, std::chrono::microseconds _time, yield_context _yield);
+void sleep_for(
+    const asio::any_io_executor& _executor, std::chrono::microseconds _time, const yield_context& _yield);
 
 /// Connection from a caller.
 class http_session
@@ -71,18 +72,18 @@
 	}
 	/// Reads the next request. Answers bad input with a 4xx by itself.
 	/// @returns False when the connection has ended.
-	bool read(http_request& _request, yield_context _yield);
+	bool read(http_request& _request, const yield_context& _yield);
 	/// Sends a whole answer. Sets Content-Length.
 	/// @returns False when it could not be sent whole.
-	bool send(http_response& _response, yield_context _yield);
+	bool send(http_response& _response, const yield_context& _yield);
 	/// Sends an answer to HEAD: its Content-Length stays as it is.
-	bool send_head_only(http_response& _response, yield_context _yield);
+	bool send_head_only(http_response& _response, const yield_context& _yield);
 	/// Sends the head of a streamed answer: with Content-Length if it is set, else chunked.
-	bool send_head(http::response<http::buffer_body>& _head, yield_context _yield);
+	bool send_head(http::response<http::buffer_body>& _head, const yield_context& _yield);
 	/// Sends a piece of a streamed answer.
-	bool send_piece(const char* _data, std::size_t _size, yield_context _yield);
+	bool send_piece(const char* _data, std::size_t _size, const yield_context& _yield);
 	/// Ends a streamed answer.
-	bool send_end(yield_context _yield);
+	bool send_end(const yield_context& _yield);
 	/// @returns Whether the other side has closed; its data, if any, stays unread.
 	bool is_gone();
 	/// Closes at once.
@@ -104,7 +105,7 @@
 	}
 
 private:
-	bool refuse(http::status _status, const std::string& _why, yield_context _yield);
+	bool refuse(http::status _status, const std::string& _why, const yield_context& _yield);
 	std::string fault_of(const http_request& _request) const;
 
 	beast::tcp_stream m_stream;
@@ -118,7 +119,7 @@
 };
 
 /// Handles one request. Must send exactly one answer, or close the session.
-using http_handler = std::function<void(http_session&, http_request&, yield_context)>;
+using http_handler = std::function<void(http_session&, http_request&, const yield_context&)>;
 
 /// Listens and runs a coroutine for each connection.
 class http_server
@@ -191,7 +192,7 @@
 	/// Opens a new connection.
 	/// @returns Null when it could not be had in time.
 	connection_ptr connect(
-	    const endpoint& _endpoint, std::chrono::milliseconds _timeout, yield_context _yield);
+	    const endpoint& _endpoint, std::chrono::milliseconds _timeout, const yield_context& _yield);
 
 private:
 	asio::any_io_executor m_executor;
@@ -206,8 +207,8 @@
 	{
 	}
 	/// @returns The answer; or error "refused" when nothing was sent; or "unsure".
-	result<http_response> call(const endpoint& _endpoint, http_request _request,
-	    std::chrono::milliseconds _timeout, yield_context _yield);
+	result<http_response> call(const endpoint& _endpoint, const http_request& _request,
+	    std::chrono::milliseconds _timeout, const yield_context& _yield);
 
 private:
 	connection_pool m_pool;
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -42,7 +42,8 @@
 }
 } // namespace
 
-void sleep_for(const asio::any_io_executor& _executor, std::chrono::microseconds _time, yield_context _yield)
+void sleep_for(
+    const asio::any_io_executor& _executor, std::chrono::microseconds _time, const yield_context& _yield)
 {
 	asio::steady_timer timer(_executor, _time);
 	boost::system::error_code ignored;
@@ -95,7 +96,7 @@
 	return "";
 }
 
-bool http_session::read(http_request& _request, yield_context _yield)
+bool http_session::read(http_request& _request, const yield_context& _yield)
 {
 	http::request_parser<http::string_body> parser;
 	parser.header_limit(k_header_limit);
@@ -135,7 +136,7 @@
 	return true;
 }
 
-bool http_session::refuse(http::status _status, const std::string& _why, yield_context _yield)
+bool http_session::refuse(http::status _status, const std::string& _why, const yield_context& _yield)
 {
 	m_keep_alive = false;
 	const nlohmann::json body = {{"outcome", "not_run"}, {"reason", "bad_request"}, {"message", _why}};
@@ -147,7 +148,7 @@
 	return false;
 }
 
-bool http_session::send(http_response& _response, yield_context _yield)
+bool http_session::send(http_response& _response, const yield_context& _yield)
 {
 	_response.keep_alive(m_keep_alive);
 	_response.prepare_payload();
@@ -161,7 +162,7 @@
 	return !failure;
 }
 
-bool http_session::send_head_only(http_response& _response, yield_context _yield)
+bool http_session::send_head_only(http_response& _response, const yield_context& _yield)
 {
 	_response.keep_alive(m_keep_alive);
 	m_stream.expires_after(k_caller_timeout);
@@ -172,7 +173,7 @@
 	return !failure;
 }
 
-bool http_session::send_head(http::response<http::buffer_body>& _head, yield_context _yield)
+bool http_session::send_head(http::response<http::buffer_body>& _head, const yield_context& _yield)
 {
 	_head.keep_alive(m_keep_alive);
 	if (!_head.has_content_length())
@@ -189,7 +190,7 @@
 	return !failure;
 }
 
-bool http_session::send_piece(const char* _data, std::size_t _size, yield_context _yield)
+bool http_session::send_piece(const char* _data, std::size_t _size, const yield_context& _yield)
 {
 	m_head->body().data = const_cast<char*>(_data);
 	m_head->body().size = _size;
@@ -200,7 +201,7 @@
 	return !failure || http::error::need_buffer == failure;
 }
 
-bool http_session::send_end(yield_context _yield)
+bool http_session::send_end(const yield_context& _yield)
 {
 	m_head->body().data = nullptr;
 	m_head->body().size = 0;
@@ -288,7 +289,7 @@
 			    m_sessions->emplace(session.get(), session);
 			    start(m_context,
 			        [session, handler = m_handler, sessions = m_sessions, last = m_last_answers](
-			            yield_context _yield)
+			            const yield_context& _yield)
 			        {
 				        http_request request;
 				        while (session->keep_alive() && session->read(request, _yield))
--- a/src/key_table.cpp
+++ b/src/key_table.cpp
@@ -20,7 +20,7 @@
 }
 
 key_verdict key_table::begin(const std::string& _key, steady_time _forget_at,
-    std::function<void(kept_ptr)> _on_finish, steady_time _now)
+    std::function<void(const kept_ptr&)> _on_finish, steady_time _now)
 {
 	const std::lock_guard<std::mutex> lock(m_mutex);
 	forget(_now);
@@ -44,7 +44,7 @@
 
 void key_table::finish(const std::string& _key, const kept_answer& _answer)
 {
-	std::vector<std::function<void(kept_ptr)>> waiting;
+	std::vector<std::function<void(const kept_ptr&)>> waiting;
 	const auto answer = std::make_shared<const kept_answer>(_answer);
 	{
 		const std::lock_guard<std::mutex> lock(m_mutex);
--- a/src/key_table_p.h
+++ b/src/key_table_p.h
@@ -63,7 +63,7 @@
 	/// @param[in] _forget_at Time from which the key is refused anyway.
 	/// @param[in] _on_finish Called with the answer when the verdict is wait.
 	key_verdict begin(const std::string& _key, steady_time _forget_at,
-	    std::function<void(kept_ptr)> _on_finish, steady_time _now);
+	    std::function<void(const kept_ptr&)> _on_finish, steady_time _now);
 	/// Ends the first try. An answer of not_run forgets the key: it may be tried again.
 	void finish(const std::string& _key, const kept_answer& _answer);
 	/// @returns Number of keys that are remembered.
@@ -74,7 +74,7 @@
 	{
 		kept_ptr answer;
 		steady_time forget_at{};
-		std::vector<std::function<void(kept_ptr)>> waiting;
+		std::vector<std::function<void(const kept_ptr&)>> waiting;
 	};
 	void forget(steady_time _now);
 
--- a/src/node.cpp
+++ b/src/node.cpp
@@ -66,7 +66,7 @@
 		    if (!_failure)
 		    {
 			    start(m_context,
-			        [this](yield_context _yield)
+			        [this](const yield_context& _yield)
 			        {
 				        stop(_yield);
 			        });
@@ -78,7 +78,7 @@
 	return 0;
 }
 
-void node::stop(yield_context _yield)
+void node::stop(const yield_context& _yield)
 {
 	const auto began = std::chrono::steady_clock::now();
 	m_control->begin_stop();
--- a/src/node_p.h
+++ b/src/node_p.h
@@ -27,12 +27,11 @@
 
 private:
 	void add_services(const settings& _settings);
-	void stop(boost::asio::yield_context _yield);
+	void stop(const boost::asio::yield_context& _yield);
 
 	boost::asio::io_context m_context{1};
 	kernel m_kernel;
 	control* m_control = nullptr;
 	traffic* m_traffic = nullptr;
-	bool m_stopping = false;
 };
 } // namespace larkrack
--- a/src/operators.cpp
+++ b/src/operators.cpp
@@ -71,7 +71,7 @@
 	m_board = _kernel.find<view_board>("view_board");
 	m_keys = _kernel.find<key_table>("key_table");
 	m_server = std::make_unique<http_server>(m_context,
-	    [this](http_session& _session, http_request& _request, yield_context _yield)
+	    [this](http_session& _session, http_request& _request, const yield_context& _yield)
 	    {
 		    handle(_session, _request, _yield);
 	    });
@@ -89,7 +89,7 @@
 	return signer::same("Bearer " + m_settings->operator_token, header_of(_request, "Authorization"));
 }
 
-void operators::handle(http_session& _session, http_request& _request, yield_context _yield)
+void operators::handle(http_session& _session, http_request& _request, const yield_context& _yield)
 {
 	const bool reads = http::verb::get == _request.method() || http::verb::head == _request.method();
 	if (!reads && !is_allowed(_request))
@@ -111,7 +111,7 @@
 	_session.send(response, _yield);
 }
 
-http_response operators::route(const http_request& _request, yield_context _yield)
+http_response operators::route(const http_request& _request, const yield_context& _yield)
 {
 	const std::string path = path_of(std::string(_request.target()));
 	if ("/metrics" == path)
@@ -219,8 +219,8 @@
 	return response;
 }
 
-http_response operators::change(
-    const http_request& _request, const std::string& _kind, const std::string& _name, yield_context _yield)
+http_response operators::change(const http_request& _request, const std::string& _kind,
+    const std::string& _name, const yield_context& _yield)
 {
 	config_change one;
 	one.kind = _kind;
@@ -247,7 +247,7 @@
 	return answer_write(m_sync->write({one}, dry_run, _yield));
 }
 
-http_response operators::apply(const http_request& _request, yield_context _yield)
+http_response operators::apply(const http_request& _request, const yield_context& _yield)
 {
 	const nlohmann::json body = nlohmann::json::parse(_request.body(), nullptr, false);
 	if (!body.is_object() || !body.contains("resources") || !body["resources"].is_array())
@@ -468,7 +468,7 @@
 	return make_json(http::status::ok, "{}");
 }
 
-void operators::watch(http_session& _session, yield_context _yield)
+void operators::watch(http_session& _session, const yield_context& _yield)
 {
 	http::response<http::buffer_body> head(http::status::ok, 11);
 	head.set(http::field::content_type, "application/x-ndjson");
--- a/src/operators_p.h
+++ b/src/operators_p.h
@@ -25,20 +25,20 @@
 	void shutdown() override;
 
 private:
-	void handle(http_session& _session, http_request& _request, yield_context _yield);
+	void handle(http_session& _session, http_request& _request, const yield_context& _yield);
 	bool is_allowed(const http_request& _request) const;
-	http_response route(const http_request& _request, yield_context _yield);
+	http_response route(const http_request& _request, const yield_context& _yield);
 	http_response list(const std::string& _kind) const;
 	http_response get(const std::string& _kind, const std::string& _name) const;
 	http_response change(const http_request& _request, const std::string& _kind, const std::string& _name,
-	    yield_context _yield);
-	http_response apply(const http_request& _request, yield_context _yield);
+	    const yield_context& _yield);
+	http_response apply(const http_request& _request, const yield_context& _yield);
 	http_response answer_write(const write_result& _result) const;
 	http_response status() const;
 	http_response explain(const std::string& _target) const;
 	http_response scrape();
 	http_response cut(const http_request& _request);
-	void watch(http_session& _session, yield_context _yield);
+	void watch(http_session& _session, const yield_context& _yield);
 	nlohmann::json status_json() const;
 	nlohmann::json resource_json(const std::string& _key, const resource_value& _value) const;
 
--- a/src/peers_websocket.cpp
+++ b/src/peers_websocket.cpp
@@ -25,8 +25,8 @@
 /// Age of a signed handshake that is still taken.
 constexpr std::chrono::seconds k_handshake_age{30};
 /// Bytes that may wait for a slow peer.
-constexpr std::size_t k_send_limit = 64 * 1024 * 1024;
-constexpr std::size_t k_message_limit = 256 * 1024 * 1024;
+constexpr std::size_t k_send_limit = 64ULL * 1024 * 1024;
+constexpr std::size_t k_message_limit = 256ULL * 1024 * 1024;
 constexpr long k_connect_timeout_ms = 1500;
 constexpr std::size_t k_waiting_messages = 8;
 
--- a/src/platform_sync.cpp
+++ b/src/platform_sync.cpp
@@ -77,12 +77,12 @@
 		return error{"no_store", "no store service"};
 	}
 	start(m_context,
-	    [this](yield_context _yield)
+	    [this](const yield_context& _yield)
 	    {
 		    read_for_ever(_yield);
 	    });
 	start(m_context,
-	    [this](yield_context _yield)
+	    [this](const yield_context& _yield)
 	    {
 		    poll_vms_for_ever(_yield);
 	    });
@@ -120,7 +120,7 @@
 	}
 }
 
-void platform_sync::read_for_ever(yield_context _yield)
+void platform_sync::read_for_ever(const yield_context& _yield)
 {
 	int tries = 0;
 	while (!m_stopping)
@@ -149,7 +149,7 @@
 	}
 }
 
-bool platform_sync::read_all(yield_context _yield, std::int64_t& _revision)
+bool platform_sync::read_all(const yield_context& _yield, std::int64_t& _revision)
 {
 	const range_reply head = m_store->range("read_head", k_key_head, false, _yield);
 	if (call_status::done != head.status)
@@ -173,7 +173,7 @@
 	return call_status::done == records.status;
 }
 
-bool platform_sync::read_config(yield_context _yield)
+bool platform_sync::read_config(const yield_context& _yield)
 {
 	const range_reply all = m_store->range("read_config", "/larkrack/config/", true, _yield);
 	if (call_status::done != all.status)
@@ -239,7 +239,7 @@
 		if (take_status::gap == taken)
 		{
 			start(m_context,
-			    [this](yield_context _yield)
+			    [this](const yield_context& _yield)
 			    {
 				    read_config(_yield);
 			    });
@@ -265,6 +265,7 @@
 void platform_sync::take_store_records(const std::vector<store_value>& _values)
 {
 	std::vector<record> records;
+	records.reserve(_values.size());
 	for (const store_value& value : _values)
 	{
 		records.push_back({value.key.substr(std::strlen(k_prefix_record)), value.value,
@@ -289,7 +290,7 @@
 	}
 }
 
-void platform_sync::poll_vms_for_ever(yield_context _yield)
+void platform_sync::poll_vms_for_ever(const yield_context& _yield)
 {
 	while (!m_stopping)
 	{
@@ -379,7 +380,7 @@
 }
 
 txn_reply platform_sync::write_until_sure(const std::vector<store_compare>& _conditions,
-    const std::vector<store_write>& _writes, yield_context _yield)
+    const std::vector<store_write>& _writes, const yield_context& _yield)
 {
 	txn_reply reply = m_store->txn("write_config", _conditions, _writes, _yield);
 	// The same compare-and-swap again: at most one of all these takes effect.
@@ -396,7 +397,8 @@
 	return reply;
 }
 
-bool platform_sync::is_written(const config_change& _change, const std::string& _id, yield_context _yield)
+bool platform_sync::is_written(
+    const config_change& _change, const std::string& _id, const yield_context& _yield)
 {
 	const std::string key = _change.kind + "/" + _change.name;
 	const range_reply now = m_store->range("read_back", k_prefix_config + key, false, _yield);
@@ -410,7 +412,7 @@
 }
 
 write_result platform_sync::write(
-    const std::vector<config_change>& _changes, bool _dry_run, yield_context _yield)
+    const std::vector<config_change>& _changes, bool _dry_run, const yield_context& _yield)
 {
 	const std::string id = m_node + "-" + std::to_string(m_random());
 	write_result answer;
@@ -446,6 +448,7 @@
 		}
 		const std::int64_t head_at = head.values.empty() ? 0 : head.values.front().mod_revision;
 		std::vector<store_write> writes;
+		writes.reserve(_changes.size() + 1);
 		for (const config_change& change : _changes)
 		{
 			const std::string key = change.kind + "/" + change.name;
@@ -492,7 +495,7 @@
 	return answer;
 }
 
-bool platform_sync::restore(yield_context _yield)
+bool platform_sync::restore(const yield_context& _yield)
 {
 	const range_reply there = m_store->range("restore", "/larkrack/config/", true, _yield);
 	if (call_status::done != there.status)
@@ -541,7 +544,7 @@
 }
 
 call_status platform_sync::update_record(const char* _use, const std::string& _key,
-    const std::function<std::optional<std::string>(const std::string&)>& _next, yield_context _yield)
+    const std::function<std::optional<std::string>(const std::string&)>& _next, const yield_context& _yield)
 {
 	const std::string key = k_prefix_record + _key;
 	const range_reply now = m_store->range(_use, key, false, _yield);
@@ -580,7 +583,7 @@
 	return in_force ? call_status::done : call_status::not_done;
 }
 
-bool platform_sync::hold_driver_lease(yield_context _yield)
+bool platform_sync::hold_driver_lease(const yield_context& _yield)
 {
 	if (0 != m_lease)
 	{
--- a/src/platform_sync_p.h
+++ b/src/platform_sync_p.h
@@ -106,35 +106,37 @@
 
 	/// Makes an operator's changes, all or none.
 	/// @param[in] _dry_run Checks only.
-	write_result write(const std::vector<config_change>& _changes, bool _dry_run, yield_context _yield);
+	write_result write(
+	    const std::vector<config_change>& _changes, bool _dry_run, const yield_context& _yield);
 	/// Changes a record by compare-and-swap.
 	/// @param[in] _next Makes the new text from the present one (empty: none); no value: leave it.
 	/// @returns Whether the new text is in force.
 	call_status update_record(const char* _use, const std::string& _key,
-	    const std::function<std::optional<std::string>(const std::string&)>& _next, yield_context _yield);
+	    const std::function<std::optional<std::string>(const std::string&)>& _next,
+	    const yield_context& _yield);
 	/// Tries to get or keep the lease of the shift driver.
 	/// @returns Whether this node holds it.
-	bool hold_driver_lease(yield_context _yield);
+	bool hold_driver_lease(const yield_context& _yield);
 	/// @returns Calls to the platform by use.
 	std::map<std::string, std::uint64_t> calls() const;
 	/// Cuts this node off from the platform. For tests.
 	void set_cut(bool _cut);
 
 private:
-	void read_for_ever(yield_context _yield);
-	void poll_vms_for_ever(yield_context _yield);
-	bool read_all(yield_context _yield, std::int64_t& _revision);
-	bool read_config(yield_context _yield);
+	void read_for_ever(const yield_context& _yield);
+	void poll_vms_for_ever(const yield_context& _yield);
+	bool read_all(const yield_context& _yield, std::int64_t& _revision);
+	bool read_config(const yield_context& _yield);
 	void take_batch(const watch_batch& _batch);
 	void take_store_records(const std::vector<store_value>& _values);
 	void note(bool _up);
-	bool restore(yield_context _yield);
+	bool restore(const yield_context& _yield);
 	void tell(bool _config, const std::vector<record>& _records);
 	std::optional<write_result> check(
 	    const std::vector<config_change>& _changes, config_state& _next, const std::string& _id);
 	txn_reply write_until_sure(const std::vector<store_compare>& _conditions,
-	    const std::vector<store_write>& _writes, yield_context _yield);
-	bool is_written(const config_change& _change, const std::string& _id, yield_context _yield);
+	    const std::vector<store_write>& _writes, const yield_context& _yield);
+	bool is_written(const config_change& _change, const std::string& _id, const yield_context& _yield);
 	void take_vms(const nlohmann::json& _list);
 
 	asio::io_context& m_context;
--- a/src/store_http.cpp
+++ b/src/store_http.cpp
@@ -113,8 +113,8 @@
 {
 }
 
-store_http::reply store_http::post(
-    const char* _use, const char* _path, const nlohmann::json& _body, bool _writes, yield_context _yield)
+store_http::reply store_http::post(const char* _use, const char* _path, const nlohmann::json& _body,
+    bool _writes, const yield_context& _yield)
 {
 	count(_use);
 	if (m_cut)
@@ -122,7 +122,7 @@
 		return {call_status::not_done, {}};
 	}
 	http_request request = make_request(http::verb::post, _path, m_endpoint, _body.dump());
-	result<http_response> called = m_caller.call(m_endpoint, std::move(request), k_platform_deadline, _yield);
+	result<http_response> called = m_caller.call(m_endpoint, request, k_platform_deadline, _yield);
 	if (const error* failure = std::get_if<error>(&called))
 	{
 		const bool may_have_run = _writes && "unsure" == failure->code;
@@ -137,7 +137,8 @@
 	return {call_status::done, std::move(body)};
 }
 
-range_reply store_http::range(const char* _use, const std::string& _key, bool _prefix, yield_context _yield)
+range_reply store_http::range(
+    const char* _use, const std::string& _key, bool _prefix, const yield_context& _yield)
 {
 	const reply got = post(_use, "/v3/kv/range", range_json(_key, _prefix), false, _yield);
 	if (call_status::done != got.status)
@@ -148,7 +149,7 @@
 }
 
 txn_reply store_http::txn(const char* _use, const std::vector<store_compare>& _conditions,
-    const std::vector<store_write>& _writes, yield_context _yield)
+    const std::vector<store_write>& _writes, const yield_context& _yield)
 {
 	nlohmann::json body = {{"compare", nlohmann::json::array()}, {"success", nlohmann::json::array()},
 	    {"failure", nlohmann::json::array()}};
@@ -192,7 +193,7 @@
 	return answer;
 }
 
-lease_reply store_http::lease_grant(const char* _use, std::chrono::seconds _ttl, yield_context _yield)
+lease_reply store_http::lease_grant(const char* _use, std::chrono::seconds _ttl, const yield_context& _yield)
 {
 	const reply got = post(_use, "/v3/lease/grant", {{"TTL", std::to_string(_ttl.count())}}, true, _yield);
 	if (call_status::done != got.status)
@@ -202,7 +203,7 @@
 	return {got.status, number(got.body, "ID"), std::chrono::seconds(number(got.body, "TTL"))};
 }
 
-lease_reply store_http::lease_keep_alive(const char* _use, std::int64_t _id, yield_context _yield)
+lease_reply store_http::lease_keep_alive(const char* _use, std::int64_t _id, const yield_context& _yield)
 {
 	const reply got = post(_use, "/v3/lease/keepalive", {{"ID", std::to_string(_id)}}, true, _yield);
 	if (call_status::done != got.status || !got.body.contains("result"))
@@ -212,13 +213,13 @@
 	return {got.status, _id, std::chrono::seconds(number(got.body["result"], "TTL"))};
 }
 
-lease_reply store_http::lease_revoke(const char* _use, std::int64_t _id, yield_context _yield)
+lease_reply store_http::lease_revoke(const char* _use, std::int64_t _id, const yield_context& _yield)
 {
 	return {post(_use, "/v3/lease/revoke", {{"ID", std::to_string(_id)}}, true, _yield).status, _id, {}};
 }
 
 void store_http::watch(const char* _use, const std::string& _prefix, std::int64_t _from,
-    const std::function<bool(const watch_batch&)>& _on_batch, yield_context _yield)
+    const std::function<bool(const watch_batch&)>& _on_batch, const yield_context& _yield)
 {
 	count(_use);
 	if (m_cut)
--- a/src/store_memory.cpp
+++ b/src/store_memory.cpp
@@ -10,7 +10,7 @@
 constexpr std::chrono::milliseconds k_watch_poll{1};
 }
 
-range_reply store_memory::range(const char* _use, const std::string& _key, bool _prefix, yield_context)
+range_reply store_memory::range(const char* _use, const std::string& _key, bool _prefix, const yield_context&)
 {
 	count(_use);
 	if (down)
@@ -21,7 +21,7 @@
 }
 
 txn_reply store_memory::txn(const char* _use, const std::vector<store_compare>& _conditions,
-    const std::vector<store_write>& _writes, yield_context)
+    const std::vector<store_write>& _writes, const yield_context&)
 {
 	count(_use);
 	if (down)
@@ -38,7 +38,7 @@
 	return reply;
 }
 
-lease_reply store_memory::lease_grant(const char* _use, std::chrono::seconds _ttl, yield_context)
+lease_reply store_memory::lease_grant(const char* _use, std::chrono::seconds _ttl, const yield_context&)
 {
 	count(_use);
 	if (down)
@@ -48,7 +48,7 @@
 	return {call_status::done, m_engine.lease_grant(_ttl, m_clock.steady()), _ttl};
 }
 
-lease_reply store_memory::lease_keep_alive(const char* _use, std::int64_t _id, yield_context)
+lease_reply store_memory::lease_keep_alive(const char* _use, std::int64_t _id, const yield_context&)
 {
 	count(_use);
 	if (down)
@@ -58,7 +58,7 @@
 	return {call_status::done, _id, m_engine.lease_keep_alive(_id, m_clock.steady())};
 }
 
-lease_reply store_memory::lease_revoke(const char* _use, std::int64_t _id, yield_context)
+lease_reply store_memory::lease_revoke(const char* _use, std::int64_t _id, const yield_context&)
 {
 	count(_use);
 	if (down)
@@ -70,7 +70,7 @@
 }
 
 void store_memory::watch(const char* _use, const std::string& _prefix, std::int64_t _from,
-    const std::function<bool(const watch_batch&)>& _on_batch, yield_context _yield)
+    const std::function<bool(const watch_batch&)>& _on_batch, const yield_context& _yield)
 {
 	count(_use);
 	std::int64_t next = 0 == _from ? m_engine.revision() + 1 : _from;
--- a/src/store_p.h
+++ b/src/store_p.h
@@ -86,18 +86,19 @@
 	}
 	/// Reads one key, or all keys with a prefix.
 	virtual range_reply range(
-	    const char* _use, const std::string& _key, bool _prefix, yield_context _yield) = 0;
+	    const char* _use, const std::string& _key, bool _prefix, const yield_context& _yield) = 0;
 	/// Writes if all conditions hold.
 	virtual txn_reply txn(const char* _use, const std::vector<store_compare>& _conditions,
-	    const std::vector<store_write>& _writes, yield_context _yield) = 0;
-	virtual lease_reply lease_grant(const char* _use, std::chrono::seconds _ttl, yield_context _yield) = 0;
-	virtual lease_reply lease_keep_alive(const char* _use, std::int64_t _id, yield_context _yield) = 0;
-	virtual lease_reply lease_revoke(const char* _use, std::int64_t _id, yield_context _yield) = 0;
+	    const std::vector<store_write>& _writes, const yield_context& _yield) = 0;
+	virtual lease_reply lease_grant(
+	    const char* _use, std::chrono::seconds _ttl, const yield_context& _yield) = 0;
+	virtual lease_reply lease_keep_alive(const char* _use, std::int64_t _id, const yield_context& _yield) = 0;
+	virtual lease_reply lease_revoke(const char* _use, std::int64_t _id, const yield_context& _yield) = 0;
 	/// Calls back for each change to keys with a prefix, until the callback returns false or the watch
 	/// breaks.
 	/// @param[in] _from First store revision of interest; 0: from now on.
 	virtual void watch(const char* _use, const std::string& _prefix, std::int64_t _from,
-	    const std::function<bool(const watch_batch&)>& _on_batch, yield_context _yield) = 0;
+	    const std::function<bool(const watch_batch&)>& _on_batch, const yield_context& _yield) = 0;
 
 	/// @returns Calls by use, since the start.
 	const std::map<std::string, std::uint64_t>& calls() const
@@ -164,14 +165,16 @@
 {
 public:
 	store_http(asio::io_context& _context, endpoint _endpoint);
-	range_reply range(const char* _use, const std::string& _key, bool _prefix, yield_context _yield) override;
+	range_reply range(
+	    const char* _use, const std::string& _key, bool _prefix, const yield_context& _yield) override;
 	txn_reply txn(const char* _use, const std::vector<store_compare>& _conditions,
-	    const std::vector<store_write>& _writes, yield_context _yield) override;
-	lease_reply lease_grant(const char* _use, std::chrono::seconds _ttl, yield_context _yield) override;
-	lease_reply lease_keep_alive(const char* _use, std::int64_t _id, yield_context _yield) override;
-	lease_reply lease_revoke(const char* _use, std::int64_t _id, yield_context _yield) override;
+	    const std::vector<store_write>& _writes, const yield_context& _yield) override;
+	lease_reply lease_grant(
+	    const char* _use, std::chrono::seconds _ttl, const yield_context& _yield) override;
+	lease_reply lease_keep_alive(const char* _use, std::int64_t _id, const yield_context& _yield) override;
+	lease_reply lease_revoke(const char* _use, std::int64_t _id, const yield_context& _yield) override;
 	void watch(const char* _use, const std::string& _prefix, std::int64_t _from,
-	    const std::function<bool(const watch_batch&)>& _on_batch, yield_context _yield) override;
+	    const std::function<bool(const watch_batch&)>& _on_batch, const yield_context& _yield) override;
 	/// Cuts the node off from the platform. For tests.
 	void set_cut(bool _cut)
 	{
@@ -184,8 +187,8 @@
 		call_status status;
 		nlohmann::json body;
 	};
-	reply post(
-	    const char* _use, const char* _path, const nlohmann::json& _body, bool _writes, yield_context _yield);
+	reply post(const char* _use, const char* _path, const nlohmann::json& _body, bool _writes,
+	    const yield_context& _yield);
 
 	asio::io_context& m_context;
 	endpoint m_endpoint;
@@ -200,14 +203,16 @@
 	store_memory(store_engine& _engine, const clock_base& _clock) : m_engine(_engine), m_clock(_clock)
 	{
 	}
-	range_reply range(const char* _use, const std::string& _key, bool _prefix, yield_context _yield) override;
+	range_reply range(
+	    const char* _use, const std::string& _key, bool _prefix, const yield_context& _yield) override;
 	txn_reply txn(const char* _use, const std::vector<store_compare>& _conditions,
-	    const std::vector<store_write>& _writes, yield_context _yield) override;
-	lease_reply lease_grant(const char* _use, std::chrono::seconds _ttl, yield_context _yield) override;
-	lease_reply lease_keep_alive(const char* _use, std::int64_t _id, yield_context _yield) override;
-	lease_reply lease_revoke(const char* _use, std::int64_t _id, yield_context _yield) override;
+	    const std::vector<store_write>& _writes, const yield_context& _yield) override;
+	lease_reply lease_grant(
+	    const char* _use, std::chrono::seconds _ttl, const yield_context& _yield) override;
+	lease_reply lease_keep_alive(const char* _use, std::int64_t _id, const yield_context& _yield) override;
+	lease_reply lease_revoke(const char* _use, std::int64_t _id, const yield_context& _yield) override;
 	void watch(const char* _use, const std::string& _prefix, std::int64_t _from,
-	    const std::function<bool(const watch_batch&)>& _on_batch, yield_context _yield) override;
+	    const std::function<bool(const watch_batch&)>& _on_batch, const yield_context& _yield) override;
 
 	bool down = false;    ///< Calls end as not done.
 	int lose_answers = 0; ///< So many next writes take effect and end as unsure.
--- a/src/tracer_otlp.cpp
+++ b/src/tracer_otlp.cpp
@@ -349,7 +349,7 @@
 		m_collector = std::get<endpoint>(collector);
 	}
 	start(m_context,
-	    [this](yield_context _yield)
+	    [this](const yield_context& _yield)
 	    {
 		    http_caller caller(m_context.get_executor());
 		    std::uint64_t told = 0;
--- a/src/traffic.cpp
+++ b/src/traffic.cpp
@@ -10,14 +10,14 @@
 traffic::worker::worker(const kernel& _kernel, retry_budget& _budget)
     : carry(context, _kernel, _budget),
       callers(context,
-          [this](http_session& _session, http_request& _request, yield_context _yield)
+          [this](http_session& _session, http_request& _request, const yield_context& _yield)
           {
 	          ++in_flight;
 	          carry.handle_caller(_session, _request, _yield);
 	          --in_flight;
           }),
       relays(context,
-          [this](http_session& _session, http_request& _request, yield_context _yield)
+          [this](http_session& _session, http_request& _request, const yield_context& _yield)
           {
 	          ++in_flight;
 	          carry.handle_relay(_session, _request, _yield);
--- a/tests/gate_test.cpp
+++ b/tests/gate_test.cpp
@@ -54,7 +54,7 @@
 		    m_clock.steady());
 	}
 
-	void own(std::vector<backend_grant> _grants, double _max_share = 1.0)
+	void own(const std::vector<backend_grant>& _grants, double _max_share = 1.0)
 	{
 		m_gate.update(_grants, _max_share, m_clock.steady());
 	}
--- a/tools/larkrack.cpp
+++ b/tools/larkrack.cpp
@@ -16,6 +16,7 @@
 #include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/split.hpp>
 
+#include <cmath>
 #include <cstdio>
 #include <dirent.h>
 #include <fstream>
@@ -98,7 +99,7 @@
 		{
 			asio::io_context context;
 			start(context,
-			    [&](yield_context _yield)
+			    [&](const yield_context& _yield)
 			    {
 				    http_request request = make_request(_verb, _target, where, _body);
 				    request.set("Authorization",
@@ -108,7 +109,7 @@
 					    request.set("If-Match", "\"" + _if_match + "\"");
 				    }
 				    http_caller caller(context.get_executor());
-				    last = caller.call(where, std::move(request), k_timeout, _yield);
+				    last = caller.call(where, request, k_timeout, _yield);
 			    });
 			context.run();
 			const error* failure = std::get_if<error>(&last);
@@ -446,7 +447,7 @@
 std::string bar(double _part)
 {
 	constexpr int k_width = 20;
-	const int full = static_cast<int>(_part * k_width + 0.5);
+	const int full = static_cast<int>(std::lround(_part * k_width));
 	return "[" + std::string(static_cast<std::size_t>(full), '#') +
 	       std::string(static_cast<std::size_t>(k_width - full), '.') + "]";
 }
--- a/tools/larkrack_fake_backend.cpp
+++ b/tools/larkrack_fake_backend.cpp
@@ -28,7 +28,7 @@
 
 /// Serves "/fake/faults" and "/fake/counts" for all backend servers of the process.
 void handle_control(std::vector<std::unique_ptr<fake_backend>>& _backends, history_writer& _runs,
-    http_session& _session, const http_request& _request, yield_context _yield)
+    http_session& _session, const http_request& _request, const yield_context& _yield)
 {
 	const nlohmann::json body = nlohmann::json::parse(_request.body(), nullptr, false);
 	nlohmann::json counts = nlohmann::json::array();
@@ -48,7 +48,7 @@
 	_session.send(response, _yield);
 }
 
-void flush_for_ever(asio::io_context& _context, history_writer& _runs, yield_context _yield)
+void flush_for_ever(asio::io_context& _context, history_writer& _runs, const yield_context& _yield)
 {
 	while (true)
 	{
@@ -78,7 +78,7 @@
 		}
 	}
 	http_server control(context,
-	    [&](http_session& _session, http_request& _request, yield_context _yield)
+	    [&](http_session& _session, http_request& _request, const yield_context& _yield)
 	    {
 		    handle_control(backends, runs, _session, _request, _yield);
 	    });
@@ -88,7 +88,7 @@
 		return 1;
 	}
 	start(context,
-	    [&](yield_context _yield)
+	    [&](const yield_context& _yield)
 	    {
 		    flush_for_ever(context, runs, _yield);
 	    });
--- a/tools/larkrack_load.cpp
+++ b/tools/larkrack_load.cpp
@@ -117,7 +117,7 @@
 	load_bench bench(context, deployed, options);
 	std::optional<error> failure;
 	start(context,
-	    [&](yield_context _yield)
+	    [&](const yield_context& _yield)
 	    {
 		    failure = bench.prepare(_yield);
 		    if (failure)
--- a/tools/larkrack_load_bench.cpp
+++ b/tools/larkrack_load_bench.cpp
@@ -58,7 +58,7 @@
 }
 
 std::optional<http_response> load_bench::to_operators(http::verb _verb, const std::string& _target,
-    const std::string& _body, const std::string& _if_match, yield_context _yield)
+    const std::string& _body, const std::string& _if_match, const yield_context& _yield)
 {
 	for (int attempt = 0; attempt < k_operator_tries; ++attempt)
 	{
@@ -69,8 +69,7 @@
 		{
 			request.set("If-Match", _if_match);
 		}
-		result<http_response> called =
-		    m_caller.call(vm.operators, std::move(request), k_operator_timeout, _yield);
+		result<http_response> called = m_caller.call(vm.operators, request, k_operator_timeout, _yield);
 		if (http_response* response = value_of(called))
 		{
 			return *response;
@@ -79,14 +78,14 @@
 	return std::nullopt;
 }
 
-nlohmann::json load_bench::status(yield_context _yield)
+nlohmann::json load_bench::status(const yield_context& _yield)
 {
 	const auto response = to_operators(http::verb::get, "/v1/status", "", "", _yield);
 	return response ? nlohmann::json::parse(response->body(), nullptr, false) : nlohmann::json();
 }
 
-int load_bench::operate(
-    const std::string& _kind, const std::string& _name, const nlohmann::json& _fields, yield_context _yield)
+int load_bench::operate(const std::string& _kind, const std::string& _name, const nlohmann::json& _fields,
+    const yield_context& _yield)
 {
 	const std::string target = "/v1/resources/" + _kind + "/" + _name;
 	const auto read = to_operators(http::verb::get, target, "", "", _yield);
@@ -103,14 +102,14 @@
 	return written ? static_cast<int>(written->result_int()) : 0;
 }
 
-void load_bench::fault_backends(const nlohmann::json& _faults, yield_context _yield)
+void load_bench::fault_backends(const nlohmann::json& _faults, const yield_context& _yield)
 {
 	const endpoint& where = m_deployment.backend_control;
 	m_caller.call(where, make_request(http::verb::put, "/fake/faults", where, _faults.dump()),
 	    k_operator_timeout, _yield);
 }
 
-void load_bench::fault_platform(const nlohmann::json& _faults, yield_context _yield)
+void load_bench::fault_platform(const nlohmann::json& _faults, const yield_context& _yield)
 {
 	const endpoint& where = m_deployment.platform;
 	m_caller.call(where, make_request(http::verb::put, "/fake/faults", where, _faults.dump()),
@@ -127,8 +126,8 @@
 	}
 }
 
-void load_bench::cut(
-    const std::string& _vm, const std::vector<std::string>& _from, bool _platform, yield_context _yield)
+void load_bench::cut(const std::string& _vm, const std::vector<std::string>& _from, bool _platform,
+    const yield_context& _yield)
 {
 	for (const deployed_vm& vm : m_deployment.entry_vms)
 	{
@@ -139,7 +138,7 @@
 		const nlohmann::json body = {{"entry_vms", _from}, {"platform", _platform}};
 		http_request request = make_request(http::verb::put, "/v1/test/cut", vm.operators, body.dump());
 		request.set("Authorization", "Bearer " + m_deployment.token);
-		m_caller.call(vm.operators, std::move(request), k_operator_timeout, _yield);
+		m_caller.call(vm.operators, request, k_operator_timeout, _yield);
 	}
 }
 
@@ -171,7 +170,7 @@
 	return true;
 }
 
-std::optional<error> load_bench::prepare(yield_context _yield)
+std::optional<error> load_bench::prepare(const yield_context& _yield)
 {
 	fault_platform(
 	    {{"outage", false}, {"slow_ms", 0}, {"lose_answers", 0}, {"max_calls_s", 0}, {"freeze_vms", false}},
@@ -239,7 +238,7 @@
 	return one;
 }
 
-void load_bench::offer(const std::string& _service, yield_context _yield)
+void load_bench::offer(const std::string& _service, const yield_context& _yield)
 {
 	asio::steady_timer timer(m_context);
 	auto next = std::chrono::steady_clock::now();
@@ -257,21 +256,21 @@
 			continue;
 		}
 		start(m_context,
-		    [this, one = draw(_service)](yield_context _inner)
+		    [this, one = draw(_service)](const yield_context& _inner)
 		    {
 			    m_callers.operate(one, _inner);
 		    });
 	}
 }
 
-void load_bench::run(const std::vector<load_action>& _actions, double _seconds, yield_context _yield)
+void load_bench::run(const std::vector<load_action>& _actions, double _seconds, const yield_context& _yield)
 {
 	started_us = to_us(m_clock.wall());
 	m_running = true;
 	for (const deployed_service& service : m_deployment.services)
 	{
 		start(m_context,
-		    [this, name = service.name](yield_context _inner)
+		    [this, name = service.name](const yield_context& _inner)
 		    {
 			    offer(name, _inner);
 		    });
@@ -279,7 +278,7 @@
 	for (const load_action& action : _actions)
 	{
 		start(m_context,
-		    [this, action](yield_context _inner)
+		    [this, action](const yield_context& _inner)
 		    {
 			    sleep_for(m_context.get_executor(),
 			        std::chrono::microseconds(static_cast<std::int64_t>(action.at_s * 1e6)), _inner);
--- a/tools/larkrack_load_experiments.cpp
+++ b/tools/larkrack_load_experiments.cpp
@@ -6,6 +6,7 @@
 
 #include "larkrack_load_p.h"
 
+#include <cmath>
 #include <csignal>
 
 namespace larkrack
@@ -73,13 +74,13 @@
 
 plan plan_shift(load_bench& _bench)
 {
-	return {{3.0, [&_bench](yield_context _yield)
+	return {{3.0, [&_bench](const yield_context& _yield)
 	    {
 		    _bench.operate("steering", _bench.interactive(), shares_to(_bench, 0.5), _yield);
 	    }}};
 }
 
-void drain_backend(load_bench& _bench, yield_context _yield)
+void drain_backend(load_bench& _bench, const yield_context& _yield)
 {
 	const std::string backend = _bench.files() + "-01";
 	_bench.marks.drain_us = now_us();
@@ -94,7 +95,7 @@
 	_bench.file_bytes = 150000;
 	_bench.large_files = 0.1;
 	_bench.large_bytes = 400000;
-	return {{3.0, [&_bench](yield_context _yield)
+	return {{3.0, [&_bench](const yield_context& _yield)
 	    {
 		    drain_backend(_bench, _yield);
 	    }}};
@@ -102,7 +103,7 @@
 
 plan plan_drain_domain(load_bench& _bench)
 {
-	return {{3.0, [&_bench](yield_context _yield)
+	return {{3.0, [&_bench](const yield_context& _yield)
 	    {
 		    const std::string domain = vm_of(_bench).domain;
 		    const std::int64_t at = now_us();
@@ -119,7 +120,7 @@
 
 plan signal_at(load_bench& _bench, double _at_s, const std::string& _vm, int _signal)
 {
-	return {{_at_s, [&_bench, _vm, _signal](yield_context)
+	return {{_at_s, [&_bench, _vm, _signal](const yield_context&)
 	    {
 		    _bench.marks.fault_us = now_us();
 		    _bench.signal_vm(_vm, _signal);
@@ -154,11 +155,11 @@
     const nlohmann::json& _undo)
 {
 	return {{_from_s,
-	            [&_bench, _faults](yield_context _yield)
+	            [&_bench, _faults](const yield_context& _yield)
 	            {
 		            _bench.fault_backends(_faults, _yield);
 	            }},
-	    {_to_s, [&_bench, _undo](yield_context _yield)
+	    {_to_s, [&_bench, _undo](const yield_context& _yield)
 	        {
 		        _bench.fault_backends(_undo, _yield);
 	        }}};
@@ -211,7 +212,7 @@
 	plan all;
 	for (int round = 0; round < 30; ++round)
 	{
-		all.push_back({1.0 + 0.2 * (round / 3), [&_bench, round](yield_context _yield)
+		all.push_back({1.0 + 0.2 * std::floor(round / 3.0), [&_bench, round](const yield_context& _yield)
 		    {
 			    _bench.operate(
 			        "steering", _bench.interactive(), shares_to(_bench, 0.34 + 0.02 * (round % 3)), _yield);
@@ -223,7 +224,7 @@
 plan plan_paused_holder(load_bench& _bench)
 {
 	plan all = signal_at(_bench, 3.0, vm_of(_bench).name, SIGSTOP);
-	all.push_back({7.0, [&_bench](yield_context)
+	all.push_back({7.0, [&_bench](const yield_context&)
 	    {
 		    _bench.signal_vm(vm_of(_bench).name, SIGCONT);
 	    }});
@@ -235,7 +236,7 @@
 	plan all = plan_racing_operators(_bench);
 	for (int round = 0; round < 8; ++round)
 	{
-		all.push_back({1.0 + 0.5 * round, [&_bench](yield_context _yield)
+		all.push_back({1.0 + 0.5 * round, [&_bench](const yield_context& _yield)
 		    {
 			    _bench.fault_platform({{"lose_answers", 2}}, _yield);
 		    }});
@@ -246,12 +247,12 @@
 plan plan_platform_outage(load_bench& _bench)
 {
 	plan all;
-	all.push_back({2.0, [&_bench](yield_context _yield)
+	all.push_back({2.0, [&_bench](const yield_context& _yield)
 	    {
 		    _bench.marks.fault_us = now_us();
 		    _bench.fault_platform({{"outage", true}}, _yield);
 	    }});
-	all.push_back({10.0, [&_bench](yield_context _yield)
+	all.push_back({10.0, [&_bench](const yield_context& _yield)
 	    {
 		    _bench.fault_platform({{"outage", false}}, _yield);
 	    }});
@@ -261,7 +262,7 @@
 plan plan_platform_slow(load_bench& _bench)
 {
 	plan all;
-	all.push_back({1.0, [&_bench](yield_context _yield)
+	all.push_back({1.0, [&_bench](const yield_context& _yield)
 	    {
 		    _bench.fault_platform({{"slow_ms", 800}}, _yield);
 	    }});
@@ -270,7 +271,7 @@
 	return all;
 }
 
-void cut_domain(load_bench& _bench, const std::string& _domain, bool _cut, yield_context _yield)
+void cut_domain(load_bench& _bench, const std::string& _domain, bool _cut, const yield_context& _yield)
 {
 	const std::vector<std::string> outside = vms_outside(_bench, _domain);
 	for (const deployed_vm& vm : _bench.place().entry_vms)
@@ -286,12 +287,12 @@
 {
 	const std::string domain = vm_of(_bench).domain;
 	return {{2.0,
-	            [&_bench, domain](yield_context _yield)
+	            [&_bench, domain](const yield_context& _yield)
 	            {
 		            _bench.marks.fault_us = now_us();
 		            cut_domain(_bench, domain, true, _yield);
 	            }},
-	    {8.0, [&_bench, domain](yield_context _yield)
+	    {8.0, [&_bench, domain](const yield_context& _yield)
 	        {
 		        cut_domain(_bench, domain, false, _yield);
 	        }}};
@@ -303,7 +304,7 @@
 	double at = 1.0;
 	for (const deployed_vm& vm : _bench.place().entry_vms)
 	{
-		all.push_back({at, [&_bench, name = vm.name](yield_context)
+		all.push_back({at, [&_bench, name = vm.name](const yield_context&)
 		    {
 			    _bench.signal_vm(name, SIGTERM);
 		    }});
@@ -317,7 +318,7 @@
 	plan all;
 	for (int round = 0; round < 67; ++round)
 	{
-		all.push_back({1.0 + 0.1 * round, [&_bench, round](yield_context _yield)
+		all.push_back({1.0 + 0.1 * round, [&_bench, round](const yield_context& _yield)
 		    {
 			    _bench.operate("region", _bench.place().regions[static_cast<std::size_t>(round) % 3],
 			        {{"max_share", 1.0 - 0.0001 * (round % 10)}}, _yield);
@@ -329,19 +330,19 @@
 plan plan_old_platform(load_bench& _bench)
 {
 	plan all;
-	all.push_back({1.0, [&_bench](yield_context _yield)
+	all.push_back({1.0, [&_bench](const yield_context& _yield)
 	    {
 		    _bench.fault_platform({{"save", true}}, _yield);
 	    }});
-	all.push_back({2.0, [&_bench](yield_context _yield)
+	all.push_back({2.0, [&_bench](const yield_context& _yield)
 	    {
 		    _bench.operate("region", _bench.place().regions[0], {{"max_share", 0.99}}, _yield);
 	    }});
-	all.push_back({4.0, [&_bench](yield_context _yield)
+	all.push_back({4.0, [&_bench](const yield_context& _yield)
 	    {
 		    _bench.fault_platform({{"restore", true}}, _yield);
 	    }});
-	all.push_back({6.0, [&_bench](yield_context _yield)
+	all.push_back({6.0, [&_bench](const yield_context& _yield)
 	    {
 		    _bench.operate("region", _bench.place().regions[0], {{"max_share", 1.0}}, _yield);
 	    }});
@@ -351,7 +352,7 @@
 plan plan_join_in_outage(load_bench& _bench)
 {
 	plan all = plan_platform_outage(_bench);
-	all.push_back({4.0, [&_bench](yield_context)
+	all.push_back({4.0, [&_bench](const yield_context&)
 	    {
 		    _bench.signal_vm(vm_of(_bench).name, SIGKILL);
 	    }});
--- a/tools/larkrack_load_p.h
+++ b/tools/larkrack_load_p.h
@@ -36,7 +36,7 @@
 struct load_action
 {
 	double at_s = 0.0;
-	std::function<void(yield_context)> run;
+	std::function<void(const yield_context&)> run;
 };
 
 /// Moments that reports measure from.
@@ -55,24 +55,24 @@
 
 	/// Brings the system to a known state and waits until every slot may be used.
 	/// @returns An error when it does not get there.
-	std::optional<error> prepare(yield_context _yield);
+	std::optional<error> prepare(const yield_context& _yield);
 	/// Offers load and carries out actions.
-	void run(const std::vector<load_action>& _actions, double _seconds, yield_context _yield);
+	void run(const std::vector<load_action>& _actions, double _seconds, const yield_context& _yield);
 
 	/// Puts a resource's field, by an operator's way.
 	/// @returns Status of HTTP; 0 when nobody answered.
 	int operate(const std::string& _kind, const std::string& _name, const nlohmann::json& _fields,
-	    yield_context _yield);
+	    const yield_context& _yield);
 	/// Sets faults of the stand-ins.
-	void fault_backends(const nlohmann::json& _faults, yield_context _yield);
-	void fault_platform(const nlohmann::json& _faults, yield_context _yield);
+	void fault_backends(const nlohmann::json& _faults, const yield_context& _yield);
+	void fault_platform(const nlohmann::json& _faults, const yield_context& _yield);
 	/// Sends a signal to the process of an entry VM.
 	void signal_vm(const std::string& _vm, int _signal);
 	/// Cuts entry VMs off from some others, and from the platform.
-	void cut(
-	    const std::string& _vm, const std::vector<std::string>& _from, bool _platform, yield_context _yield);
+	void cut(const std::string& _vm, const std::vector<std::string>& _from, bool _platform,
+	    const yield_context& _yield);
 	/// @returns Status of the system as one entry VM sees it; null when nobody answers.
-	nlohmann::json status(yield_context _yield);
+	nlohmann::json status(const yield_context& _yield);
 
 	/// Load of each service as a part of its capacity. May be changed while it runs.
 	double load = 0.8;
@@ -111,10 +111,10 @@
 	}
 
 private:
-	void offer(const std::string& _service, yield_context _yield);
+	void offer(const std::string& _service, const yield_context& _yield);
 	caller_operation draw(const std::string& _service);
 	std::optional<http_response> to_operators(http::verb _verb, const std::string& _target,
-	    const std::string& _body, const std::string& _if_match, yield_context _yield);
+	    const std::string& _body, const std::string& _if_match, const yield_context& _yield);
 	bool is_ready(const nlohmann::json& _status) const;
 
 	asio::io_context& m_context;
--- a/tools/larkrack_load_report.cpp
+++ b/tools/larkrack_load_report.cpp
@@ -26,7 +26,7 @@
 	{
 		return 0.0;
 	}
-	const auto at = static_cast<std::size_t>(_part * static_cast<double>(_values.size() - 1) + 0.5);
+	const auto at = static_cast<std::size_t>(std::lround(_part * static_cast<double>(_values.size() - 1)));
 	std::nth_element(_values.begin(), _values.begin() + static_cast<std::ptrdiff_t>(at), _values.end());
 	return _values[at];
 }
