Ramp a region's share back after it lost entry VMs

Cause: crash_region broke the cap: the region's share went from about 0 to 34% within one window when its entry VMs came back, since restarted nodes started at the recorded step and the others never noticed that the region's slots had gone. Ruled out: the driver's steps (none were made).

--- a/src/carrier.cpp
+++ b/src/carrier.cpp
@@ -370,7 +370,7 @@
 		                  reason::lost_answer == end.why;
 		const bool again = (end.may_try_again && reason::cap != end.why) || lost;
 		if (!again || request_origin::for_slot == _call.origin || _call.deadline <= m_clock.steady() ||
-		    !m_budget.spend())
+		    (reason::no_backend != end.why && !m_budget.spend()))
 		{
 			break;
 		}
--- a/src/checker.cpp
+++ b/src/checker.cpp
@@ -271,68 +271,69 @@
 		}
 	}
 
-	/// Gain of a region: its share in a window, less its share in the window before.
+	/// Gain of a region: the part of a service's traffic that it ran in a window, less that in the window
+	/// before. Traffic is all that callers sent, refused or not.
 	void check_caps()
 	{
 		for (const auto& [service, rule] : m_rules.caps)
 		{
-			std::vector<std::pair<std::int64_t, std::string>> starts;
+			std::map<std::string, std::vector<std::int64_t>> ran;
+			std::vector<std::int64_t> sent;
 			for (const run_line& one : m_runs)
 			{
 				const auto region = m_rules.region_of_backend.find(one.backend);
 				if (one.service == service && m_rules.region_of_backend.end() != region)
 				{
-					starts.emplace_back(one.start, region->second);
+					ran[region->second].push_back(one.start);
 				}
 			}
-			std::sort(starts.begin(), starts.end());
-			check_windows(service, rule, starts);
+			for (const nlohmann::json& line : m_requests)
+			{
+				if (text(line, "service") == service)
+				{
+					sent.push_back(number(line, "t0"));
+				}
+			}
+			std::sort(sent.begin(), sent.end());
+			for (auto& [region, starts] : ran)
+			{
+				std::sort(starts.begin(), starts.end());
+				check_windows(service + " in " + region, rule, sent, starts);
+			}
 		}
 	}
 
-	void check_windows(const std::string& _service, const cap_rule& _rule,
-	    const std::vector<std::pair<std::int64_t, std::string>>& _starts)
+	static double count_between(const std::vector<std::int64_t>& _times, std::int64_t _from, std::int64_t _to)
 	{
-		if (_starts.empty())
+		const auto first = std::lower_bound(_times.begin(), _times.end(), _from);
+		const auto last = std::lower_bound(first, _times.end(), _to);
+		return static_cast<double>(last - first);
+	}
+
+	void check_windows(const std::string& _what, const cap_rule& _rule,
+	    const std::vector<std::int64_t>& _sent, const std::vector<std::int64_t>& _ran)
+	{
+		if (_sent.empty())
 		{
 			return;
 		}
-		std::set<std::string> regions;
-		for (const auto& [at, region] : _starts)
-		{
-			regions.insert(region);
-		}
-		const std::int64_t step = std::max<std::int64_t>(1, _rule.window_us / 10);
-		for (std::int64_t at = _starts.front().first + _rule.window_us;
-		     at + _rule.window_us <= _starts.back().first; at += step)
+		const std::int64_t window = _rule.window_us;
+		const std::int64_t step = std::max<std::int64_t>(1, window / 10);
+		for (std::int64_t at = _sent.front() + window; at + window <= _sent.back(); at += step)
 		{
-			std::map<std::string, double> before;
-			std::map<std::string, double> after;
-			double sum_before = 0.0;
-			double sum_after = 0.0;
-			auto it = std::lower_bound(
-			    _starts.begin(), _starts.end(), std::make_pair(at - _rule.window_us, std::string()));
-			for (; _starts.end() != it && it->first < at + _rule.window_us; ++it)
-			{
-				const bool is_before = it->first < at;
-				(is_before ? before : after)[it->second] += 1.0;
-				(is_before ? sum_before : sum_after) += 1.0;
-			}
-			if (sum_before < k_window_least || sum_after < k_window_least)
+			const double sent_before = count_between(_sent, at - window, at);
+			const double sent_after = count_between(_sent, at, at + window);
+			if (sent_before < k_window_least || sent_after < k_window_least)
 			{
 				continue;
 			}
-			for (const std::string& region : regions)
+			const double p = std::min(1.0, count_between(_ran, at - window, at) / sent_before);
+			const double q = std::min(1.0, count_between(_ran, at, at + window) / sent_after);
+			const double noise = std::sqrt(p * (1 - p) / sent_before + q * (1 - q) / sent_after);
+			m_report.max_gain_over_cap = std::max(m_report.max_gain_over_cap, (q - p) / _rule.cap);
+			if (_rule.cap + k_sigmas * noise < q - p)
 			{
-				const double p = before[region] / sum_before;
-				const double q = after[region] / sum_after;
-				const double noise = std::sqrt(p * (1 - p) / sum_before + q * (1 - q) / sum_after);
-				const double gain = q - p;
-				m_report.max_gain_over_cap = std::max(m_report.max_gain_over_cap, gain / _rule.cap);
-				if (_rule.cap + k_sigmas * noise < gain)
-				{
-					add("cap", _service + " in " + region + " gained " + std::to_string(gain));
-				}
+				add("cap", _what + " gained " + std::to_string(q - p));
 			}
 		}
 	}
@@ -433,7 +434,7 @@
 	{
 		for (const auto& [node, began] : _started)
 		{
-			if (_at < began || m_cut.count(node) > 0)
+			if (_at < began)
 			{
 				continue;
 			}
@@ -459,7 +460,6 @@
 	std::vector<nlohmann::json> m_drains;
 	std::vector<nlohmann::json> m_events;
 	std::set<std::string> m_ran_ids;
-	std::set<std::string> m_cut;
 	std::map<std::string, int> m_key_runs;
 	std::map<std::string, std::int64_t> m_key_start;
 };
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -502,6 +502,13 @@
 {
 	const policy& now = *rules();
 	std::vector<region_room> all(now.regions.size());
+	for (const backend_spec& backend : now.backends)
+	{
+		if (backend.service == _service && !backend.drain && !now.at(backend.domain).drain)
+		{
+			all[now.at(backend.domain).region.idx].slots += backend.slots;
+		}
+	}
 	for (const entry_vm_spec& vm : now.entry_vms)
 	{
 		const member_entry* entry = m_members->entry_of(vm.name);
@@ -516,6 +523,7 @@
 		}
 		region_room& room = all[now.at(vm.domain).region.idx];
 		room.usable += load->second.usable;
+		room.cold = room.cold || 0 < load->second.cold;
 		room.running += load->second.running;
 		room.open = room.open || 0 < load->second.slots;
 	}
@@ -553,12 +561,79 @@
 			// What was not heard of yet is not taken for dead.
 			open.push_back(room[region].open || !state.seen_open[region]);
 		}
+		if (_now < state.started + k_start_grace)
+		{
+			start_from_peers(service.name, state, _now);
+		}
+		else
+		{
+			lower_to_capacity(room, state, _now);
+		}
 		const bool some_open = open.end() != std::find(open.begin(), open.end(), true);
 		if (some_open)
 		{
 			state.limiter.advance(without_closed(target, open), open, _now);
 		}
+		tell_shares(service.name, target, state);
+	}
+}
+
+void control::start_from_peers(const std::string& _service, service_state& _state, steady_time _now)
+{
+	for (const auto& [vm, domain] : m_members->members())
+	{
+		const member_entry* entry = m_members->entry_of(vm);
+		const bool is_older = nullptr != entry && vm != m_settings->name && entry->life < m_life;
+		if (!is_older || member_state::alive != m_members->state_of(vm, _now))
+		{
+			continue;
+		}
+		const auto told = entry->in_force.find(_service);
+		if (entry->in_force.end() == told || told->second.size() != _state.limiter.current().size())
+		{
+			continue;
+		}
+		for (std::size_t region = 0; region < told->second.size(); ++region)
+		{
+			_state.limiter.lower(region, told->second[region] / k_share_parts, _now);
+		}
+	}
+}
+
+void control::lower_to_capacity(
+    const std::vector<region_room>& _rooms, service_state& _state, steady_time _now)
+{
+	int running = 0;
+	for (const region_room& room : _rooms)
+	{
+		running += room.running;
+	}
+	for (std::size_t region = 0; region < _rooms.size(); ++region)
+	{
+		// A region that lost slots can not have more of the work than it has slots for.
+		const double most = static_cast<double>(_rooms[region].usable) / std::max(1, running);
+		if (_rooms[region].usable < _rooms[region].slots)
+		{
+			_state.limiter.lower(region, most, _now);
+		}
+	}
+}
+
+void control::tell_shares(
+    const std::string& _service, const std::vector<double>& _target, const service_state& _state)
+{
+	std::map<std::string, std::vector<int>>& told = m_members->self().in_force;
+	if (_state.limiter.current() == _target)
+	{
+		told.erase(_service);
+		return;
+	}
+	std::vector<int> parts;
+	for (const double share : _state.limiter.current())
+	{
+		parts.push_back(static_cast<int>(std::lround(share * k_share_parts)));
 	}
+	told[_service] = parts;
 }
 
 void control::drive_for_ever(const yield_context& _yield)
--- a/src/control_p.h
+++ b/src/control_p.h
@@ -84,6 +84,13 @@
 	void configure();
 	void update_gate(steady_time _now);
 	void update_shares(steady_time _now);
+	/// Takes over, in its first seconds, the lower shares that older nodes have in force.
+	void start_from_peers(const std::string& _service, service_state& _state, steady_time _now);
+	/// Lowers the share of regions that lost slots, so that they regain it only as the cap allows.
+	static void lower_to_capacity(
+	    const std::vector<region_room>& _rooms, service_state& _state, steady_time _now);
+	void tell_shares(
+	    const std::string& _service, const std::vector<double>& _target, const service_state& _state);
 	void publish(steady_time _now);
 	void own(domain_handle _domain, service_handle _service, const yield_context& _yield);
 	void drive(service_handle _service, const yield_context& _yield);
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -87,6 +87,7 @@
 		sum.usable += usable(*backend, _now);
 		sum.running += backend->running;
 		sum.slots += backend->grant.slots;
+		sum.cold += backend->warm_limit < backend->grant.slots ? 1 : 0;
 	}
 	sum.usable = std::min(sum.usable, static_cast<int>(std::floor(sum.slots * m_max_share + 1e-9)));
 	sum.queued = static_cast<int>(_pool.queue.size());
--- a/src/gate_p.h
+++ b/src/gate_p.h
@@ -87,6 +87,7 @@
 	int usable = 0;  ///< Slots that may be used now.
 	int running = 0; ///< Slots in use, or taken as in use.
 	int queued = 0;
+	int cold = 0;  ///< Backend servers that are cold.
 	int slots = 0; ///< Slots of all owned backend servers, drained or not.
 	/// @returns Slots that are free now.
 	int free() const
--- a/src/membership_p.h
+++ b/src/membership_p.h
@@ -31,8 +31,14 @@
 	bool leaving = false;             ///< It is about to stop: no new work.
 	bool left = false;                ///< Farewell: it is gone.
 	std::map<std::string, service_headroom> loads;
+	/// Shares in force there, in parts of k_share_parts by region handle; only services whose shares differ
+	/// from the recorded step.
+	std::map<std::string, std::vector<int>> in_force;
 };
 
+/// Parts that shares are told in.
+constexpr double k_share_parts = 10000.0;
+
 /// What this node thinks of another entry VM.
 enum class member_state
 {
--- a/src/message.cpp
+++ b/src/message.cpp
@@ -11,7 +11,7 @@
 
 json load_to_json(const service_headroom& _load)
 {
-	return json::array({_load.usable, _load.running, _load.queued, _load.slots});
+	return json::array({_load.usable, _load.running, _load.queued, _load.slots, _load.cold});
 }
 
 service_headroom load_from_json(const json& _json)
@@ -21,6 +21,7 @@
 	load.running = _json.at(1);
 	load.queued = _json.at(2);
 	load.slots = _json.at(3);
+	load.cold = _json.at(4);
 	return load;
 }
 
@@ -33,7 +34,7 @@
 	}
 	const int flags = (_entry.leaving ? 1 : 0) + (_entry.left ? 2 : 0);
 	return json::array({_entry.vm, _entry.domain, _entry.life.value, _entry.sequence, _entry.rev.value,
-	    _entry.records_digest, flags, loads});
+	    _entry.records_digest, flags, loads, _entry.in_force});
 }
 
 member_entry entry_from_json(const json& _json)
@@ -52,6 +53,7 @@
 	{
 		entry.loads[service] = load_from_json(load);
 	}
+	entry.in_force = _json.at(8).get<std::map<std::string, std::vector<int>>>();
 	return entry;
 }
 
--- a/src/mix.cpp
+++ b/src/mix.cpp
@@ -131,6 +131,16 @@
 	m_window = _window;
 }
 
+void mix_limiter::lower(std::size_t _region, double _share, steady_time _now)
+{
+	if (m_current[_region] <= _share)
+	{
+		return;
+	}
+	m_current[_region] = _share;
+	m_samples.push_back({_now, m_current});
+}
+
 double mix_limiter::lowest(std::size_t _region) const
 {
 	double low = m_current[_region];
--- a/src/mix_p.h
+++ b/src/mix_p.h
@@ -56,6 +56,8 @@
 	/// @returns Shares in force; their sum is 1 or less.
 	const std::vector<double>& advance(
 	    const std::vector<double>& _target, const std::vector<bool>& _open, steady_time _now);
+	/// Takes a region's share down at once, as when it lost capacity; it is regained only as the cap allows.
+	void lower(std::size_t _region, double _share, steady_time _now);
 	/// @returns Shares in force.
 	const std::vector<double>& current() const
 	{
--- a/src/shift_p.h
+++ b/src/shift_p.h
@@ -32,6 +32,7 @@
 	bool open = false; ///< Some entry VM there answers and has slots.
 	int usable = 0;
 	int running = 0;
+	int slots = 0;     ///< Declared slots of all its backend servers.
 	bool cold = false; ///< Some of its backend servers are cold.
 };
 
--- a/tools/larkrack_load_report.cpp
+++ b/tools/larkrack_load_report.cpp
@@ -105,12 +105,16 @@
 	const double span = static_cast<double>(_bench.marks.fault_us - _bench.started_us - 1000000) / k_bin_us;
 	const double pace = before / std::max(1.0, span);
 	const std::int64_t bins_to_end = (_bench.ended_us - _bench.marks.fault_us) / k_bin_us;
-	// The last time that four bins together were below the wanted part.
+	// The last time that eight bins together were below the wanted part.
 	std::int64_t back = 0;
-	for (std::int64_t bin = 0; bin + 4 <= bins_to_end; ++bin)
+	for (std::int64_t bin = 0; bin + 8 <= bins_to_end; ++bin)
 	{
-		const double sum = bins[bin] + bins[bin + 1] + bins[bin + 2] + bins[bin + 3];
-		back = sum < 4 * pace * k_recovered ? bin + 4 : back;
+		double sum = 0.0;
+		for (std::int64_t at = bin; at < bin + 8; ++at)
+		{
+			sum += bins[at];
+		}
+		back = sum < 8 * pace * k_recovered ? bin + 8 : back;
 	}
 	return rounded(static_cast<double>(back * k_bin_us) / k_us_in_s);
 }
@@ -186,7 +190,7 @@
 	    busy_share(lines, _deployment, _bench.interactive(), _bench.started_us + 1000000, _bench.ended_us);
 	const double files_share =
 	    busy_share(lines, _deployment, _bench.files(), _bench.started_us + 1000000, _bench.ended_us);
-	const bool drained = !_bench.marks.drained.empty();
+	const bool drained = 0.0 <= verdict.last_new_work_s;
 	const nlohmann::json last_work =
 	    drained ? nlohmann::json(rounded(verdict.last_new_work_s)) : nlohmann::json();
 	nlohmann::json summary = {{"experiment", _options.experiment}, {"deployment", _deployment.name},
