--- a/src/carrier.cpp
+++ b/src/carrier.cpp
@@ -362,19 +362,32 @@
 {
 	m_budget.earn();
 	std::vector<bool> tried(_call.view->rules->entry_vms.size(), false);
+	const std::string id = _call.id;
+	bool may_have_run = false;
 	carried_end end;
 	for (int attempt = 0; attempt < k_tries; ++attempt)
 	{
+		if (0 < attempt)
+		{
+			// A backend server that was told to cancel the former try would refuse its id.
+			_call.id = id + "." + std::to_string(attempt);
+			m_metrics.count_retry();
+		}
 		end = try_once(_session, _call, tried, _yield);
 		const bool lost = outcome::unknown == end.result && _call.repeatable && !end.answered &&
 		                  reason::lost_answer == end.why;
+		may_have_run = may_have_run || lost;
 		const bool again = (end.may_try_again && reason::cap != end.why) || lost;
 		if (!again || request_origin::for_slot == _call.origin || _call.deadline <= m_clock.steady() ||
 		    (reason::no_backend != end.why && !m_budget.spend()))
 		{
 			break;
 		}
-		m_metrics.count_retry();
+	}
+	if (may_have_run && outcome::not_run == end.result)
+	{
+		// The last try was refused, but one before it may have run.
+		end = not_known(reason::lost_answer);
 	}
 	return end;
 }
