--- /dev/null
+++ b/tests/carrier_test.cpp
@@ -0,0 +1,364 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// The way of a request over real connections: two entry VMs' carriers and backend servers in one thread.
+
+#include "fixtures.h"
+
+#include "carrier_p.h"
+#include "fake_backend_p.h"
+#include "pattern_p.h"
+
+namespace larkrack
+{
+class carrier_test : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(carrier_test);
+	CPPUNIT_TEST(request_when_backend_answers_is_served_whole);
+	CPPUNIT_TEST(request_when_answer_is_large_is_served_whole);
+	CPPUNIT_TEST(request_when_service_unknown_is_not_run);
+	CPPUNIT_TEST(request_when_slots_taken_is_refused_with_time_to_come_back);
+	CPPUNIT_TEST(request_when_backend_sheds_is_not_run);
+	CPPUNIT_TEST(request_when_backend_dead_is_not_served);
+	CPPUNIT_TEST(request_when_owner_is_elsewhere_is_relayed_once);
+	CPPUNIT_TEST(relay_when_not_signed_is_refused);
+	CPPUNIT_TEST(payment_when_tried_twice_runs_once);
+	CPPUNIT_TEST(payment_when_answer_cut_is_unknown_and_never_runs_again);
+	CPPUNIT_TEST(payment_when_sent_to_other_entry_vm_runs_at_named_one);
+	CPPUNIT_TEST(payment_when_named_life_is_over_is_unknown);
+	CPPUNIT_TEST(payment_when_named_life_is_over_but_first_try_is_not_run);
+	CPPUNIT_TEST(payment_when_grant_forged_is_refused);
+	CPPUNIT_TEST(lookup_when_asked_names_entry_vm_and_grant);
+	CPPUNIT_TEST(caller_when_gone_frees_the_slot);
+	CPPUNIT_TEST_SUITE_END();
+
+	/// One entry VM without its control thread: the view is made by hand.
+	struct entry
+	{
+		entry(asio::io_context& _context, const std::string& _name)
+		{
+			settings own;
+			own.name = _name;
+			own.secret = "a secret of sixteen";
+			own.trust_caller_header = true;
+			services.add(std::make_unique<clock_system>());
+			services.add(std::make_unique<settings_service>(own));
+			services.add(std::make_unique<metrics>());
+			services.add(std::make_unique<tracer_service>(_context));
+			services.add(std::make_unique<view_board>());
+			services.add(std::make_unique<gate>("own_count"));
+			services.add(std::make_unique<key_table>());
+			services.init();
+			carry = std::make_unique<carrier>(_context, services, budget);
+			callers = std::make_unique<http_server>(_context,
+			    [this](http_session& _session, http_request& _request, const yield_context& _yield)
+			    {
+				    carry->handle_caller(_session, _request, _yield);
+			    });
+			relays = std::make_unique<http_server>(_context,
+			    [this](http_session& _session, http_request& _request, const yield_context& _yield)
+			    {
+				    carry->handle_relay(_session, _request, _yield);
+			    });
+			callers->listen({"127.0.0.1", 0});
+			relays->listen({"127.0.0.1", 0});
+		}
+		gate& slots()
+		{
+			return *services.find<gate>("gate");
+		}
+		kernel services;
+		retry_budget budget;
+		std::unique_ptr<carrier> carry;
+		std::unique_ptr<http_server> callers;
+		std::unique_ptr<http_server> relays;
+	};
+
+public:
+	void setUp() override
+	{
+		fake_backend_options options;
+		options.name = "shop-east";
+		options.address = {"127.0.0.1", 0};
+		options.slots = 2;
+		m_backend = std::make_unique<fake_backend>(m_context, options, m_runs, 1);
+		m_backend->init();
+		m_east = std::make_unique<entry>(m_context, "east-1");
+		m_west = std::make_unique<entry>(m_context, "west-1");
+		publish({1});
+	}
+
+private:
+	/// All traffic goes to the east; its entry VM owns the backend server.
+	void publish(incarnation _life)
+	{
+		config_state state = small_configuration();
+		put(state, "steering/shop", {{"shares", {{"east", 1.0}}}});
+		put(state, "entry_vm/east-1",
+		    {{"domain", "east-a"}, {"callers", to_string(at(*m_east->callers))},
+		        {"relay", to_string(at(*m_east->relays))}, {"peers", "127.0.0.1:1"}});
+		const policy_ptr rules = std::get<policy_ptr>(build_policy(state));
+		for (entry* one : {m_east.get(), m_west.get()})
+		{
+			auto view = std::make_shared<traffic_view>();
+			view->rules = rules;
+			view->self = rules->find_entry_vm(one == m_east.get() ? "east-1" : "west-1");
+			view->region = rules->region_of(view->self);
+			view->life = _life;
+			view->first_life = true;
+			view->peers.resize(rules->entry_vms.size());
+			for (peer_view& peer : view->peers)
+			{
+				peer.alive = true;
+				peer.life = _life;
+				peer.rooms.resize(rules->services.size());
+			}
+			view->peers[rules->find_entry_vm("east-1").idx].rooms[0] = {2, 0, 0, 0, 2};
+			service_view service;
+			service.plan = plan_mix({1.0 / 3, 1.0 / 3, 1.0 / 3}, {1.0, 0.0, 0.0});
+			view->services = {service};
+			one->services.find<view_board>("view_board")->publish(view);
+		}
+		backend_grant grant;
+		grant.name = "shop-east";
+		grant.service = "shop";
+		grant.address = {"127.0.0.1", m_backend->port()};
+		grant.slots = 2;
+		grant.owned = true;
+		m_east->slots().update({grant}, 1.0, clock_system().steady());
+	}
+
+	static endpoint at(const http_server& _server)
+	{
+		return {"127.0.0.1", _server.port()};
+	}
+
+	http_response call(entry& _entry, http::verb _verb, const std::string& _target,
+	    const std::string& _key = "", bool _first_try = false, bool _relay = false)
+	{
+		http_response answer;
+		bool ended = false;
+		start(m_context,
+		    [&](const yield_context& _yield)
+		    {
+			    const endpoint where = at(_relay ? *_entry.relays : *_entry.callers);
+			    http_request request = make_request(_verb, _target, where);
+			    request.set(k_header_caller, "10.1.0.1");
+			    if (!_key.empty())
+			    {
+				    request.set(k_header_key, _key);
+			    }
+			    if (_first_try)
+			    {
+				    request.set(k_header_first_try, "1");
+			    }
+			    http_caller caller(m_context.get_executor());
+			    auto called = caller.call(where, request, std::chrono::seconds(20), _yield);
+			    answer = std::holds_alternative<http_response>(called) ? std::get<http_response>(called)
+			                                                           : http_response();
+			    ended = true;
+		    });
+		while (!ended)
+		{
+			m_context.run_one();
+		}
+		return answer;
+	}
+
+	std::string grant_text(std::uint64_t _life)
+	{
+		grant one;
+		one.service = "shop";
+		one.entry_vm = "east-1";
+		one.life = {_life};
+		one.expires = clock_system().wall() + std::chrono::seconds(60);
+		return signer("a secret of sixteen").sign(one);
+	}
+
+	void wait_until(const std::function<bool()>& _done)
+	{
+		while (!_done())
+		{
+			m_context.run_one();
+		}
+	}
+
+	static std::string outcome_of(const http_response& _answer)
+	{
+		return header_of(_answer, k_header_outcome);
+	}
+
+	int total_runs() const
+	{
+		return m_backend->counts()["total"];
+	}
+
+	asio::io_context m_context{1};
+	history_writer m_runs{""};
+	std::unique_ptr<fake_backend> m_backend;
+	std::unique_ptr<entry> m_east;
+	std::unique_ptr<entry> m_west;
+
+public:
+	void request_when_backend_answers_is_served_whole()
+	{
+		const http_response answer = call(*m_east, http::verb::get, "/shop/page?bytes=5000&object=mine");
+		CPPUNIT_ASSERT_EQUAL(std::string("served"), outcome_of(answer));
+		CPPUNIT_ASSERT_EQUAL(std::string("shop-east"), header_of(answer, k_header_backend));
+		CPPUNIT_ASSERT(
+		    5000 == answer.body().size() && body_pattern("mine").matches(answer.body().data(), 5000, 0));
+		CPPUNIT_ASSERT_EQUAL(0, m_east->slots().running("shop-east"));
+	}
+
+	void request_when_answer_is_large_is_served_whole()
+	{
+		const http_response answer = call(*m_west, http::verb::get, "/shop/file?bytes=3000000&object=image");
+		CPPUNIT_ASSERT_EQUAL(std::size_t{3000000}, answer.body().size());
+		CPPUNIT_ASSERT(body_pattern("image").matches(answer.body().data(), answer.body().size(), 0));
+	}
+
+	void request_when_service_unknown_is_not_run()
+	{
+		const http_response answer = call(*m_east, http::verb::get, "/nothing");
+		CPPUNIT_ASSERT(http::status::not_found == answer.result());
+		CPPUNIT_ASSERT_EQUAL(std::string("not_run"), outcome_of(answer));
+	}
+
+	void request_when_slots_taken_is_refused_with_time_to_come_back()
+	{
+		const steady_time now = clock_system().steady();
+		for (int taken = 0; taken < 2; ++taken)
+		{
+			m_east->slots().admit(
+			    {"shop", 5, now},
+			    []
+			    {
+			    },
+			    now);
+		}
+		const http_response answer = call(*m_east, http::verb::get, "/shop/page");
+		CPPUNIT_ASSERT(http::status::too_many_requests == answer.result());
+		CPPUNIT_ASSERT_EQUAL(std::string("no_headroom"), header_of(answer, k_header_reason));
+		CPPUNIT_ASSERT(0 < std::atoi(header_of(answer, k_header_retry_after_ms).c_str()));
+		CPPUNIT_ASSERT_EQUAL(0, total_runs());
+	}
+
+	void request_when_backend_sheds_is_not_run()
+	{
+		m_backend->set_faults({{"shed_share", 1.0}});
+		const http_response answer = call(*m_east, http::verb::post, "/shop/pay", "own key", true);
+		CPPUNIT_ASSERT_EQUAL(std::string("not_run"), outcome_of(answer));
+		CPPUNIT_ASSERT_EQUAL(0, total_runs());
+		CPPUNIT_ASSERT_EQUAL(0, m_east->slots().running("shop-east"));
+	}
+
+	void request_when_backend_dead_is_not_served()
+	{
+		m_backend->set_faults({{"dead", true}});
+		const http_response answer = call(*m_east, http::verb::get, "/shop/page");
+		CPPUNIT_ASSERT_EQUAL(std::string("unknown"), outcome_of(answer));
+	}
+
+	void request_when_owner_is_elsewhere_is_relayed_once()
+	{
+		const http_response answer = call(*m_west, http::verb::get, "/shop/page?bytes=100&object=x");
+		CPPUNIT_ASSERT_EQUAL(std::string("served"), outcome_of(answer));
+		CPPUNIT_ASSERT_EQUAL(std::string("west-1,east-1"), header_of(answer, k_header_entry_vm));
+	}
+
+	void relay_when_not_signed_is_refused()
+	{
+		const http_response answer = call(*m_east, http::verb::get, "/shop/page", "", false, true);
+		CPPUNIT_ASSERT(http::status::bad_request == answer.result());
+		CPPUNIT_ASSERT_EQUAL(0, total_runs());
+	}
+
+	void payment_when_tried_twice_runs_once()
+	{
+		const std::string key = grant_text(1) + "/order-7";
+		const http_response first = call(*m_east, http::verb::post, "/shop/pay?bytes=40&object=p", key, true);
+		const http_response second = call(*m_east, http::verb::post, "/shop/pay?bytes=40&object=p", key);
+		CPPUNIT_ASSERT_EQUAL(std::string("served"), outcome_of(second));
+		CPPUNIT_ASSERT(first.body() == second.body());
+		CPPUNIT_ASSERT_EQUAL(1, total_runs());
+	}
+
+	void payment_when_answer_cut_is_unknown_and_never_runs_again()
+	{
+		m_backend->set_faults({{"cut_share", 1.0}});
+		const std::string key = grant_text(1) + "/order-8";
+		CPPUNIT_ASSERT_EQUAL(
+		    std::string("unknown"), outcome_of(call(*m_east, http::verb::post, "/shop/pay?bytes=40", key)));
+		m_backend->set_faults({{"cut_share", 0.0}});
+		CPPUNIT_ASSERT_EQUAL(
+		    std::string("unknown"), outcome_of(call(*m_east, http::verb::post, "/shop/pay?bytes=40", key)));
+		CPPUNIT_ASSERT_EQUAL(1, total_runs());
+	}
+
+	void payment_when_sent_to_other_entry_vm_runs_at_named_one()
+	{
+		const std::string key = grant_text(1) + "/order-9";
+		const http_response first = call(*m_west, http::verb::post, "/shop/pay?bytes=40&object=p", key, true);
+		const http_response second = call(*m_east, http::verb::post, "/shop/pay?bytes=40&object=p", key);
+		CPPUNIT_ASSERT_EQUAL(std::string("served"), outcome_of(first));
+		CPPUNIT_ASSERT_EQUAL(std::string("served"), outcome_of(second));
+		CPPUNIT_ASSERT_EQUAL(1, total_runs());
+	}
+
+	void payment_when_named_life_is_over_is_unknown()
+	{
+		const http_response answer = call(*m_east, http::verb::post, "/shop/pay", grant_text(99) + "/order");
+		CPPUNIT_ASSERT_EQUAL(std::string("unknown"), outcome_of(answer));
+		CPPUNIT_ASSERT_EQUAL(0, total_runs());
+	}
+
+	void payment_when_named_life_is_over_but_first_try_is_not_run()
+	{
+		const http_response answer =
+		    call(*m_east, http::verb::post, "/shop/pay", grant_text(99) + "/order", true);
+		CPPUNIT_ASSERT_EQUAL(std::string("not_run"), outcome_of(answer));
+		CPPUNIT_ASSERT_EQUAL(std::string("owner_gone"), header_of(answer, k_header_reason));
+	}
+
+	void payment_when_grant_forged_is_refused()
+	{
+		std::string key = grant_text(1);
+		key.back() = 'a' == key.back() ? 'b' : 'a';
+		const http_response answer = call(*m_east, http::verb::post, "/shop/pay", key + "/order", true);
+		CPPUNIT_ASSERT(http::status::forbidden == answer.result());
+		CPPUNIT_ASSERT_EQUAL(0, total_runs());
+	}
+
+	void lookup_when_asked_names_entry_vm_and_grant()
+	{
+		const http_response answer = call(*m_west, http::verb::get, "/.larkrack/lookup?service=shop");
+		const nlohmann::json body = nlohmann::json::parse(answer.body());
+		CPPUNIT_ASSERT_EQUAL(std::string("east-1"), body["entry_vms"][0]["name"].get<std::string>());
+		CPPUNIT_ASSERT(std::holds_alternative<grant>(signer("a secret of sixteen").read(body["grant"])));
+	}
+
+	void caller_when_gone_frees_the_slot()
+	{
+		tcp::socket caller(m_context);
+		caller.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), m_east->callers->port()));
+		asio::write(
+		    caller, asio::buffer(std::string("GET /shop/page?work_us=5000000 HTTP/1.1\r\nHost: x\r\n\r\n")));
+		wait_until(
+		    [&]
+		    {
+			    return 1 == total_runs();
+		    });
+		CPPUNIT_ASSERT_EQUAL(1, m_east->slots().running("shop-east"));
+		caller.close();
+		wait_until(
+		    [&]
+		    {
+			    return 0 == m_east->slots().running("shop-east");
+		    });
+		CPPUNIT_ASSERT_EQUAL(0, m_backend->counts()["running"].get<int>());
+	}
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(carrier_test);
+} // namespace larkrack
--- a/tests/main.cpp
+++ b/tests/main.cpp
@@ -4,6 +4,8 @@
 /// @file
 /// Runs all fixtures, or those whose names contain the arguments.
 
+#include "log_p.h"
+
 #include <cppunit/CompilerOutputter.h>
 #include <cppunit/TestResult.h>
 #include <cppunit/TestResultCollector.h>
@@ -15,6 +17,7 @@
 
 int main()
 {
+	larkrack::log_init("test", "/dev/null");
 	CppUnit::TestResult result;
 	CppUnit::TestResultCollector collector;
 	result.addListener(&collector);
