--- a/src/carrier.cpp
+++ b/src/carrier.cpp
@@ -83,7 +83,7 @@
       m_keys(*_kernel.find<key_table>("key_table")), m_board(*_kernel.find<view_board>("view_board")),
       m_metrics(*_kernel.find<metrics>("metrics")), m_tracer(_kernel.find<tracer_service>("tracer")->get()),
       m_budget(_budget), m_signer(m_settings.secret), m_pool(_context.get_executor()),
-      m_random(std::random_device{}())
+      m_random(std::random_device{}()), m_lookups(m_random())
 {
 	m_id_prefix = m_settings.name + "-" + std::to_string(m_random() % 1000000000) + "-";
 }
@@ -211,8 +211,8 @@
 		const auto address = asio::ip::make_address(named, failure);
 		caller = failure ? caller : address;
 	}
-	http_response response = make_json(
-	    http::status::ok, lookup_answer(*view, service, caller, m_signer, m_clock.wall(), m_random));
+	http_response response =
+	    make_json(http::status::ok, m_lookups.answer(view, service, caller, m_signer, m_clock.wall()));
 	response.set(
 	    http::field::cache_control, "private, max-age=" + std::to_string(k_lookup_ttl.count() / 1000));
 	_session.send(response, _yield);
--- a/src/carrier_p.h
+++ b/src/carrier_p.h
@@ -141,6 +141,7 @@
 	signer m_signer;
 	connection_pool m_pool;
 	std::mt19937_64 m_random;
+	lookup_cache m_lookups;
 	std::uint64_t m_next_id = 0;
 	std::string m_id_prefix;
 	std::size_t m_read_ahead = 0; ///< Bytes that all answers of this thread hold.
--- a/src/http_p.h
+++ b/src/http_p.h
@@ -43,13 +43,23 @@
 }
 
 /// Starts a coroutine with our stack size. Exceptions in it are broken invariants.
-template <typename Executor, typename Function>
-void start(Executor&& _executor, Function&& _function)
+/// @remarks Each context has one thread, so no strand is needed.
+template <typename Function>
+void start(const asio::any_io_executor& _executor, Function&& _function)
 {
-	asio::spawn(std::forward<Executor>(_executor), std::forward<Function>(_function),
+	constexpr void (*k_no_completion)() = []
+	{
+	};
+	asio::spawn(asio::bind_executor(_executor, k_no_completion), std::forward<Function>(_function),
 	    boost::coroutines::attributes(k_stack));
 }
 
+template <typename Function>
+void start(asio::io_context& _context, Function&& _function)
+{
+	start(asio::any_io_executor(_context.get_executor()), std::forward<Function>(_function));
+}
+
 /// Suspends a coroutine.
 void sleep_for(
     const asio::any_io_executor& _executor, std::chrono::microseconds _time, const yield_context& _yield);
--- a/src/lookup.cpp
+++ b/src/lookup.cpp
@@ -81,7 +81,6 @@
 		}
 	}
 	near.insert(near.end(), far.begin(), far.end());
-	near.resize(std::min(near.size(), k_choices));
 	for (lookup_choice& choice : near)
 	{
 		choice.weight =
@@ -106,40 +105,93 @@
 	return best;
 }
 
-std::string lookup_answer(const traffic_view& _view, service_handle _service,
-    const boost::asio::ip::address& _caller, const signer& _signer, wall_time _now, std::mt19937_64& _random)
+std::string lookup_cache::list_of(
+    const traffic_view& _view, service_handle _service, const std::vector<lookup_choice>& _choices)
 {
 	const policy& rules = *_view.rules;
-	region_handle region = region_for(_view, _service, _caller);
-	if (!is_valid(region))
-	{
-		// Held back by the cap: the caller is told where it would go, and is refused there with a time to
-		// come back.
-		region = rules.home_of(_caller);
-	}
-	const double draw = std::uniform_real_distribution<double>(0.0, 1.0)(_random);
-	const std::vector<lookup_choice> choices = order_entry_vms(_view, _service, region, draw);
 	nlohmann::json list = nlohmann::json::array();
-	for (const lookup_choice& choice : choices)
+	for (std::size_t at = 0; at < std::min(_choices.size(), k_choices); ++at)
 	{
+		const lookup_choice& choice = _choices[at];
 		const entry_vm_spec& vm = rules.at(choice.vm);
 		list.push_back(
 		    {{"name", vm.name}, {"address", to_string(vm.callers)}, {"domain", rules.at(vm.domain).name},
 		        {"region", rules.regions[rules.region_of(choice.vm).idx].name}, {"weight", choice.weight}});
 	}
-	nlohmann::json answer = {{"service", rules.at(_service).name}, {"entry_vms", list},
+	const nlohmann::json answer = {{"service", rules.at(_service).name}, {"entry_vms", list},
 	    {"ttl_ms", k_lookup_ttl.count()}, {"revision", rules.rev.value}};
-	if (!choices.empty())
+	return answer.dump();
+}
+
+const std::vector<lookup_cache::prepared>& lookup_cache::lists(
+    const view_ptr& _view, service_handle _service, region_handle _region)
+{
+	if (m_view != _view)
 	{
-		grant given;
-		given.service = rules.at(_service).name;
-		given.entry_vm = rules.at(choices.front().vm).name;
-		given.life = _view.peers[choices.front().vm.idx].life;
-		given.issued = _now;
-		given.expires = _now + k_grant_life;
-		given.nonce = _random();
-		answer["grant"] = _signer.sign(given);
+		m_view = _view;
+		m_lists.clear();
 	}
-	return answer.dump();
+	std::vector<prepared>& all = m_lists[{_service.idx, _region.idx}];
+	if (!all.empty())
+	{
+		return all;
+	}
+	// One list for each entry VM that may stand first; the part of draws that it gets is its weight.
+	const std::vector<lookup_choice> base = order_entry_vms(*_view, _service, _region, 0.0);
+	double sum = 0.0;
+	for (const lookup_choice& choice : base)
+	{
+		sum += choice.weight;
+	}
+	double upto = 0.0;
+	for (std::size_t at = 0; at < base.size(); ++at)
+	{
+		const bool near = _view->rules->region_of(base[at].vm) == _region && 0.0 < base[at].weight;
+		if (!near && 0 < at)
+		{
+			continue;
+		}
+		std::vector<lookup_choice> turned = base;
+		std::rotate(turned.begin(), turned.begin() + static_cast<std::ptrdiff_t>(at),
+		    turned.begin() + static_cast<std::ptrdiff_t>(at) + 1);
+		upto += sum <= 0.0 ? 1.0 : base[at].weight / sum;
+		all.push_back({upto, turned.front().vm, list_of(*_view, _service, turned)});
+	}
+	return all;
+}
+
+std::string lookup_cache::answer(const view_ptr& _view, service_handle _service,
+    const boost::asio::ip::address& _caller, const signer& _signer, wall_time _now)
+{
+	const policy& rules = *_view->rules;
+	region_handle region = region_for(*_view, _service, _caller);
+	if (!is_valid(region))
+	{
+		// Held back by the cap: the caller is told where it would go, and is refused there with a time to
+		// come back.
+		region = rules.home_of(_caller);
+	}
+	const std::vector<prepared>& all = lists(_view, _service, region);
+	if (all.empty())
+	{
+		return R"({"entry_vms":[],"ttl_ms":0})";
+	}
+	const double draw = std::uniform_real_distribution<double>(0.0, 1.0)(m_random);
+	std::size_t at = 0;
+	while (at + 1 < all.size() && all[at].upto <= draw)
+	{
+		++at;
+	}
+	const prepared& chosen = all[at];
+	grant given;
+	given.service = rules.at(_service).name;
+	given.entry_vm = rules.at(chosen.first).name;
+	given.life = _view->peers[chosen.first.idx].life;
+	given.issued = _now;
+	given.expires = _now + k_grant_life;
+	given.nonce = m_random();
+	std::string text = chosen.text;
+	text.pop_back();
+	return text + ",\"grant\":\"" + _signer.sign(given) + "\"}";
 }
 } // namespace larkrack
--- a/src/lookup_p.h
+++ b/src/lookup_p.h
@@ -8,6 +8,7 @@
 #include "grant_p.h"
 #include "traffic_view_p.h"
 
+#include <map>
 #include <random>
 #include <string>
 #include <vector>
@@ -32,7 +33,31 @@
     const traffic_view& _view, service_handle _service, region_handle _region, double _draw);
 /// @returns Entry VM that remembers a key that is not built on a grant; the same on all nodes.
 entry_vm_handle key_owner(const policy& _policy, const std::string& _key);
-/// @returns Answer of a look-up as JSON.
-std::string lookup_answer(const traffic_view& _view, service_handle _service,
-    const boost::asio::ip::address& _caller, const signer& _signer, wall_time _now, std::mt19937_64& _random);
+/// Answers look-ups of one thread. All but the grant is put together once for each snapshot.
+class lookup_cache
+{
+public:
+	explicit lookup_cache(std::uint64_t _seed) : m_random(_seed)
+	{
+	}
+	/// @returns Answer of a look-up as JSON.
+	std::string answer(const view_ptr& _view, service_handle _service,
+	    const boost::asio::ip::address& _caller, const signer& _signer, wall_time _now);
+
+private:
+	/// An answer without its grant.
+	struct prepared
+	{
+		double upto = 0.0;     ///< Draws below this, and not below the one before, get it.
+		entry_vm_handle first; ///< Entry VM that the grant names.
+		std::string text;      ///< JSON object.
+	};
+	const std::vector<prepared>& lists(const view_ptr& _view, service_handle _service, region_handle _region);
+	static std::string list_of(
+	    const traffic_view& _view, service_handle _service, const std::vector<lookup_choice>& _choices);
+
+	std::mt19937_64 m_random;
+	view_ptr m_view;
+	std::map<std::pair<std::uint16_t, std::uint16_t>, std::vector<prepared>> m_lists;
+};
 } // namespace larkrack
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -40,8 +40,27 @@
 
 void metrics::count_outcome(const std::string& _service, outcome _outcome, reason _reason)
 {
-	m_outcomes->Add({{"service", _service}, {"outcome", to_string(_outcome)}, {"reason", to_string(_reason)}})
-	    .Increment();
+	outcome_counters* counters = nullptr;
+	{
+		const std::shared_lock<std::shared_mutex> lock(m_mutex);
+		const auto it = m_counters.find(_service);
+		counters = m_counters.end() == it ? nullptr : it->second.get();
+	}
+	if (nullptr == counters)
+	{
+		const std::unique_lock<std::shared_mutex> lock(m_mutex);
+		std::unique_ptr<outcome_counters>& made = m_counters[_service];
+		made = made ? std::move(made) : std::make_unique<outcome_counters>();
+		counters = made.get();
+	}
+	std::atomic<prometheus::Counter*>& counter =
+	    (*counters)[static_cast<std::size_t>(_outcome) * k_reasons + static_cast<std::size_t>(_reason)];
+	if (nullptr == counter.load())
+	{
+		counter = &m_outcomes->Add(
+		    {{"service", _service}, {"outcome", to_string(_outcome)}, {"reason", to_string(_reason)}});
+	}
+	counter.load()->Increment();
 }
 
 void metrics::set(const std::string& _name, const std::string& _help, double _value)
--- a/src/metrics_p.h
+++ b/src/metrics_p.h
@@ -12,7 +12,11 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <array>
+#include <atomic>
+#include <map>
 #include <memory>
+#include <shared_mutex>
 #include <string>
 
 namespace larkrack
@@ -59,7 +63,14 @@
 
 private:
 	std::shared_ptr<prometheus::Registry> m_registry;
+	static constexpr std::size_t k_outcomes = 3;
+	static constexpr std::size_t k_reasons = 16;
+	using outcome_counters = std::array<std::atomic<prometheus::Counter*>, k_outcomes * k_reasons>;
+
 	prometheus::Family<prometheus::Counter>* m_outcomes = nullptr;
+	/// Counters of each service that was asked for, so that the labels are put together once.
+	std::map<std::string, std::unique_ptr<outcome_counters>> m_counters;
+	std::shared_mutex m_mutex;
 	prometheus::Counter* m_lookups = nullptr;
 	prometheus::Counter* m_relays = nullptr;
 	prometheus::Counter* m_retries = nullptr;
--- a/tests/carrier_test.cpp
+++ b/tests/carrier_test.cpp
@@ -159,10 +159,11 @@
 			                                                           : http_response();
 			    ended = true;
 		    });
-		while (!ended)
-		{
-			m_context.run_one();
-		}
+		run_until(m_context,
+		    [&]
+		    {
+			    return ended;
+		    });
 		return answer;
 	}
 
@@ -176,14 +177,6 @@
 		return signer("a secret of sixteen").sign(one);
 	}
 
-	void wait_until(const std::function<bool()>& _done)
-	{
-		while (!_done())
-		{
-			m_context.run_one();
-		}
-	}
-
 	static std::string outcome_of(const http_response& _answer)
 	{
 		return header_of(_answer, k_header_outcome);
@@ -344,14 +337,14 @@
 		caller.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), m_east->callers->port()));
 		asio::write(
 		    caller, asio::buffer(std::string("GET /shop/page?work_us=5000000 HTTP/1.1\r\nHost: x\r\n\r\n")));
-		wait_until(
+		run_until(m_context,
 		    [&]
 		    {
 			    return 1 == total_runs();
 		    });
 		CPPUNIT_ASSERT_EQUAL(1, m_east->slots().running("shop-east"));
 		caller.close();
-		wait_until(
+		run_until(m_context,
 		    [&]
 		    {
 			    return 0 == m_east->slots().running("shop-east");
--- a/tests/checker_test.cpp
+++ b/tests/checker_test.cpp
@@ -131,7 +131,7 @@
 		for (int at = 0; at < 4000; ++at)
 		{
 			const std::string id = "j" + std::to_string(at);
-			const std::int64_t t0 = at * 1000;
+			const std::int64_t t0 = std::int64_t{1000} * at;
 			const bool is_west = t0 < 2000000 ? 0 == at % 10 : 0 == at % 2;
 			m_lines.push_back(request_line(id, "served", t0));
 			m_lines.push_back(run_line(id, t0 + 10, "", 1, is_west ? "shop-2" : "shop-1"));
--- a/tests/fixtures.h
+++ b/tests/fixtures.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "clock_p.h"
+#include "http_p.h"
 #include "policy_p.h"
 
 #include <cppunit/TestAssert.h>
@@ -16,6 +17,16 @@
 
 namespace larkrack
 {
+/// Runs handlers until something holds. Never waits for elapsed time.
+template <typename Predicate>
+void run_until(asio::io_context& _context, Predicate _holds)
+{
+	while (!_holds())
+	{
+		_context.run_one();
+	}
+}
+
 /// Adds a resource to a configuration.
 inline void put(config_state& _state, const std::string& _key, const nlohmann::json& _spec)
 {
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -57,10 +57,11 @@
 			    asio::async_read_until(socket, asio::dynamic_buffer(answer), "\r\n\r\n", _yield[failure]);
 			    ended = true;
 		    });
-		while (!ended)
-		{
-			m_context.run_one();
-		}
+		run_until(m_context,
+		    [&]
+		    {
+			    return ended;
+		    });
 		return answer;
 	}
 
--- a/tests/ownership_test.cpp
+++ b/tests/ownership_test.cpp
@@ -136,7 +136,7 @@
 			    std::int64_t old_work_until = 0;
 			    for (const std::uint8_t step : _steps)
 			    {
-				    now += 100000 * (step % 8);
+				    now += std::int64_t{100000} * (step % 8);
 				    const std::string self = 0 != (step & 8) ? "a" : "b";
 				    owner_facts facts = facts_of(self, life[self]);
 				    facts.now = from_us(now);
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -72,10 +72,11 @@
 			    }
 			    ended = true;
 		    });
-		while (!ended)
-		{
-			m_context.run_one();
-		}
+		run_until(m_context,
+		    [&]
+		    {
+			    return ended;
+		    });
 		if (failure)
 		{
 			std::rethrow_exception(failure);
--- a/tools/larkrack_load_p.h
+++ b/tools/larkrack_load_p.h
@@ -143,6 +143,12 @@
 /// @returns All experiments.
 const std::vector<experiment>& experiments();
 
+/// Measures what an entry VM adds, side by side in one run.
+/// @param[in] _entry_vm Callers' address of the entry VM that owns the backend server.
+/// @param[in] _backend Address of that backend server.
+nlohmann::json measure_latency(
+    const endpoint& _entry_vm, const endpoint& _backend, const std::string& _service);
+
 /// Reads the histories of an experiment, judges them, and writes report and plots.
 /// @returns The summary, as its last line of output shows it.
 nlohmann::json make_report(const load_bench& _bench, const deployment& _deployment,
