--- a/src/lookup.cpp
+++ b/src/lookup.cpp
@@ -141,7 +141,7 @@
 	double sum = 0.0;
 	for (const lookup_choice& choice : base)
 	{
-		sum += choice.weight;
+		sum += _view->rules->region_of(choice.vm) == _region ? choice.weight : 0.0;
 	}
 	double upto = 0.0;
 	for (std::size_t at = 0; at < base.size(); ++at)
