Bound the news of a heartbeat and read only the shards that changed

Change: interval grows with the fleet to 1 s, four targets, six near and four far news a message, patience by the time that news take to come round; a policy keeps the blocks of each shard and the table when they did not change.

--- a/include/larkrack/config.h
+++ b/include/larkrack/config.h
@@ -26,7 +26,7 @@
 /// A peer that is silent for this long is suspected.
 constexpr std::chrono::milliseconds k_suspect_after{4 * LARKRACK_CONFIG_HEARTBEAT_MS};
 /// Peers of its own failure domain that one heartbeat round is sent to, at most.
-constexpr std::size_t k_heartbeat_fanout = 6;
+constexpr std::size_t k_heartbeat_fanout = 4;
 /// Members of each failure domain that exchange summaries with the other failure domains.
 constexpr std::size_t k_delegates = 2;
 /// Members of each failure domain that hold a watch on the platform.
--- a/src/config_book.cpp
+++ b/src/config_book.cpp
@@ -42,7 +42,7 @@
 	{
 		return take_status::not_newer;
 	}
-	auto built = build_policy(_state);
+	auto built = build_policy(_state, &m_state, m_policy);
 	if (auto* mistakes = std::get_if<std::vector<mistake>>(&built))
 	{
 		m_mistakes = std::move(*mistakes);
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -11,16 +11,21 @@
 {
 namespace
 {
-/// Members of a failure domain up to which the shortest interval holds; above, it grows with the size.
-constexpr std::size_t k_small_domain = 16;
-/// Entries of others that one heartbeat passes on, at most.
-constexpr std::size_t k_news_near = 12;
-constexpr std::size_t k_news_far = 24;
-/// Heartbeats to other failure domains are rarer by this factor.
-constexpr std::size_t k_far_rounds = 2;
-/// Members of other failure domains are suspected later by this factor.
-constexpr int k_far_patience = 3;
-constexpr int k_suspect_intervals = 4;
+/// Entry VMs for each shortest interval: above, the interval grows with the fleet, up to a limit.
+constexpr std::size_t k_fleet_of_interval = 16;
+constexpr std::size_t k_interval_factor_most = 4;
+/// Entries of others that one heartbeat passes on, at most: of the own failure domain, and of others.
+constexpr std::size_t k_news_near = 6;
+constexpr std::size_t k_news_far = 4;
+/// Entries that a delegate tells another failure domain.
+constexpr std::size_t k_news_delegate = 16;
+/// Heartbeats to other failure domains are rarer by this factor, in small fleets and in large ones.
+constexpr std::size_t k_far_rounds_small = 2;
+constexpr std::size_t k_far_rounds_large = 4;
+/// Silence in intervals, besides three times what the news of all members take to come round.
+constexpr std::size_t k_suspect_intervals = 4;
+constexpr std::size_t k_suspect_intervals_far = 12;
+constexpr std::size_t k_suspect_rounds = 3;
 
 bool is_newer(const member_entry& _a, const member_entry& _b)
 {
@@ -63,9 +68,8 @@
 
 std::chrono::microseconds membership::interval() const
 {
-	const auto it = m_domain_size.find(m_domain);
-	const std::size_t size = m_domain_size.end() == it ? 1 : it->second;
-	const std::size_t factor = std::max<std::size_t>(1, size / k_small_domain);
+	const std::size_t factor =
+	    std::clamp<std::size_t>(m_domain_of.size() / k_fleet_of_interval, 1, k_interval_factor_most);
 	return k_heartbeat_interval * static_cast<int>(factor);
 }
 
@@ -83,7 +87,7 @@
 	{
 		due.push_back({to, news(m_domain, _now)});
 	}
-	if (0 == m_round % k_far_rounds && has_role("delegate", k_delegates, _now))
+	if (0 == m_round % far_rounds() && has_role("delegate", k_delegates, _now))
 	{
 		for (const std::string& to : targets_far(_now))
 		{
@@ -93,6 +97,11 @@
 	return due;
 }
 
+std::size_t membership::far_rounds() const
+{
+	return m_domain_of.size() <= k_fleet_of_interval ? k_far_rounds_small : k_far_rounds_large;
+}
+
 std::vector<std::string> membership::targets_near(steady_time)
 {
 	std::vector<std::string> near;
@@ -137,38 +146,47 @@
 				}
 			}
 		}
-		far.push_back(delegates[(m_round / k_far_rounds) % delegates.size()]);
+		far.push_back(delegates[(m_round / far_rounds()) % delegates.size()]);
 	}
 	return far;
 }
 
 std::vector<member_entry> membership::news(const std::string& _for_domain, steady_time _now)
 {
-	std::vector<known*> others;
+	std::vector<known*> near;
+	std::vector<known*> far;
 	for (auto& [vm, one] : m_known)
 	{
-		const bool near = one.entry.domain == m_domain;
-		// To other failure domains a delegate speaks for its own; within its own it passes on all.
-		if (_for_domain == m_domain ? true : near)
-		{
-			others.push_back(&one);
-		}
+		(one.entry.domain == m_domain ? near : far).push_back(&one);
+	}
+	std::vector<member_entry> entries = {m_self};
+	// To other failure domains a delegate speaks for its own; within its own it passes on all.
+	const bool is_near = _for_domain == m_domain;
+	append_news(near, is_near ? k_news_near : k_news_delegate, _now, entries);
+	if (is_near)
+	{
+		// A small fleet fits into one message.
+		const bool is_small = m_domain_of.size() <= k_fleet_of_interval;
+		append_news(far, is_small ? k_fleet_of_interval : k_news_far, _now, entries);
 	}
-	const std::size_t limit = _for_domain == m_domain ? k_news_near : k_news_far;
+	return entries;
+}
+
+void membership::append_news(
+    std::vector<known*>& _from, std::size_t _limit, steady_time _now, std::vector<member_entry>& _entries)
+{
 	const auto longest_unsent = [](const known* _a, const known* _b)
 	{
 		return _a->sent < _b->sent;
 	};
-	const std::size_t count = std::min(limit, others.size());
+	const std::size_t count = std::min(_limit, _from.size());
 	std::partial_sort(
-	    others.begin(), others.begin() + static_cast<std::ptrdiff_t>(count), others.end(), longest_unsent);
-	std::vector<member_entry> entries = {m_self};
+	    _from.begin(), _from.begin() + static_cast<std::ptrdiff_t>(count), _from.end(), longest_unsent);
 	for (std::size_t at = 0; at < count; ++at)
 	{
-		others[at]->sent = _now;
-		entries.push_back(others[at]->entry);
+		_from[at]->sent = _now;
+		_entries.push_back(_from[at]->entry);
 	}
-	return entries;
 }
 
 void membership::receive(const std::vector<member_entry>& _entries, steady_time _now)
@@ -207,10 +225,16 @@
 	{
 		return member_state::left;
 	}
-	const auto patience = interval() * k_suspect_intervals;
+	const auto own = m_domain_size.find(m_domain);
+	const std::size_t near_size = m_domain_size.end() == own ? 1 : own->second;
+	const std::size_t far_size = m_domain_of.size() - std::min(m_domain_of.size(), near_size);
 	const bool near = it->second.entry.domain == m_domain;
-	const auto limit = near ? patience : patience * k_far_patience;
-	return limit < _now - it->second.heard ? member_state::suspected : member_state::alive;
+	// In small fleets everybody hears everybody directly; in large ones the news come round.
+	const std::size_t around = near ? near_size / (k_heartbeat_fanout * 2) : far_size / k_news_far;
+	const std::size_t patience =
+	    (near ? k_suspect_intervals : k_suspect_intervals_far) + k_suspect_rounds * around;
+	return interval() * static_cast<int>(patience) < _now - it->second.heard ? member_state::suspected
+	                                                                         : member_state::alive;
 }
 
 const member_entry* membership::entry_of(const std::string& _vm) const
--- a/src/membership_p.h
+++ b/src/membership_p.h
@@ -109,6 +109,9 @@
 		steady_time sent{}; ///< When it was last passed on.
 	};
 	std::vector<member_entry> news(const std::string& _for_domain, steady_time _now);
+	static void append_news(std::vector<known*>& _from, std::size_t _limit, steady_time _now,
+	    std::vector<member_entry>& _entries);
+	std::size_t far_rounds() const;
 	std::vector<std::string> targets_near(steady_time _now);
 	std::vector<std::string> targets_far(steady_time _now);
 
--- a/src/platform_sync.cpp
+++ b/src/platform_sync.cpp
@@ -364,7 +364,7 @@
 	}
 	if (answer.mistakes.empty())
 	{
-		auto built = build_policy(_next);
+		auto built = build_policy(_next, &now, m_book.current());
 		if (auto* mistakes = std::get_if<std::vector<mistake>>(&built))
 		{
 			answer.mistakes = std::move(*mistakes);
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -33,8 +33,9 @@
 class policy_builder
 {
 public:
-	explicit policy_builder(const config_state& _state)
-	    : m_state(_state), m_policy(std::make_shared<policy>())
+	policy_builder(const config_state& _state, const config_state* _former_state, policy_ptr _former)
+	    : m_state(_state), m_former_state(_former_state), m_former(std::move(_former)),
+	      m_policy(std::make_shared<policy>())
 	{
 		m_policy->rev = _state.rev;
 	}
@@ -78,6 +79,10 @@
 	{
 		for (const std::string& kind : resource_kinds())
 		{
+			if ("client_blocks" == kind)
+			{
+				continue;
+			}
 			each(kind,
 			    [&](const std::string& _name, const nlohmann::json& _spec, const std::string& _path)
 			    {
@@ -229,23 +234,78 @@
 		return shares;
 	}
 
+	/// Whether a resource is as it was, and its sites have the same handles.
+	bool is_unchanged(const std::string& _key, const resource_value& _value) const
+	{
+		if (nullptr == m_former_state || !m_former || !m_same_sites)
+		{
+			return false;
+		}
+		const auto it = m_former_state->resources.find(_key);
+		return m_former_state->resources.end() != it && it->second.rev == _value.rev &&
+		       it->second.by == _value.by;
+	}
+
 	void read_clients()
 	{
-		std::vector<client_block> blocks;
 		std::unordered_map<std::string, site_handle> sites;
+		m_same_sites = m_former && m_former->sites.size() == m_policy->sites.size();
 		for (std::size_t at = 0; at < m_policy->sites.size(); ++at)
 		{
 			sites[m_policy->sites[at].name] = site_handle{static_cast<std::uint16_t>(at)};
+			m_same_sites = m_same_sites && m_former->sites[at].name == m_policy->sites[at].name;
 		}
-		each("client_blocks",
-		    [&](const std::string&, const nlohmann::json& _spec, const std::string& _path)
-		    {
-			    for (const auto& [cidr, site] : _spec.at("blocks").items())
-			    {
-				    read_block(cidr, site, sites, _path, blocks);
-			    }
-		    });
-		m_policy->clients = std::make_shared<lookup_table>(std::move(blocks));
+		const std::string prefix = "client_blocks/";
+		bool changed = !m_former;
+		for (auto it = m_state.resources.lower_bound(prefix);
+		     m_state.resources.end() != it && 0 == it->first.compare(0, prefix.size(), prefix); ++it)
+		{
+			if (is_unchanged(it->first, it->second) && 0 < m_former->client_shards.count(it->first))
+			{
+				m_policy->client_shards[it->first] = m_former->client_shards.at(it->first);
+				continue;
+			}
+			changed = true;
+			read_shard(it->first, it->second.spec, sites);
+		}
+		changed = changed || m_former->client_shards.size() != m_policy->client_shards.size();
+		m_policy->clients =
+		    changed && m_mistakes.empty() ? make_table() : (m_former ? m_former->clients : nullptr);
+	}
+
+	std::shared_ptr<const lookup_table> make_table() const
+	{
+		std::vector<client_block> all;
+		for (const auto& [key, shard] : m_policy->client_shards)
+		{
+			all.insert(all.end(), shard->begin(), shard->end());
+		}
+		return std::make_shared<lookup_table>(std::move(all));
+	}
+
+	void read_shard(const std::string& _key, const std::string& _spec,
+	    const std::unordered_map<std::string, site_handle>& _sites)
+	{
+		const nlohmann::json spec = nlohmann::json::parse(_spec, nullptr, false);
+		const std::string path = "/" + _key + "/spec";
+		for (mistake one : check_resource("client_blocks", _key.substr(_key.find('/') + 1), spec))
+		{
+			one.path = path + one.path;
+			m_mistakes.push_back(one);
+		}
+		if (!spec.is_object() || !spec.contains("blocks") || !spec["blocks"].is_object())
+		{
+			return;
+		}
+		std::vector<client_block> blocks;
+		for (const auto& [cidr, site] : spec["blocks"].items())
+		{
+			if (site.is_string())
+			{
+				read_block(cidr, site, _sites, path, blocks);
+			}
+		}
+		m_policy->client_shards[_key] = std::make_shared<const std::vector<client_block>>(std::move(blocks));
 	}
 
 	void read_block(const std::string& _cidr, const std::string& _site,
@@ -271,8 +331,11 @@
 	}
 
 	const config_state& m_state;
+	const config_state* m_former_state;
+	policy_ptr m_former;
 	std::shared_ptr<policy> m_policy;
 	std::vector<mistake> m_mistakes;
+	bool m_same_sites = false;
 };
 } // namespace
 
@@ -328,8 +391,9 @@
 	return mistakes;
 }
 
-std::variant<policy_ptr, std::vector<mistake>> build_policy(const config_state& _state)
+std::variant<policy_ptr, std::vector<mistake>> build_policy(
+    const config_state& _state, const config_state* _former_state, const policy_ptr& _former)
 {
-	return policy_builder(_state).run();
+	return policy_builder(_state, _former_state, _former).run();
 }
 } // namespace larkrack
--- a/src/policy_p.h
+++ b/src/policy_p.h
@@ -106,6 +106,8 @@
 	std::vector<service_spec> services;
 	std::vector<backend_spec> backends;
 	std::shared_ptr<const lookup_table> clients;
+	/// Blocks of each shard, so that a change reads only the shard that it touches.
+	std::map<std::string, std::shared_ptr<const std::vector<client_block>>> client_shards;
 
 	/// @returns Handle of the thing of that name, or an invalid one.
 	region_handle find_region(const std::string& _name) const;
@@ -141,8 +143,12 @@
 using policy_ptr = std::shared_ptr<const policy>;
 
 /// Builds and checks a policy.
+/// @param[in] _former_state State whose policy is known; resources that did not change since are not read
+/// again.
+/// @param[in] _former Policy of that state.
 /// @returns The policy, or every mistake; a policy with a mistake is never taken in part.
-std::variant<policy_ptr, std::vector<mistake>> build_policy(const config_state& _state);
+std::variant<policy_ptr, std::vector<mistake>> build_policy(const config_state& _state,
+    const config_state* _former_state = nullptr, const policy_ptr& _former = nullptr);
 
 /// Checks one resource by itself.
 std::vector<mistake> check_resource(
--- a/tools/larkrack_load.cpp
+++ b/tools/larkrack_load.cpp
@@ -222,6 +222,11 @@
 	{
 		return run_latency();
 	}
+	if ("capacity" == command)
+	{
+		measure_capacity();
+		return 0;
+	}
 	if ("soak" == command)
 	{
 		return run_experiment(make_soak(absl::GetFlag(FLAGS_seed)));
--- a/tools/larkrack_load_latency.cpp
+++ b/tools/larkrack_load_latency.cpp
@@ -1,3 +1,6 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
 /// @file
 /// What an entry VM adds: latency beside the same requests sent straight to a backend server, and requests a
 /// second beside a bare Beast server, in one run.
--- a/tools/larkrack_load_p.h
+++ b/tools/larkrack_load_p.h
@@ -149,6 +149,9 @@
 nlohmann::json measure_latency(
     const endpoint& _entry_vm, const endpoint& _backend, const std::string& _service);
 
+/// Measures the slopes behind docs/CAPACITY.md; prints one JSON object a line.
+void measure_capacity();
+
 /// Reads the histories of an experiment, judges them, and writes report and plots.
 /// @returns The summary, as its last line of output shows it.
 nlohmann::json make_report(const load_bench& _bench, const deployment& _deployment,
