Look at the state of the fleet as often as heartbeats come

Cause: every 50 ms the control thread worked out for each failure domain and service who may own, a cost that grows with the fleet. Now the rounds follow the heartbeat interval, and who is present is worked out once for each failure domain.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -12,14 +12,15 @@
 {
 namespace
 {
-constexpr std::chrono::milliseconds k_own_interval{100};
+/// Rounds over the state of the fleet between two heartbeats.
+constexpr int k_rounds_of_interval = 5;
 constexpr std::chrono::milliseconds k_drive_interval{250};
 constexpr std::chrono::milliseconds k_probe_interval{500};
 constexpr std::chrono::milliseconds k_probe_timeout{400};
 constexpr std::chrono::milliseconds k_lease_interval{1500};
 /// A node that has just started waits this long for news of a region before it takes it for dead.
 constexpr std::chrono::seconds k_start_grace{5};
-/// Ticks between two rounds of anti-entropy with one peer.
+/// Rounds between two calls to the seeds of a node without a configuration.
 constexpr std::size_t k_exchange_ticks = 20;
 
 std::string record_of_step(const std::string& _service)
@@ -90,6 +91,13 @@
 {
 	check_pause(_now);
 	m_gate->tick(_now);
+	if (_now < m_next_round)
+	{
+		return;
+	}
+	// The state of the fleet changes as fast as heartbeats come; looking at it more often costs and tells
+	// nothing.
+	m_next_round = _now + m_members->interval() / k_rounds_of_interval;
 	++m_ticks;
 	if (nullptr == rules())
 	{
@@ -339,13 +347,14 @@
 	return present.empty() && !own_may_return ? neighbours : present;
 }
 
-owner_facts control::facts(domain_handle _domain, service_handle _service, steady_time _now) const
+owner_facts control::facts(
+    domain_handle _domain, service_handle _service, const std::set<std::string>& _present) const
 {
 	owner_facts known;
 	known.self = m_settings->name;
 	known.life = m_life;
 	known.self_leaving = m_leaving;
-	known.present = present_in(_domain, _now);
+	known.present = _present;
 	known.gone = m_sync->gone();
 	known.longest_run = rules()->at(_service).run_limit + k_clock_skew;
 	known.now = m_clock->wall();
@@ -364,6 +373,7 @@
 	std::map<std::pair<std::uint16_t, std::uint16_t>,
 	    std::pair<owner_record, std::map<std::string, std::string>>>
 	    plans;
+	std::map<std::uint16_t, std::set<std::string>> present;
 	const domain_handle self_domain = now.find_domain(m_settings->domain);
 	if (!is_valid(self_domain))
 	{
@@ -378,7 +388,11 @@
 		const auto place = std::make_pair(backend.domain.idx, backend.service.idx);
 		if (0 == plans.count(place))
 		{
-			const owner_facts known = facts(backend.domain, backend.service, _now);
+			if (0 == present.count(backend.domain.idx))
+			{
+				present[backend.domain.idx] = present_in(backend.domain, _now);
+			}
+			const owner_facts known = facts(backend.domain, backend.service, present[backend.domain.idx]);
 			auto& plan = plans[place];
 			plan.first =
 			    owners_from_text(m_sync->records().value_of(owner_key(backend.domain, backend.service)));
@@ -435,7 +449,7 @@
 {
 	while (!m_stopping)
 	{
-		sleep_for(m_context.get_executor(), k_own_interval, _yield);
+		sleep_for(m_context.get_executor(), m_members->interval() * 2 / k_rounds_of_interval, _yield);
 		const policy_ptr now = m_sync->configuration().current();
 		const domain_handle self = now ? now->find_domain(m_settings->domain) : domain_handle{};
 		for (std::size_t domain = 0; is_valid(self) && domain < now->domains.size(); ++domain)
@@ -463,7 +477,7 @@
 	}
 	const auto plan = [&, this](const std::string& _text) -> std::optional<owner_record>
 	{
-		const owner_facts known = facts(_domain, _service, m_clock->steady());
+		const owner_facts known = facts(_domain, _service, present_in(_domain, m_clock->steady()));
 		const auto wanted = plan_owners(
 		    now.at(_domain).name, now.at(_service).name, backends, known.present, now.at(_service).owners);
 		return next_owners(owners_from_text(_text), wanted, known);
--- a/src/control_p.h
+++ b/src/control_p.h
@@ -98,7 +98,8 @@
 	std::vector<region_room> rooms(service_handle _service, steady_time _now) const;
 	std::set<std::string> present_in(domain_handle _domain, steady_time _now) const;
 	std::vector<std::string> backends_of(domain_handle _domain, service_handle _service) const;
-	owner_facts facts(domain_handle _domain, service_handle _service, steady_time _now) const;
+	owner_facts facts(
+	    domain_handle _domain, service_handle _service, const std::set<std::string>& _present) const;
 	std::string owner_key(domain_handle _domain, service_handle _service) const;
 	const policy* rules() const
 	{
@@ -120,6 +121,7 @@
 	http_caller m_caller;
 	incarnation m_life;
 	steady_time m_last_tick{};
+	steady_time m_next_round{};
 	std::size_t m_ticks = 0;
 	bool m_stopping = false;
 	bool m_leaving = false;
--- a/src/schema.cpp
+++ b/src/schema.cpp
@@ -34,7 +34,16 @@
 /// The library reports a mistake at each level above it; only the deepest is of use.
 bool is_echo(const mistake& _mistake)
 {
-	return std::string::npos != _mistake.allowed.find("Failed to validate against schema associated with");
+	constexpr const char* k_echoes[] = {"Failed to validate against schema associated with",
+	    "Failed to validate against additional properties schema"};
+	for (const char* echo : k_echoes)
+	{
+		if (std::string::npos != _mistake.allowed.find(echo))
+		{
+			return true;
+		}
+	}
+	return false;
 }
 } // namespace
 
