--- a/tools/larkrack_load_capacity.cpp
+++ b/tools/larkrack_load_capacity.cpp
@@ -170,6 +170,7 @@
 {
 	clock_virtual clock;
 	std::vector<member_config> all;
+	all.reserve(static_cast<std::size_t>(_nodes));
 	for (int node = 0; node < _nodes; ++node)
 	{
 		all.push_back({"vm" + std::to_string(node),
--- a/tools/larkrack_load_latency.cpp
+++ b/tools/larkrack_load_latency.cpp
@@ -147,6 +147,7 @@
 {
 	std::atomic<std::uint64_t> good{0};
 	std::vector<std::thread> threads;
+	threads.reserve(k_clients);
 	const auto end = std::chrono::steady_clock::now() + k_throughput_time;
 	for (int number = 0; number < k_clients; ++number)
 	{
