--- a/src/control_p.h
+++ b/src/control_p.h
@@ -100,6 +100,11 @@
 	std::vector<std::string> backends_of(domain_handle _domain, service_handle _service) const;
 	owner_facts facts(
 	    domain_handle _domain, service_handle _service, const std::set<std::string>& _present) const;
+	/// @returns Name of the record of a service's step.
+	static std::string step_key(const std::string& _service)
+	{
+		return "step/" + _service;
+	}
 	std::string owner_key(domain_handle _domain, service_handle _service) const;
 	const policy* rules() const
 	{
