Judge a cut-off node from when it is reached again

Its log: cut off from the platform 0.2 s after the write by the cut_domain fault, in force as soon as the cut ended. Ruled out: a lost message (the digest brought it at once) and a step back. The rule asked the impossible: nothing reaches a node that is cut off. After: the load tool writes cuts into the history, and the checker counts the 5 s from the end of a cut; a node that is late after that is still caught.

--- a/src/checker.cpp
+++ b/src/checker.cpp
@@ -92,6 +92,10 @@
 		{
 			m_drains.push_back(_line);
 		}
+		else if ("cut" == type || "uncut" == type)
+		{
+			m_cuts.push_back(_line);
+		}
 		else if (_line.contains("event"))
 		{
 			m_events.push_back(_line);
@@ -428,6 +432,25 @@
 		}
 	}
 
+	/// Latest time at which a node must have a configuration: a node that is cut off has its time from then
+	/// on when it is reached again.
+	std::int64_t due_at(const std::string& _node, std::int64_t _written) const
+	{
+		std::int64_t due = _written + m_rules.config_spread_us;
+		bool is_cut = false;
+		for (const nlohmann::json& line : m_cuts)
+		{
+			if (text(line, "vm") != _node || due < number(line, "t"))
+			{
+				continue;
+			}
+			is_cut = "cut" == text(line, "type");
+			due =
+			    !is_cut && _written < number(line, "t") ? number(line, "t") + m_rules.config_spread_us : due;
+		}
+		return is_cut ? INT64_MAX : due;
+	}
+
 	void check_in_force(std::int64_t _at, std::uint64_t _revision,
 	    const std::map<std::string, std::vector<std::pair<std::int64_t, std::uint64_t>>>& _taken,
 	    const std::map<std::string, std::int64_t>& _started)
@@ -442,8 +465,8 @@
 			const auto it = _taken.find(node);
 			for (std::size_t at = 0; _taken.end() != it && at < it->second.size(); ++at)
 			{
-				there = there || (_revision <= it->second[at].second &&
-				                     it->second[at].first <= _at + m_rules.config_spread_us);
+				there = there ||
+				        (_revision <= it->second[at].second && it->second[at].first <= due_at(node, _at));
 			}
 			if (!there)
 			{
@@ -458,6 +481,7 @@
 	std::vector<run_line> m_runs;
 	std::vector<nlohmann::json> m_requests;
 	std::vector<nlohmann::json> m_drains;
+	std::vector<nlohmann::json> m_cuts;
 	std::vector<nlohmann::json> m_events;
 	std::set<std::string> m_ran_ids;
 	std::map<std::string, int> m_key_runs;
--- a/tests/checker_test.cpp
+++ b/tests/checker_test.cpp
@@ -27,6 +27,8 @@
 	CPPUNIT_TEST(history_when_step_exceeds_cap_is_caught);
 	CPPUNIT_TEST(history_when_configuration_reverts_is_caught);
 	CPPUNIT_TEST(history_when_configuration_not_in_force_is_caught);
+	CPPUNIT_TEST(history_when_cut_off_node_is_late_is_allowed);
+	CPPUNIT_TEST(history_when_node_is_late_after_cut_ended_is_caught);
 	CPPUNIT_TEST_SUITE_END();
 
 	static nlohmann::json run_line(const std::string& _id, std::int64_t _start, const std::string& _key = "",
@@ -160,6 +162,28 @@
 		m_lines.push_back(older);
 		expect("reverted");
 	}
+	void add_late_node(std::int64_t _taken_at)
+	{
+		m_lines.push_back(event_line("n1", "node_started", 10));
+		nlohmann::json written = event_line("n2", "config_written", 100);
+		written["revision"] = 5;
+		m_lines.push_back(written);
+		m_lines.push_back({{"type", "cut"}, {"vm", "n1"}, {"t", 200}});
+		m_lines.push_back({{"type", "uncut"}, {"vm", "n1"}, {"t", 4000000}});
+		nlohmann::json taken = event_line("n1", "config_taken", _taken_at);
+		taken["revision"] = 5;
+		m_lines.push_back(taken);
+	}
+	void history_when_cut_off_node_is_late_is_allowed()
+	{
+		add_late_node(8000000);
+		CPPUNIT_ASSERT(check_history(m_lines, m_rules).violations.empty());
+	}
+	void history_when_node_is_late_after_cut_ended_is_caught()
+	{
+		add_late_node(9100000);
+		expect("not_in_force");
+	}
 	void history_when_configuration_not_in_force_is_caught()
 	{
 		m_lines.push_back(event_line("n1", "node_started", 10));
--- a/tools/larkrack_load_bench.cpp
+++ b/tools/larkrack_load_bench.cpp
@@ -135,6 +135,8 @@
 		{
 			continue;
 		}
+		m_history.write({{"type", _from.empty() && !_platform ? "uncut" : "cut"}, {"vm", _vm},
+		    {"t", to_us(m_clock.wall())}});
 		const nlohmann::json body = {{"entry_vms", _from}, {"platform", _platform}};
 		http_request request = make_request(http::verb::put, "/v1/test/cut", vm.operators, body.dump());
 		request.set("Authorization", "Bearer " + m_deployment.token);
