--- /dev/null
+++ b/src/edge/backend_selector_p.h
@@ -0,0 +1,51 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// Chooses a backend server for one request.
+#pragma once
+
+#include "backend_registry_p.h"
+#include "routing_table_p.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace larkrack
+{
+/// What is asked for.
+struct selection
+{
+	const std::vector<backend_ptr>* candidates = nullptr;
+	std::string region;         ///< Where it shall run.
+	std::string own_region;     ///< Region of this node.
+	std::string nearest_domain; ///< Failure domain that is preferred; empty: none.
+	std::uint64_t affinity = 0; ///< Hash of the affinity key; 0: none.
+	std::vector<std::string> tried;
+};
+
+/// How many nodes draw from the budgets of a backend server.
+struct sharing
+{
+	double nodes_in_region = 1.0;
+	double nodes = 1.0;
+};
+
+/// Bounds of a service that hold over all nodes.
+struct service_bounds
+{
+	double warmup_requests_per_s = 0.0; ///< 0: no limit.
+	int max_connections = 0;            ///< 0: no limit.
+};
+
+/// Chooses among backend servers that have a free slot, by rendezvous hashing when there is an affinity key,
+/// else by load. Counts what it grants against the budget of cold backend servers.
+class backend_selector
+{
+public:
+	/// @returns Null when none may take the request now.
+	backend_ptr select(const selection& _selection, const service_bounds& _bounds, const sharing& _sharing,
+	    steady_time _now) const;
+};
+} // namespace larkrack
--- /dev/null
+++ b/src/edge/edge_log.cpp
@@ -0,0 +1,145 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "edge_log_p.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <poll.h>
+#include <unistd.h>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace larkrack
+{
+namespace
+{
+/// A pipe that is writable takes so many bytes without waiting.
+constexpr std::size_t k_write_piece = 4096;
+/// One of so many good outcomes is logged.
+constexpr std::uint64_t k_sample = 16;
+
+void append_quoted(std::string& _out, std::string_view _text)
+{
+	_out += '"';
+	for (const char letter : _text)
+	{
+		if ('"' == letter || '\\' == letter)
+		{
+			_out += '\\';
+			_out += letter;
+		}
+		else if (static_cast<unsigned char>(letter) < 0x20)
+		{
+			char escaped[8];
+			std::snprintf(escaped, sizeof(escaped), "\\u%04x", static_cast<unsigned char>(letter));
+			_out += escaped;
+		}
+		else
+		{
+			_out += letter;
+		}
+	}
+	_out += '"';
+}
+} // namespace
+
+void log_line::begin_field(std::string_view _name)
+{
+	m_fields += ',';
+	append_quoted(m_fields, _name);
+	m_fields += ':';
+}
+
+log_line& log_line::text(std::string_view _name, std::string_view _value)
+{
+	begin_field(_name);
+	append_quoted(m_fields, _value);
+	return *this;
+}
+
+log_line& log_line::number(std::string_view _name, std::int64_t _value)
+{
+	begin_field(_name);
+	m_fields += std::to_string(_value);
+	return *this;
+}
+
+log_line& log_line::decimal(std::string_view _name, double _value)
+{
+	begin_field(_name);
+	char text[32];
+	std::snprintf(text, sizeof(text), "%.3f", _value);
+	m_fields += text;
+	return *this;
+}
+
+edge_log::edge_log(std::string _node, int _descriptor, std::size_t _most_bytes)
+    : m_node(std::move(_node)), m_descriptor(_descriptor), m_most_bytes(_most_bytes)
+{
+}
+
+void edge_log::append(const log_line& _line)
+{
+	const auto now = std::chrono::system_clock::now().time_since_epoch();
+	m_pending += "{\"t_us\":";
+	m_pending += std::to_string(std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+	m_pending += ",\"node\":";
+	append_quoted(m_pending, m_node);
+	m_pending += ",\"event\":";
+	m_pending += std::to_string(static_cast<int>(_line.m_event));
+	m_pending += ",\"name\":";
+	append_quoted(m_pending, info_of(_line.m_event).name);
+	m_pending += _line.m_fields;
+	m_pending += "}\n";
+}
+
+void edge_log::write(const log_line& _line)
+{
+	if (m_descriptor < 0)
+	{
+		return;
+	}
+	if (m_pending.size() + _line.m_fields.size() > m_most_bytes)
+	{
+		++m_dropped;
+		return;
+	}
+	append(_line);
+}
+
+void edge_log::flush()
+{
+	if (m_dropped != m_dropped_told && m_pending.size() < m_most_bytes / 2)
+	{
+		log_line line(event::log_dropped);
+		line.number("lines", static_cast<std::int64_t>(m_dropped - m_dropped_told));
+		m_dropped_told = m_dropped;
+		append(line);
+	}
+	std::size_t done = 0;
+	while (done < m_pending.size())
+	{
+		pollfd ready{m_descriptor, POLLOUT, 0};
+		if (poll(&ready, 1, 0) <= 0 || 0 == (ready.revents & POLLOUT))
+		{
+			break;
+		}
+		const std::size_t piece = std::min(k_write_piece, m_pending.size() - done);
+		const ssize_t written = ::write(m_descriptor, m_pending.data() + done, piece);
+		if (written <= 0)
+		{
+			break;
+		}
+		done += static_cast<std::size_t>(written);
+	}
+	m_pending.erase(0, done);
+}
+
+bool edge_log::sampled(std::string_view _request_id)
+{
+	return 0 == XXH64(_request_id.data(), _request_id.size(), 0) % k_sample;
+}
+} // namespace larkrack
--- /dev/null
+++ b/src/edge/edge_node_p.h
@@ -0,0 +1,103 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// One entry VM's process: puts the parts together, starts and stops them.
+#pragma once
+
+#include "edge_settings_p.h"
+#include "fleet_p.h"
+#include "store_sync_p.h"
+
+#include <array>
+
+namespace larkrack
+{
+/// Question of a caller: where to send requests for a host.
+struct lookup_question
+{
+	std::string host;
+	std::string region; ///< Of the caller.
+	std::string domain; ///< Of the caller.
+};
+
+/// What a platform's callers, backend servers and store speak.
+class edge_dialect_base
+{
+public:
+	virtual ~edge_dialect_base() = default;
+	virtual header_names headers() const = 0;
+	virtual const record_codec_base& codec() const = 0;
+	/// @returns The question in a look-up's target, or nothing when it is no look-up.
+	virtual std::optional<lookup_question> parse_lookup(const std::string& _target) const = 0;
+	/// @returns Body of the answer to a look-up.
+	virtual std::string render_lookup(const std::vector<std::string>& _addresses, std::chrono::milliseconds _ttl) const = 0;
+	/// @returns Client for the store.
+	virtual std::unique_ptr<store_base> make_store(asio::io_context& _context, const endpoint& _address) const = 0;
+};
+
+/// All parts of a node, on one thread: an entry VM has a fraction of one core, and a second thread would only
+/// add memory and wake-ups (docs/DESIGN.md).
+class edge_node
+{
+public:
+	edge_node(const edge_settings& _settings, std::string _settings_path, const edge_dialect_base& _dialect);
+	~edge_node();
+
+	/// Listens on all addresses.
+	/// @returns An error when one can not be had.
+	std::optional<error> open();
+	/// Serves until the process is asked to stop and the last request has ended.
+	void run();
+
+private:
+	void watch_signals();
+	void reload_settings();
+	void begin_stop();
+	void stop_step();
+	void tick();
+	void receive_heartbeats();
+	void send_heartbeats();
+	void add_seeds(const std::vector<std::string>& _seeds);
+	void learn_from_peers();
+	void fetch_state(const std::string& _ip, const yield_context& _yield);
+
+	void answer_readiness(const std::shared_ptr<caller_session>& _session);
+	void answer_lookup(const std::shared_ptr<caller_session>& _session, const caller_request& _request);
+	void answer_peer(const std::shared_ptr<caller_session>& _session);
+	void answer_metrics(const std::shared_ptr<caller_session>& _session);
+	std::string metrics_text() const;
+
+	edge_settings m_settings;
+	std::string m_settings_path;
+	const edge_dialect_base& m_dialect;
+	asio::io_context m_context;
+	clock_system m_clock;
+	edge_log m_log;
+	backend_registry m_backends;
+	fleet m_fleet;
+	forwarder m_forwarder;
+	state_replica m_replica;
+	std::unique_ptr<store_base> m_store;
+	store_sync m_sync;
+	http_listener m_callers;
+	http_listener m_readiness;
+	http_listener m_lookups;
+	http_listener m_peers;
+	http_listener m_metrics;
+	asio::ip::udp::socket m_heartbeats;
+	asio::ip::udp::endpoint m_heartbeat_sender;
+	std::array<std::uint8_t, 4096> m_heartbeat_buffer{};
+	asio::signal_set m_signals;
+	asio::steady_timer m_tick_timer;
+	asio::steady_timer m_stop_timer;
+	http_caller m_peer_caller;
+	steady_time m_stopping_since{};
+	steady_time m_last_busy{};
+	steady_time m_behind_since{};
+	bool m_stopping = false;
+	bool m_learning = false;
+	std::uint64_t m_lookups_answered = 0;
+	unsigned m_ticks = 0;
+};
+} // namespace larkrack
--- /dev/null
+++ b/src/edge/edge_settings.cpp
@@ -0,0 +1,110 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "edge_settings_p.h"
+
+#include <algorithm>
+
+namespace larkrack
+{
+namespace
+{
+const char* const k_schema = R"JSON({
+"type": "object",
+"required": ["name", "region", "domain", "ip", "listen", "store", "regions", "inner_ports", "bounds"],
+"properties": {
+	"name": {"type": "string", "minLength": 1, "description": "Name of this entry VM."},
+	"region": {"type": "string", "minLength": 1, "description": "Region of this entry VM."},
+	"domain": {"type": "string", "minLength": 1, "description": "Failure domain of this entry VM."},
+	"ip": {"type": "string", "minLength": 1, "description": "Address of this entry VM."},
+	"listen": {
+		"type": "object", "required": ["callers"],
+		"description": "Addresses (IP:port) that this process listens on; an empty text: not served.",
+		"properties": {
+			"callers": {"type": "string", "pattern": "^[0-9.]+:[0-9]+$", "description": "For requests of callers, HTTP."},
+			"readiness": {"type": "string", "pattern": "^([0-9.]+:[0-9]+)?$", "description": "Tells whether the node takes requests, HTTP."},
+			"lookups": {"type": "string", "pattern": "^([0-9.]+:[0-9]+)?$", "description": "For look-ups of callers, HTTP."},
+			"peers": {"type": "string", "pattern": "^([0-9.]+:[0-9]+)?$", "description": "For other nodes that start while the store is down, HTTP."}
+		}
+	},
+	"inner_ports": {"type": "array", "minItems": 2, "maxItems": 2, "items": {"type": "integer", "minimum": 1, "maximum": 65535},
+		"description": "First and last port for what nodes say to each other; the first is for heartbeats (UDP), the second for metrics (HTTP)."},
+	"store": {"type": "string", "pattern": "^[0-9.]+:[0-9]+$", "description": "Address of the platform's store."},
+	"seeds": {"type": "array", "items": {"type": "string"}, "description": "Addresses of other nodes' peers listeners; may be stale."},
+	"regions": {"type": "object", "additionalProperties": {"type": "string"}, "description": "Region of each failure domain."},
+	"max_descriptors": {"type": "integer", "minimum": 64, "description": "File descriptors that this process may hold."},
+	"bounds": {
+		"type": "object",
+		"required": ["retry_ratio", "retry_slack", "retry_window_s", "max_shift", "lookup_ttl_max_s", "grace_s"],
+		"description": "Bounds that hold over all nodes.",
+		"properties": {
+			"retry_ratio": {"type": "number", "minimum": 0, "maximum": 1, "description": "Repeats for each request, in any window."},
+			"retry_slack": {"type": "number", "minimum": 0, "description": "Further repeats in any window."},
+			"retry_window_s": {"type": "number", "exclusiveMinimum": 0, "description": "Length of that window, seconds."},
+			"max_shift": {"type": "number", "minimum": 0, "maximum": 1, "description": "Part of a region's requests that may change their region from one 2 s window to the next."},
+			"lookup_ttl_max_s": {"type": "number", "exclusiveMinimum": 0, "description": "Longest life of an answer to a look-up, seconds."},
+			"grace_s": {"type": "number", "exclusiveMinimum": 0, "description": "Seconds between SIGTERM and SIGKILL."}
+		}
+	}
+}})JSON";
+
+/// Part of the retry budget that is used. The rest covers requests that reach the same window of a judge later.
+constexpr double k_retry_part = 0.75;
+constexpr double k_lookup_ttl_s = 1.5;
+
+std::optional<endpoint> optional_endpoint(const nlohmann::json& _listen, const char* _name)
+{
+	const std::string text = _listen.value(_name, "");
+	if (text.empty())
+	{
+		return std::nullopt;
+	}
+	result<endpoint> parsed = parse_endpoint(text);
+	const endpoint* value = value_of(parsed);
+	return nullptr == value ? std::nullopt : std::optional<endpoint>(*value);
+}
+
+std::chrono::milliseconds from_seconds(double _seconds)
+{
+	return std::chrono::milliseconds(static_cast<std::int64_t>(_seconds * 1000.0));
+}
+} // namespace
+
+const nlohmann::json& schema_edge_settings()
+{
+	static const nlohmann::json s_schema = nlohmann::json::parse(k_schema);
+	return s_schema;
+}
+
+std::variant<edge_settings, std::vector<mistake>> parse_edge_settings(const nlohmann::json& _document)
+{
+	std::vector<mistake> mistakes = check_schema(schema_edge_settings(), _document);
+	if (!mistakes.empty())
+	{
+		return mistakes;
+	}
+	edge_settings settings;
+	settings.place = {_document["name"], _document["domain"], _document["region"]};
+	settings.ip = _document["ip"];
+	const nlohmann::json& listen = _document["listen"];
+	settings.callers = *optional_endpoint(listen, "callers");
+	settings.readiness = optional_endpoint(listen, "readiness");
+	settings.lookups = optional_endpoint(listen, "lookups");
+	settings.peers = optional_endpoint(listen, "peers");
+	settings.heartbeat_port = _document["inner_ports"][0];
+	settings.metrics = endpoint{settings.ip, static_cast<std::uint16_t>(settings.heartbeat_port + 1)};
+	result<endpoint> store = parse_endpoint(_document["store"]);
+	settings.store = *value_of(store);
+	settings.seeds = _document.value("seeds", std::vector<std::string>());
+	settings.region_of = _document["regions"].get<std::unordered_map<std::string, std::string>>();
+	settings.max_descriptors = _document.value("max_descriptors", settings.max_descriptors);
+	const nlohmann::json& bounds = _document["bounds"];
+	settings.bounds.retry_ratio = k_retry_part * bounds["retry_ratio"].get<double>();
+	settings.bounds.retry_slack = k_retry_part * bounds["retry_slack"].get<double>();
+	settings.bounds.retry_window = from_seconds(bounds["retry_window_s"]);
+	settings.bounds.max_shift = bounds["max_shift"];
+	settings.lookup_ttl = from_seconds(std::min(k_lookup_ttl_s, bounds["lookup_ttl_max_s"].get<double>()));
+	settings.grace = from_seconds(bounds["grace_s"]);
+	return settings;
+}
+} // namespace larkrack
--- /dev/null
+++ b/src/edge/edge_settings_p.h
@@ -0,0 +1,39 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// Settings of larkrack-edge, read from JSON and checked by schema.
+#pragma once
+
+#include "forwarder_p.h"
+
+#include "../settings_p.h"
+
+namespace larkrack
+{
+/// Settings of one larkrack-edge; see the schema for their meaning.
+struct edge_settings
+{
+	placement place;
+	std::string ip;
+	endpoint callers;
+	std::optional<endpoint> readiness;
+	std::optional<endpoint> lookups;
+	std::optional<endpoint> peers;
+	std::uint16_t heartbeat_port = 0;
+	std::optional<endpoint> metrics;
+	endpoint store;
+	std::vector<std::string> seeds;
+	std::unordered_map<std::string, std::string> region_of; ///< By failure domain.
+	int max_descriptors = 1024;
+	shared_bounds bounds;
+	std::chrono::milliseconds lookup_ttl{1500};
+	std::chrono::milliseconds grace{5000}; ///< Time between the request to stop and the kill.
+};
+
+/// Checks and reads settings.
+/// @returns Settings, or all mistakes.
+std::variant<edge_settings, std::vector<mistake>> parse_edge_settings(const nlohmann::json& _document);
+/// @returns Schema of the settings of larkrack-edge.
+const nlohmann::json& schema_edge_settings();
+} // namespace larkrack
--- /dev/null
+++ b/src/edge/fleet.cpp
@@ -0,0 +1,178 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "fleet_p.h"
+
+#include <algorithm>
+
+namespace larkrack
+{
+namespace
+{
+/// A node that is silent for longer is not named to callers.
+constexpr std::chrono::milliseconds k_silent{1300};
+/// A node that is silent for longer is forgotten.
+constexpr std::chrono::seconds k_forgotten{60};
+/// Addresses told in one heartbeat.
+constexpr std::size_t k_told_addresses = 64;
+/// Addresses in one answer to a look-up.
+constexpr std::size_t k_named_addresses = 64;
+} // namespace
+
+fleet::fleet(const clock_base& _clock, heartbeat _self) : m_clock(_clock), m_self(std::move(_self))
+{
+}
+
+bool fleet::alive(const fleet_member& _member) const
+{
+	return m_clock.steady() - _member.heard_at <= k_silent;
+}
+
+void fleet::hear(const heartbeat& _heartbeat)
+{
+	if (_heartbeat.node == m_self.node)
+	{
+		return;
+	}
+	fleet_member& member = m_members[_heartbeat.node];
+	const auto order = [](const heartbeat& _one)
+	{
+		return std::make_pair(_one.incarnation, _one.sequence);
+	};
+	// Datagrams overtake each other; but a node whose wall clock went back comes with a lower incarnation.
+	if (order(_heartbeat) < order(member.last) && alive(member))
+	{
+		return;
+	}
+	member.last = _heartbeat;
+	member.heard_at = m_clock.steady();
+	add_address(_heartbeat.ip);
+	for (const std::string& ip : _heartbeat.known_ips)
+	{
+		add_address(ip);
+	}
+	std::size_t nodes = 1;
+	std::size_t in_region = 1;
+	for (const auto& [name, one] : m_members)
+	{
+		++nodes;
+		in_region += one.last.region == m_self.region ? 1 : 0;
+	}
+	m_most_nodes = std::max(m_most_nodes, nodes);
+	m_most_in_region = std::max(m_most_in_region, in_region);
+}
+
+void fleet::add_address(const std::string& _ip)
+{
+	if (!_ip.empty() && _ip != m_self.ip)
+	{
+		m_addresses.insert(_ip);
+	}
+}
+
+std::vector<std::string> fleet::targets() const
+{
+	return {m_addresses.begin(), m_addresses.end()};
+}
+
+heartbeat fleet::next()
+{
+	++m_self.sequence;
+	m_self.known_ips.clear();
+	for (const auto& [name, member] : m_members)
+	{
+		if (alive(member) && m_self.known_ips.size() < k_told_addresses)
+		{
+			m_self.known_ips.push_back(member.last.ip);
+		}
+	}
+	return m_self;
+}
+
+std::vector<std::string> fleet::ready_in(const std::string& _region) const
+{
+	std::vector<std::string> addresses;
+	for (const auto& [name, member] : m_members)
+	{
+		const bool wanted = _region.empty() || member.last.region == _region;
+		if (wanted && node_state::ready == member.last.state && alive(member))
+		{
+			addresses.push_back(member.last.callers);
+		}
+	}
+	if (node_state::ready == m_self.state && (_region.empty() || m_self.region == _region))
+	{
+		addresses.push_back(m_self.callers);
+	}
+	return addresses;
+}
+
+std::vector<std::string> fleet::addresses_for(
+    const std::string& _region, const std::vector<std::string>& _homes) const
+{
+	std::vector<std::string> addresses = ready_in(_region);
+	for (const std::string& home : _homes)
+	{
+		if (!addresses.empty())
+		{
+			break;
+		}
+		addresses = ready_in(home);
+	}
+	if (addresses.empty())
+	{
+		addresses = ready_in("");
+	}
+	if (addresses.empty())
+	{
+		// Nobody is ready. A stopping node still serves; naming it is better than naming none.
+		addresses.push_back(m_self.callers);
+	}
+	if (addresses.size() > k_named_addresses)
+	{
+		addresses.resize(k_named_addresses);
+	}
+	return addresses;
+}
+
+const fleet_member* fleet::newer(std::uint64_t _config_version) const
+{
+	const fleet_member* best = nullptr;
+	for (const auto& [name, member] : m_members)
+	{
+		const bool better = nullptr == best || member.last.config_version > best->last.config_version;
+		if (member.last.config_version > _config_version && alive(member) && better)
+		{
+			best = &member;
+		}
+	}
+	return best;
+}
+
+void fleet::tick()
+{
+	for (auto it = m_members.begin(); it != m_members.end();)
+	{
+		it = m_clock.steady() - it->second.heard_at > k_forgotten ? m_members.erase(it) : std::next(it);
+	}
+}
+
+sharing fleet::sharers() const
+{
+	return {static_cast<double>(m_most_in_region), static_cast<double>(m_most_nodes)};
+}
+
+std::map<std::string, double> fleet::demand_of_others(const std::string& _service) const
+{
+	std::map<std::string, double> demand;
+	for (const auto& [name, member] : m_members)
+	{
+		const auto it = member.last.requests_per_s.find(_service);
+		if (member.last.requests_per_s.end() != it && alive(member))
+		{
+			demand[member.last.region] += it->second;
+		}
+	}
+	return demand;
+}
+} // namespace larkrack
--- /dev/null
+++ b/src/edge/fleet_p.h
@@ -0,0 +1,68 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// The other nodes: who is there, who takes requests, what they carry.
+#pragma once
+
+#include "forwarder_p.h"
+#include "heartbeat_p.h"
+
+#include <set>
+
+namespace larkrack
+{
+/// Another node, as far as its heartbeats tell.
+struct fleet_member
+{
+	heartbeat last;
+	steady_time heard_at{};
+};
+
+/// Keeps the table of nodes. No input and output of its own.
+class fleet : public fleet_view_base
+{
+public:
+	/// @param[in] _self This node; its state and figures are set before each heartbeat.
+	fleet(const clock_base& _clock, heartbeat _self);
+
+	/// Takes a heartbeat of another node.
+	void hear(const heartbeat& _heartbeat);
+	/// Names an address at which a node may be.
+	void add_address(const std::string& _ip);
+	/// @returns Addresses that the next heartbeat goes to.
+	std::vector<std::string> targets() const;
+	/// @returns This node's next heartbeat.
+	heartbeat next();
+	/// @returns Addresses of nodes that callers of a region should use; never empty once this node is ready.
+	std::vector<std::string> addresses_for(const std::string& _region, const std::vector<std::string>& _homes) const;
+	/// @returns A node that has a newer configuration than the given one, or null.
+	const fleet_member* newer(std::uint64_t _config_version) const;
+	/// Forgets nodes that have been silent for long.
+	void tick();
+
+	sharing sharers() const override;
+	std::map<std::string, double> demand_of_others(const std::string& _service) const override;
+
+	heartbeat& self()
+	{
+		return m_self;
+	}
+	const std::map<std::string, fleet_member>& members() const
+	{
+		return m_members;
+	}
+
+private:
+	bool alive(const fleet_member& _member) const;
+	std::vector<std::string> ready_in(const std::string& _region) const;
+
+	const clock_base& m_clock;
+	heartbeat m_self;
+	std::map<std::string, fleet_member> m_members; ///< By node.
+	std::set<std::string> m_addresses;
+	/// Most nodes ever seen at once: who is silent may be cut off and draws from shared budgets all the same.
+	std::size_t m_most_nodes = 1;
+	std::size_t m_most_in_region = 1;
+};
+} // namespace larkrack
--- /dev/null
+++ b/src/edge/forwarded_request.cpp
@@ -0,0 +1,495 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "forwarded_request_p.h"
+
+#include "header_rules_p.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace larkrack
+{
+namespace
+{
+/// Deadline when neither the caller nor the route names one.
+constexpr std::chrono::milliseconds k_default_timeout{30000};
+/// Part of the objective for which a request waits for a free slot before it is refused.
+constexpr double k_wait_part = 0.2;
+/// Wait when the route names no objective.
+constexpr std::chrono::milliseconds k_wait_default{100};
+/// Attempts without a connection that one request makes.
+constexpr int k_unsent_limit = 3;
+/// Longest time for a connection to come up, within the region and to another one.
+constexpr std::chrono::milliseconds k_connect_near{300};
+constexpr std::chrono::milliseconds k_connect_far{500};
+/// A refused caller comes back after a time between these.
+constexpr double k_retry_after_first_s = 0.1;
+constexpr double k_retry_after_last_s = 0.3;
+
+std::chrono::milliseconds stated_timeout(std::string_view _value)
+{
+	long long ms = 0;
+	const auto read = std::from_chars(_value.data(), _value.data() + _value.size(), ms);
+	if (read.ec != std::errc() || ms < 0)
+	{
+		return k_default_timeout;
+	}
+	return std::chrono::milliseconds(std::min<long long>(ms, 3600LL * 1000));
+}
+
+std::chrono::milliseconds to_ms(steady_time::duration _time)
+{
+	return std::chrono::duration_cast<std::chrono::milliseconds>(_time);
+}
+} // namespace
+
+forwarded_request::forwarded_request(
+    forwarder& _forwarder, std::shared_ptr<caller_session> _session, caller_request&& _request)
+    : m_forwarder(_forwarder), m_session(std::move(_session)), m_request(std::move(_request)),
+      m_request_id(m_request[_forwarder.m_names.request_id]), m_routes(_forwarder.m_routes),
+      m_arrived_at(_forwarder.m_clock.steady()), m_deadline_timer(_forwarder.m_context),
+      m_wait_timer(_forwarder.m_context)
+{
+}
+
+void forwarded_request::start()
+{
+	m_session->on_leave(
+	    [self = shared_from_this()]
+	    {
+		    self->on_caller_left();
+	    });
+	if (!m_routes)
+	{
+		refuse(reason::no_configuration);
+		return;
+	}
+	const std::string_view host(m_request[http::field::host].data(), m_request[http::field::host].size());
+	const std::string_view target(m_request.target().data(), m_request.target().size());
+	m_route = m_routes->find(host, target);
+	if (nullptr == m_route)
+	{
+		end_with(http::status::not_found, outcome::not_run, reason::unknown_service);
+		return;
+	}
+	admit();
+}
+
+void forwarded_request::admit()
+{
+	const auto stated = m_request.find(m_forwarder.m_names.timeout_ms);
+	std::chrono::milliseconds timeout =
+	    m_request.end() == stated ? k_default_timeout : stated_timeout({stated->value().data(), stated->value().size()});
+	if (m_route->timeout.count() > 0)
+	{
+		timeout = std::min(timeout, m_route->timeout);
+	}
+	m_deadline = m_arrived_at + timeout;
+	m_service = choose_service();
+	if (m_route->sticky)
+	{
+		const std::string key = cookie_value(m_request, m_forwarder.m_names.affinity_cookie);
+		m_affinity = key.empty() ? 0 : XXH64(key.data(), key.size(), XXH64(m_route->path_prefix.data(), m_route->path_prefix.size(), 1));
+	}
+	forwarder::service_state& state = m_forwarder.state_of(m_service);
+	++state.arrivals;
+	state.budget.earn(m_arrived_at);
+	m_region = state.shares.next();
+	m_deadline_timer.expires_after(timeout);
+	m_deadline_timer.async_wait(
+	    [self = shared_from_this()](beast::error_code _error)
+	    {
+		    if (!_error)
+		    {
+			    self->on_deadline();
+		    }
+	    });
+	if (!try_send())
+	{
+		wait_for_slot();
+	}
+}
+
+std::string forwarded_request::choose_service()
+{
+	if (1 == m_route->targets.size())
+	{
+		return m_route->targets.front().service;
+	}
+	std::vector<std::pair<std::string, double>> weights;
+	for (const route_target& target : m_route->targets)
+	{
+		weights.emplace_back(target.service, target.weight);
+	}
+	return weights[m_forwarder.m_splits[m_route->name].next(weights)].first;
+}
+
+std::vector<std::string> forwarded_request::regions_to_try()
+{
+	const std::vector<std::string>& homes = m_route->home_regions;
+	const auto allowed = [&](const std::string& _region)
+	{
+		return homes.empty() || homes.end() != std::find(homes.begin(), homes.end(), _region);
+	};
+	std::vector<std::string> regions;
+	if (allowed(m_region) && !m_region.empty())
+	{
+		regions.push_back(m_region);
+	}
+	std::vector<std::pair<double, std::string>> others;
+	for (const auto& [region, share] : m_forwarder.state_of(m_service).shares.shares())
+	{
+		if (region != m_region && allowed(region))
+		{
+			others.emplace_back(-share, region);
+		}
+	}
+	std::sort(others.begin(), others.end());
+	for (const auto& [share, region] : others)
+	{
+		regions.push_back(region);
+	}
+	if (regions.empty())
+	{
+		regions = homes;
+	}
+	return regions;
+}
+
+backend_ptr forwarded_request::choose_backend(const std::string& _region)
+{
+	selection wanted;
+	wanted.candidates = &m_forwarder.m_backends.of_service(m_service);
+	wanted.region = _region;
+	wanted.own_region = m_forwarder.m_placement.region;
+	wanted.affinity = m_affinity;
+	wanted.tried = m_tried;
+	if (m_route->large_answers)
+	{
+		wanted.nearest_domain = m_forwarder.m_placement.domain;
+	}
+	service_bounds bounds;
+	if (const service_spec* spec = m_routes->find_service(m_service))
+	{
+		bounds.warmup_requests_per_s = spec->warmup_requests_per_s;
+		bounds.max_connections = spec->max_connections;
+	}
+	return m_forwarder.m_selector.select(
+	    wanted, bounds, m_forwarder.m_fleet.sharers(), m_forwarder.m_clock.steady());
+}
+
+bool forwarded_request::try_send()
+{
+	for (const std::string& region : regions_to_try())
+	{
+		const backend_ptr backend = choose_backend(region);
+		if (backend)
+		{
+			leave_queue();
+			send_to(backend);
+			return true;
+		}
+	}
+	return false;
+}
+
+void forwarded_request::wait_for_slot()
+{
+	const auto objective = m_route->objective;
+	const auto wait = objective.count() > 0
+	                      ? std::chrono::milliseconds(static_cast<std::int64_t>(k_wait_part * static_cast<double>(objective.count())))
+	                      : k_wait_default;
+	m_waiting = true;
+	++m_forwarder.m_counters.queued;
+	m_forwarder.state_of(m_service).waiting[m_route->priority].push_back(shared_from_this());
+	m_wait_timer.expires_after(wait);
+	m_wait_timer.async_wait(
+	    [self = shared_from_this()](beast::error_code _error)
+	    {
+		    if (!_error)
+		    {
+			    self->on_wait_over();
+		    }
+	    });
+}
+
+void forwarded_request::leave_queue()
+{
+	if (!m_waiting)
+	{
+		return;
+	}
+	m_waiting = false;
+	m_wait_timer.cancel();
+	m_forwarder.state_of(m_service).waiting[m_route->priority].remove(shared_from_this());
+}
+
+void forwarded_request::on_wait_over()
+{
+	if (m_waiting && !m_ended)
+	{
+		refuse(reason::no_headroom);
+	}
+}
+
+std::string forwarded_request::bytes_for(const backend_server& _backend) const
+{
+	const header_names& names = m_forwarder.m_names;
+	std::string bytes;
+	bytes.reserve(512 + m_request.body().size());
+	append_text(bytes, m_request.method_string());
+	bytes += ' ';
+	append_text(bytes, m_request.target());
+	bytes += " HTTP/1.1\r\n";
+	const std::string listed = to_lower(m_request[http::field::connection]);
+	for (const auto& field : m_request)
+	{
+		const auto name = field.name_string();
+		if (is_hop_by_hop(name, listed) || beast::iequals(name, names.timeout_ms) ||
+		    beast::iequals(name, names.target_id) || http::field::content_length == field.name() ||
+		    http::field::expect == field.name())
+		{
+			continue;
+		}
+		append_header(bytes, name, field.value());
+	}
+	const auto left = std::max<std::int64_t>(1, to_ms(m_deadline - m_forwarder.m_clock.steady()).count());
+	append_header(bytes, names.timeout_ms, std::to_string(left));
+	append_header(bytes, names.target_id, _backend.record.id);
+	if (m_request.has_content_length() || m_request.chunked() || !m_request.body().empty())
+	{
+		append_header(bytes, "Content-Length", std::to_string(m_request.body().size()));
+	}
+	bytes += "\r\n";
+	bytes += m_request.body();
+	return bytes;
+}
+
+void forwarded_request::send_to(const backend_ptr& _backend)
+{
+	upstream_request request;
+	request.bytes = std::make_shared<const std::string>(bytes_for(*_backend));
+	request.request_id = m_request_id;
+	request.head = http::verb::head == m_request.method();
+	request.at_most_once = repeat_rule::at_most_once == m_route->repeat;
+	m_tried.push_back(_backend->record.id);
+	m_sent_at = m_forwarder.m_clock.steady();
+	++m_forwarder.m_counters.attempts;
+	const auto connect =
+	    _backend->region == m_forwarder.m_placement.region ? k_connect_near : k_connect_far;
+	m_exchange = std::make_shared<upstream_exchange>(m_forwarder.m_context, m_forwarder.m_clock,
+	    m_forwarder.m_names, _backend, std::move(request), connect,
+	    [self = shared_from_this()](exchange_result&& _result)
+	    {
+		    self->on_result(std::move(_result));
+	    });
+	m_exchange->start();
+}
+
+void forwarded_request::on_result(exchange_result&& _result)
+{
+	const backend_ptr backend = m_exchange->backend();
+	m_exchange.reset();
+	if (m_ended)
+	{
+		return;
+	}
+	if (exchange_end::answered != _result.end)
+	{
+		m_forwarder.m_log.write(log_line(event::attempt_failed)
+		                            .text("id", m_request_id)
+		                            .text("service", m_service)
+		                            .text("backend", backend->record.id)
+		                            .text("why", _result.detail)
+		                            .decimal("busy", backend->busy(m_forwarder.m_clock.steady()))
+		                            .number("ms", to_ms(m_forwarder.m_clock.steady() - m_sent_at).count()));
+	}
+	switch (_result.end)
+	{
+	case exchange_end::answered:
+	{
+		++m_attempts;
+		forwarder::service_state& state = m_forwarder.state_of(m_service);
+		const double took = std::chrono::duration<double>(m_forwarder.m_clock.steady() - m_sent_at).count();
+		state.service_time_s += 0.05 * (took - state.service_time_s);
+		const bool failed = _result.response->result_int() >= 500;
+		if (failed && repeat_rule::repeatable == m_route->repeat)
+		{
+			m_may_have_run = true;
+			m_fallback = std::move(_result.response);
+			retry_or_end(http::status::bad_gateway, reason::none);
+			break;
+		}
+		answer(std::move(*_result.response), outcome::served, reason::none);
+		break;
+	}
+	case exchange_end::not_run:
+		++m_attempts;
+		retry_or_end(http::status::service_unavailable, reason::shed);
+		break;
+	case exchange_end::not_sent:
+		++m_unsent;
+		if (m_unsent < k_unsent_limit && try_send())
+		{
+			break;
+		}
+		retry_or_end(http::status::service_unavailable, reason::unreachable);
+		break;
+	case exchange_end::lost:
+		++m_attempts;
+		m_may_have_run = true;
+		if (repeat_rule::at_most_once == m_route->repeat)
+		{
+			end_with(http::status::bad_gateway, outcome::unknown, reason::lost_answer);
+			break;
+		}
+		retry_or_end(http::status::bad_gateway, reason::lost_answer);
+		break;
+	}
+	m_forwarder.pump();
+}
+
+bool forwarded_request::may_repeat()
+{
+	if (m_attempts >= m_route->max_attempts || m_forwarder.m_clock.steady() >= m_deadline)
+	{
+		return false;
+	}
+	if (0 == m_attempts)
+	{
+		return m_unsent < k_unsent_limit;
+	}
+	if (!m_forwarder.state_of(m_service).budget.spend(m_forwarder.m_clock.steady()))
+	{
+		++m_forwarder.m_counters.retries_denied;
+		return false;
+	}
+	++m_forwarder.m_counters.retries;
+	return true;
+}
+
+void forwarded_request::retry_or_end(http::status _status, reason _reason)
+{
+	// A request that nobody took may wait for its turn like a new one; others must not wait twice.
+	if (may_repeat() && try_send())
+	{
+		return;
+	}
+	if (m_fallback)
+	{
+		answer(std::move(*m_fallback), outcome::served, reason::none);
+		return;
+	}
+	if (m_may_have_run)
+	{
+		end_with(http::status::service_unavailable == _status ? http::status::bad_gateway : _status, outcome::unknown, _reason);
+		return;
+	}
+	refuse(_reason);
+}
+
+void forwarded_request::on_deadline()
+{
+	if (m_ended)
+	{
+		return;
+	}
+	const bool sent = m_exchange && m_exchange->sent();
+	if (sent || m_may_have_run)
+	{
+		end_with(http::status::gateway_timeout, outcome::unknown, reason::deadline);
+		return;
+	}
+	refuse(reason::deadline);
+}
+
+void forwarded_request::on_caller_left()
+{
+	if (m_ended)
+	{
+		return;
+	}
+	++m_forwarder.m_counters.left;
+	log_end(0, outcome::unknown, reason::none);
+	forget();
+}
+
+void forwarded_request::refuse(reason _reason)
+{
+	caller_response response(http::status::service_unavailable, 11);
+	std::uniform_real_distribution<double> pause(k_retry_after_first_s, k_retry_after_last_s);
+	char text[16];
+	std::snprintf(text, sizeof(text), "%.2f", pause(m_forwarder.m_random));
+	response.set(http::field::retry_after, text);
+	answer(std::move(response), outcome::not_run, _reason);
+}
+
+void forwarded_request::end_with(http::status _status, outcome _outcome, reason _reason)
+{
+	answer(caller_response(_status, 11), _outcome, _reason);
+}
+
+void forwarded_request::answer(caller_response&& _response, outcome _outcome, reason _reason)
+{
+	strip_hop_by_hop(_response);
+	log_end(_response.result_int(), _outcome, _reason);
+	forwarder_counters& counters = m_forwarder.m_counters;
+	switch (_outcome)
+	{
+	case outcome::served:
+		++counters.answered;
+		break;
+	case outcome::not_run:
+		++counters.refused;
+		break;
+	case outcome::unknown:
+		++counters.unknown;
+		break;
+	}
+	const std::shared_ptr<caller_session> session = m_session;
+	forget();
+	session->respond(std::move(_response));
+}
+
+void forwarded_request::log_end(unsigned _status, outcome _outcome, reason _reason)
+{
+	if (outcome::served == _outcome && !edge_log::sampled(m_request_id))
+	{
+		return;
+	}
+	m_forwarder.m_log.write(
+	    log_line(event::request_ended)
+	        .text("id", m_request_id)
+	        .text("route", nullptr == m_route ? "" : m_route->name)
+	        .text("service", m_service)
+	        .number("config", m_routes ? static_cast<std::int64_t>(m_routes->version()) : 0)
+	        .number("status", _status)
+	        .text("outcome", to_string(_outcome))
+	        .text("reason", to_string(_reason))
+	        .text("region", m_region)
+	        .text("backend", m_tried.empty() ? "" : m_tried.back())
+	        .number("attempts", m_attempts)
+	        .number("unsent", m_unsent)
+	        .number("ms", to_ms(m_forwarder.m_clock.steady() - m_arrived_at).count()));
+}
+
+void forwarded_request::forget()
+{
+	m_ended = true;
+	leave_queue();
+	m_deadline_timer.cancel();
+	m_wait_timer.cancel();
+	if (m_exchange)
+	{
+		m_exchange->cancel();
+		m_exchange.reset();
+	}
+	m_session->on_leave(nullptr);
+	m_forwarder.m_requests.erase(shared_from_this());
+}
+} // namespace larkrack
--- /dev/null
+++ b/src/edge/forwarder.cpp
@@ -0,0 +1,150 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "forwarded_request_p.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace larkrack
+{
+namespace
+{
+/// Weight of the newest tick in a rate is tick / k_rate_memory_s.
+constexpr double k_rate_memory_s = 2.0;
+/// Weight of the newest exchange in the mean service time.
+constexpr double k_service_time_weight = 0.05;
+/// Service time before any exchange has ended.
+constexpr double k_service_time_prior_s = 0.4;
+/// Part of the permitted shift that is used; the rest is left to chance in small numbers.
+constexpr double k_shift_part = 0.5;
+/// Part of a service's requests that may leave their planned region because it has no free slot.
+constexpr double k_overflow_part = 0.04;
+/// A region that lost this part of its slots at once has failed.
+constexpr double k_capacity_loss = 0.3;
+} // namespace
+
+forwarder::service_state::service_state(const shared_bounds& _bounds)
+    : shares(k_shift_part * _bounds.max_shift / std::chrono::duration<double>(_bounds.shift_window).count()),
+      budget(_bounds.retry_ratio, 0.0, _bounds.retry_window), service_time_s(k_service_time_prior_s)
+{
+}
+
+forwarder::forwarder(asio::io_context& _context, const clock_base& _clock, header_names _names,
+    placement _placement, shared_bounds _bounds, backend_registry& _backends, const fleet_view_base& _fleet,
+    edge_log& _log)
+    : m_context(_context), m_clock(_clock), m_names(std::move(_names)), m_placement(std::move(_placement)),
+      m_bounds(_bounds), m_backends(_backends), m_fleet(_fleet), m_log(_log),
+      m_random(static_cast<unsigned>(_clock.steady().time_since_epoch().count()))
+{
+}
+
+forwarder::~forwarder() = default;
+
+void forwarder::handle(const std::shared_ptr<caller_session>& _session, caller_request&& _request)
+{
+	++m_counters.requests;
+	const auto request = std::make_shared<forwarded_request>(*this, _session, std::move(_request));
+	m_requests.insert(request);
+	request->start();
+}
+
+void forwarder::set_routes(std::shared_ptr<const routing_table> _routes)
+{
+	if (m_routes && m_routes->version() >= _routes->version())
+	{
+		return;
+	}
+	m_routes = std::move(_routes);
+}
+
+forwarder::service_state& forwarder::state_of(const std::string& _service)
+{
+	const auto it = m_services.find(_service);
+	if (m_services.end() != it)
+	{
+		return it->second;
+	}
+	service_state& state = m_services.emplace(_service, service_state(m_bounds)).first->second;
+	state.budget.set_slack(m_bounds.retry_slack / std::max(1.0, m_fleet.sharers().nodes));
+	update_shares(_service, state, m_clock.steady());
+	return state;
+}
+
+void forwarder::update_shares(const std::string& _service, service_state& _state, steady_time _now)
+{
+	figures_by_region figures;
+	double home_capacity = 0.0;
+	for (const backend_ptr& backend : m_backends.of_service(_service))
+	{
+		if (!backend->usable(_now) || backend->region.empty())
+		{
+			continue;
+		}
+		// A cold backend server carries little; it is left out until it is warm.
+		const double slots = backend->cold(_now) ? 0.0 : backend->record.slots;
+		figures[backend->region].capacity += slots;
+		home_capacity += backend->region == m_placement.region ? slots : 0.0;
+	}
+	figures[m_placement.region].demand += _state.requests_per_s * _state.service_time_s;
+	for (const auto& [region, per_s] : m_fleet.demand_of_others(_service))
+	{
+		figures[region].demand += per_s * _state.service_time_s;
+	}
+	const bool failed = home_capacity < (1.0 - k_capacity_loss) * _state.last_capacity;
+	_state.last_capacity = home_capacity;
+	_state.shares.follow(plan_shares(m_placement.region, figures), failed, _now);
+}
+
+void forwarder::tick()
+{
+	const steady_time now = m_clock.steady();
+	const double passed = steady_time{} == m_ticked_at ? k_rate_memory_s : std::chrono::duration<double>(now - m_ticked_at).count();
+	m_ticked_at = now;
+	const double weight = std::min(1.0, passed / k_rate_memory_s);
+	const double slack = m_bounds.retry_slack / std::max(1.0, m_fleet.sharers().nodes);
+	for (auto& [name, state] : m_services)
+	{
+		const double rate = passed > 0.0 ? state.arrivals / passed : state.requests_per_s;
+		state.requests_per_s += weight * (rate - state.requests_per_s);
+		state.arrivals = 0;
+		state.budget.set_slack(slack);
+		update_shares(name, state, now);
+	}
+	pump();
+}
+
+demand_by_service forwarder::demand() const
+{
+	demand_by_service demand;
+	for (const auto& [name, state] : m_services)
+	{
+		demand[name] = {state.requests_per_s, state.service_time_s};
+	}
+	return demand;
+}
+
+void forwarder::pump()
+{
+	for (auto& [name, state] : m_services)
+	{
+		pump_service(name, state);
+	}
+}
+
+void forwarder::pump_service(const std::string& _service, service_state& _state)
+{
+	(void)_service;
+	for (auto& [priority, requests] : _state.waiting)
+	{
+		while (!requests.empty())
+		{
+			const std::shared_ptr<forwarded_request> request = requests.front();
+			if (!request->try_send())
+			{
+				return;
+			}
+		}
+	}
+}
+} // namespace larkrack
--- /dev/null
+++ b/src/edge/heartbeat.cpp
@@ -0,0 +1,54 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "heartbeat_p.h"
+
+#include <nlohmann/json.hpp>
+
+namespace larkrack
+{
+namespace
+{
+/// Layout of the datagram; another one is not understood.
+constexpr int k_layout = 1;
+} // namespace
+
+std::vector<std::uint8_t> encode(const heartbeat& _heartbeat)
+{
+	const nlohmann::json document = {k_layout, _heartbeat.node, _heartbeat.incarnation, _heartbeat.sequence,
+	    _heartbeat.domain, _heartbeat.region, _heartbeat.ip, _heartbeat.callers,
+	    static_cast<int>(_heartbeat.state), _heartbeat.config_version, _heartbeat.store_revision,
+	    nlohmann::json(_heartbeat.requests_per_s), nlohmann::json(_heartbeat.known_ips)};
+	return nlohmann::json::to_cbor(document);
+}
+
+result<heartbeat> decode_heartbeat(const std::uint8_t* _data, std::size_t _size)
+{
+	try
+	{
+		const nlohmann::json document = nlohmann::json::from_cbor(_data, _data + _size);
+		if (!document.is_array() || 13 != document.size() || k_layout != document.at(0).get<int>())
+		{
+			return error{"bad_heartbeat", "another layout"};
+		}
+		heartbeat one;
+		one.node = document.at(1).get<std::string>();
+		one.incarnation = document.at(2).get<std::uint64_t>();
+		one.sequence = document.at(3).get<std::uint64_t>();
+		one.domain = document.at(4).get<std::string>();
+		one.region = document.at(5).get<std::string>();
+		one.ip = document.at(6).get<std::string>();
+		one.callers = document.at(7).get<std::string>();
+		one.state = static_cast<node_state>(document.at(8).get<int>());
+		one.config_version = document.at(9).get<std::uint64_t>();
+		one.store_revision = document.at(10).get<std::int64_t>();
+		one.requests_per_s = document.at(11).get<std::map<std::string, double>>();
+		one.known_ips = document.at(12).get<std::vector<std::string>>();
+		return one;
+	}
+	catch (const nlohmann::json::exception& exception)
+	{
+		return error{"bad_heartbeat", exception.what()};
+	}
+}
+} // namespace larkrack
--- /dev/null
+++ b/src/edge/region_shares.cpp
@@ -0,0 +1,146 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "region_shares_p.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace larkrack
+{
+namespace
+{
+/// Below this, a share or a number of slots counts as none.
+constexpr double k_nothing = 1e-9;
+/// Time that the first step of the shares covers.
+constexpr double k_first_step_s = 0.1;
+} // namespace
+
+share_by_region plan_shares(const std::string& _home, const figures_by_region& _figures)
+{
+	double demand = 0.0;
+	double capacity = 0.0;
+	for (const auto& [region, figures] : _figures)
+	{
+		demand += figures.demand;
+		capacity += figures.capacity;
+	}
+	share_by_region shares;
+	if (capacity < k_nothing)
+	{
+		return shares;
+	}
+	const auto home = _figures.find(_home);
+	const double home_demand = _figures.end() == home ? 0.0 : home->second.demand;
+	const double home_capacity = _figures.end() == home ? 0.0 : home->second.capacity;
+	const double granted = demand > capacity ? capacity / demand : 1.0;
+	if (home_demand * granted <= home_capacity && home_capacity > k_nothing)
+	{
+		shares[_home] = 1.0;
+		return shares;
+	}
+	double spare_elsewhere = 0.0;
+	for (const auto& [region, figures] : _figures)
+	{
+		if (region != _home)
+		{
+			spare_elsewhere += std::max(0.0, figures.capacity - granted * figures.demand);
+		}
+	}
+	const double kept = home_demand < k_nothing ? 0.0 : home_capacity / (home_demand * granted);
+	shares[_home] = kept;
+	for (const auto& [region, figures] : _figures)
+	{
+		if (region == _home)
+		{
+			continue;
+		}
+		const double spare = std::max(0.0, figures.capacity - granted * figures.demand);
+		const double part =
+		    spare_elsewhere > k_nothing ? spare / spare_elsewhere : figures.capacity / (capacity - home_capacity);
+		shares[region] = (1.0 - kept) * part;
+	}
+	return shares;
+}
+
+void region_shares::follow(const share_by_region& _planned, bool _at_once, steady_time _now)
+{
+	const double passed = steady_time{} == m_followed_at
+	                          ? k_first_step_s
+	                          : std::chrono::duration<double>(_now - m_followed_at).count();
+	m_followed_at = _now;
+	if (_planned.empty())
+	{
+		return;
+	}
+	double moved = 0.0;
+	for (const auto& [region, share] : _planned)
+	{
+		moved += std::max(0.0, share - m_shares[region]);
+	}
+	double part = 1.0;
+	if (!_at_once && moved > m_pace * passed)
+	{
+		part = m_pace * passed / moved;
+	}
+	share_by_region next;
+	double sum = 0.0;
+	for (const auto& [region, share] : m_shares)
+	{
+		const auto goal = _planned.find(region);
+		const double target = _planned.end() == goal ? 0.0 : goal->second;
+		next[region] = share + part * (target - share);
+		sum += next[region];
+	}
+	if (sum < k_nothing || sum < 0.999)
+	{
+		// The first plan: there is nothing to move away from.
+		next = _planned;
+	}
+	m_shares = std::move(next);
+}
+
+std::string region_shares::next()
+{
+	std::string chosen;
+	double best = -1.0;
+	for (const auto& [region, share] : m_shares)
+	{
+		double& credit = m_credit[region];
+		credit += share;
+		if (share > k_nothing && (chosen.empty() || credit > best))
+		{
+			chosen = region;
+			best = credit;
+		}
+	}
+	if (!chosen.empty())
+	{
+		m_credit[chosen] -= 1.0;
+	}
+	return chosen;
+}
+
+std::size_t smooth_rotation::next(const std::vector<std::pair<std::string, double>>& _weights)
+{
+	double sum = 0.0;
+	for (const auto& [name, weight] : _weights)
+	{
+		sum += weight;
+	}
+	std::size_t chosen = 0;
+	double best = -INFINITY;
+	for (std::size_t i = 0; i < _weights.size(); ++i)
+	{
+		double& credit = m_credit[_weights[i].first];
+		credit += sum > k_nothing ? _weights[i].second / sum : 0.0;
+		if (_weights[i].second > k_nothing && credit > best)
+		{
+			chosen = i;
+			best = credit;
+		}
+	}
+	m_credit[_weights[chosen].first] -= 1.0;
+	return chosen;
+}
+} // namespace larkrack
--- /dev/null
+++ b/src/edge/routing_table.cpp
@@ -0,0 +1,90 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "routing_table_p.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace larkrack
+{
+namespace
+{
+std::string normal_host(std::string_view _host)
+{
+	const std::size_t colon = _host.find(':');
+	std::string host(_host.substr(0, colon));
+	for (char& letter : host)
+	{
+		letter = static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
+	}
+	return host;
+}
+
+std::string index_key(const std::string& _host, std::string_view _prefix)
+{
+	std::string key = _host;
+	key += ' ';
+	key += _prefix;
+	return key;
+}
+} // namespace
+
+routing_table::routing_table(std::uint64_t _version, std::vector<route> _routes,
+    std::vector<service_spec> _services, const caller_limits& _limits)
+    : m_version(_version), m_routes(std::move(_routes)), m_services(std::move(_services)), m_limits(_limits)
+{
+	for (std::size_t i = 0; i < m_routes.size(); ++i)
+	{
+		m_by_prefix.emplace(index_key(normal_host(m_routes[i].host), m_routes[i].path_prefix), i);
+	}
+}
+
+const route* routing_table::find(std::string_view _host, std::string_view _target) const
+{
+	const std::string host = normal_host(_host);
+	std::string_view path = _target.substr(0, _target.find('?'));
+	while (!path.empty())
+	{
+		const std::size_t slash = path.rfind('/');
+		if (std::string_view::npos == slash)
+		{
+			return nullptr;
+		}
+		const auto it = m_by_prefix.find(index_key(host, path.substr(0, slash + 1)));
+		if (m_by_prefix.end() != it)
+		{
+			return &m_routes[it->second];
+		}
+		path = path.substr(0, slash);
+	}
+	return nullptr;
+}
+
+const service_spec* routing_table::find_service(const std::string& _name) const
+{
+	const auto it = std::find_if(m_services.begin(), m_services.end(),
+	    [&](const service_spec& _service)
+	    {
+		    return _service.name == _name;
+	    });
+	return m_services.end() == it ? nullptr : &*it;
+}
+
+std::vector<std::string> routing_table::home_regions(std::string_view _host) const
+{
+	const std::string host = normal_host(_host);
+	std::vector<std::string> regions;
+	for (const route& one : m_routes)
+	{
+		if (one.home_regions.empty() || normal_host(one.host) != host)
+		{
+			continue;
+		}
+		regions.insert(regions.end(), one.home_regions.begin(), one.home_regions.end());
+	}
+	std::sort(regions.begin(), regions.end());
+	regions.erase(std::unique(regions.begin(), regions.end()), regions.end());
+	return regions;
+}
+} // namespace larkrack
--- /dev/null
+++ b/src/edge/state_replica.cpp
@@ -0,0 +1,198 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "state_replica_p.h"
+
+#include <algorithm>
+
+namespace larkrack
+{
+namespace
+{
+/// A backend server whose entry vanished serves on for a while; it gets new requests for so long.
+constexpr std::chrono::milliseconds k_removal_delay{1000};
+/// The same while the platform is in trouble: entries come back as soon as their owners reach it.
+constexpr std::chrono::milliseconds k_removal_delay_distrusted{6000};
+/// Time after trouble for which entries may still vanish without reason.
+constexpr std::chrono::milliseconds k_distrust{3500};
+
+bool starts_with(const std::string& _text, const std::string& _prefix)
+{
+	return 0 == _text.compare(0, _prefix.size(), _prefix);
+}
+} // namespace
+
+state_replica::state_replica(const clock_base& _clock, const record_codec_base& _codec,
+    backend_registry& _backends, edge_log& _log, routes_handler _on_routes, node_handler _on_node)
+    : m_clock(_clock), m_codec(_codec), m_backends(_backends), m_log(_log), m_on_routes(std::move(_on_routes)),
+      m_on_node(std::move(_on_node))
+{
+}
+
+void state_replica::distrust()
+{
+	m_distrusted_until = m_clock.steady() + k_distrust;
+}
+
+void state_replica::replace(
+    const std::string& _prefix, const std::vector<store_value>& _values, std::int64_t _revision)
+{
+	std::map<std::string, bool> present;
+	for (const store_value& value : _values)
+	{
+		present[value.key] = true;
+		put(value);
+	}
+	std::vector<std::string> absent;
+	for (const auto& [key, value] : m_values)
+	{
+		if (starts_with(key, _prefix) && 0 == present.count(key) && value.mod_revision <= _revision)
+		{
+			absent.push_back(key);
+		}
+	}
+	for (const std::string& key : absent)
+	{
+		remove(key);
+	}
+	m_revision = std::max(m_revision, _revision);
+}
+
+void state_replica::apply(const watch_batch& _batch)
+{
+	for (const store_value& value : _batch.puts)
+	{
+		put(value);
+	}
+	for (const std::string& key : _batch.deletes)
+	{
+		const auto it = m_values.find(key);
+		if (m_values.end() != it && it->second.mod_revision <= _batch.store_revision)
+		{
+			remove(key);
+		}
+	}
+	m_revision = std::max(m_revision, _batch.store_revision);
+}
+
+void state_replica::put(const store_value& _value)
+{
+	const auto it = m_values.find(_value.key);
+	const bool returned =
+	    record_kind::backend == m_codec.kind_of(_value.key) && m_removals.erase(m_codec.name_of(_value.key)) > 0;
+	if (m_values.end() != it && it->second.mod_revision >= _value.mod_revision && !returned)
+	{
+		return;
+	}
+	m_values[_value.key] = _value;
+	switch (m_codec.kind_of(_value.key))
+	{
+	case record_kind::routes:
+		put_routes(_value);
+		break;
+	case record_kind::backend:
+		put_backend(_value);
+		break;
+	case record_kind::evacuation:
+		update_evacuations();
+		break;
+	case record_kind::node:
+		m_on_node(_value.value);
+		break;
+	case record_kind::other:
+		break;
+	}
+}
+
+void state_replica::put_routes(const store_value& _value)
+{
+	result<std::shared_ptr<const routing_table>> routes = m_codec.decode_routes(_value.value);
+	if (const error* refused = std::get_if<error>(&routes))
+	{
+		m_log.write(log_line(event::config_refused).text("why", refused->message).number("revision", _value.mod_revision));
+		return;
+	}
+	const auto& table = *value_of(routes);
+	m_log.write(log_line(event::config_taken)
+	                .number("config", static_cast<std::int64_t>(table->version()))
+	                .number("revision", _value.mod_revision)
+	                .number("routes", static_cast<std::int64_t>(table->routes().size())));
+	m_on_routes(table);
+}
+
+void state_replica::put_backend(const store_value& _value)
+{
+	result<backend_record> decoded = m_codec.decode_backend(_value.key, _value.value);
+	const backend_record* record = value_of(decoded);
+	if (nullptr == record)
+	{
+		return;
+	}
+	const backend_ptr known = m_backends.find(record->id);
+	if (!known || known->record.draining != record->draining || record->warmup_left.count() > 0)
+	{
+		m_log.write(log_line(event::backend_changed)
+		                .text("backend", record->id)
+		                .text("service", record->service)
+		                .text("domain", record->domain)
+		                .text("state", record->draining ? "draining" : "ready")
+		                .number("warmup_ms", record->warmup_left.count())
+		                .number("revision", _value.mod_revision));
+	}
+	m_backends.put(*record, m_clock.steady());
+}
+
+void state_replica::remove(const std::string& _key)
+{
+	m_values.erase(_key);
+	switch (m_codec.kind_of(_key))
+	{
+	case record_kind::backend:
+	{
+		const std::string id = m_codec.name_of(_key);
+		const bool distrusted = m_clock.steady() < m_distrusted_until;
+		m_removals[id] = m_clock.steady() + (distrusted ? k_removal_delay_distrusted : k_removal_delay);
+		break;
+	}
+	case record_kind::evacuation:
+		update_evacuations();
+		break;
+	case record_kind::routes:
+	case record_kind::node:
+	case record_kind::other:
+		break;
+	}
+}
+
+void state_replica::tick()
+{
+	const steady_time now = m_clock.steady();
+	for (auto it = m_removals.begin(); it != m_removals.end();)
+	{
+		if (now < it->second)
+		{
+			++it;
+			continue;
+		}
+		m_log.write(log_line(event::backend_removed).text("backend", it->first));
+		m_backends.remove(it->first);
+		it = m_removals.erase(it);
+	}
+}
+
+void state_replica::update_evacuations()
+{
+	std::vector<std::string> domains;
+	std::string names;
+	for (const auto& [key, value] : m_values)
+	{
+		if (record_kind::evacuation == m_codec.kind_of(key))
+		{
+			domains.push_back(m_codec.name_of(key));
+			names += (names.empty() ? "" : ",") + domains.back();
+		}
+	}
+	m_log.write(log_line(event::domain_evacuated).text("domains", names));
+	m_backends.set_evacuated(domains);
+}
+} // namespace larkrack
--- /dev/null
+++ b/src/edge/state_replica_p.h
@@ -0,0 +1,93 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// This node's copy of the platform's keys: configuration, registry of backend servers, evacuations, nodes.
+#pragma once
+
+#include "backend_registry_p.h"
+#include "edge_log_p.h"
+#include "routing_table_p.h"
+
+#include "../store_p.h"
+
+#include <functional>
+#include <map>
+
+namespace larkrack
+{
+/// What a key of the platform stands for.
+enum class record_kind
+{
+	other,
+	routes,     ///< The whole configuration.
+	backend,    ///< One backend server.
+	evacuation, ///< One failure domain that is to get no new work.
+	node,       ///< One node of larkrack.
+};
+
+/// Knows the keys of a platform and the form of their values.
+class record_codec_base
+{
+public:
+	virtual ~record_codec_base() = default;
+	/// @returns Prefixes of all keys that are of interest.
+	virtual std::vector<std::string> prefixes() const = 0;
+	virtual record_kind kind_of(const std::string& _key) const = 0;
+	/// @returns What the key names: id of the backend server, failure domain, node.
+	virtual std::string name_of(const std::string& _key) const = 0;
+	virtual result<std::shared_ptr<const routing_table>> decode_routes(const std::string& _value) const = 0;
+	virtual result<backend_record> decode_backend(const std::string& _key, const std::string& _value) const = 0;
+	/// @returns Key under which a node registers itself.
+	virtual std::string node_key(const std::string& _node) const = 0;
+};
+
+/// Applies changes of the platform's keys to the routing table and the registry of backend servers. A key goes
+/// back to an older revision only when the whole copy is replaced; the configuration never goes back.
+class state_replica
+{
+public:
+	using routes_handler = std::function<void(std::shared_ptr<const routing_table>)>;
+	using node_handler = std::function<void(const std::string& _ip)>;
+
+	state_replica(const clock_base& _clock, const record_codec_base& _codec, backend_registry& _backends,
+	    edge_log& _log, routes_handler _on_routes, node_handler _on_node);
+
+	/// Takes all keys with a prefix as they are at a revision.
+	void replace(const std::string& _prefix, const std::vector<store_value>& _values, std::int64_t _revision);
+	/// Takes changes.
+	void apply(const watch_batch& _batch);
+	/// Removes what has been gone for long enough; call it at a steady interval.
+	void tick();
+	/// Says that the platform's answers can not be relied on now: entries vanish while it is down.
+	void distrust();
+
+	std::int64_t revision() const
+	{
+		return m_revision;
+	}
+	/// @returns All keys, for another node.
+	const std::map<std::string, store_value>& values() const
+	{
+		return m_values;
+	}
+
+private:
+	void put(const store_value& _value);
+	void remove(const std::string& _key);
+	void put_routes(const store_value& _value);
+	void put_backend(const store_value& _value);
+	void update_evacuations();
+
+	const clock_base& m_clock;
+	const record_codec_base& m_codec;
+	backend_registry& m_backends;
+	edge_log& m_log;
+	routes_handler m_on_routes;
+	node_handler m_on_node;
+	std::map<std::string, store_value> m_values;
+	std::map<std::string, steady_time> m_removals; ///< Backend servers to be removed, by id.
+	std::int64_t m_revision = 0;
+	steady_time m_distrusted_until{};
+};
+} // namespace larkrack
--- /dev/null
+++ b/src/edge/store_sync.cpp
@@ -0,0 +1,173 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "store_sync_p.h"
+
+#include "larkrack/config.h"
+
+#include <algorithm>
+
+namespace larkrack
+{
+namespace
+{
+/// First and last pause between two tries at the platform.
+constexpr std::chrono::milliseconds k_pause_first{100};
+constexpr std::chrono::milliseconds k_pause_last{800};
+/// Time to live of a node's registration.
+constexpr std::chrono::seconds k_registration_ttl{10};
+constexpr std::chrono::milliseconds k_registration_renewal{3500};
+} // namespace
+
+store_sync::store_sync(asio::io_context& _context, const clock_base& _clock, store_base& _store,
+    state_replica& _replica, const record_codec_base& _codec, edge_log& _log, std::string _node,
+    std::string _node_value)
+    : m_context(_context), m_clock(_clock), m_store(_store), m_replica(_replica), m_codec(_codec), m_log(_log),
+      m_node(std::move(_node)), m_node_value(std::move(_node_value)),
+      m_random(static_cast<unsigned>(std::hash<std::string>()(m_node)))
+{
+}
+
+void store_sync::begin()
+{
+	for (const std::string& prefix : m_codec.prefixes())
+	{
+		start(m_context,
+		    [this, prefix](const yield_context& _yield)
+		    {
+			    follow(prefix, _yield);
+		    });
+	}
+	start(m_context,
+	    [this](const yield_context& _yield)
+	    {
+		    keep_registered(_yield);
+	    });
+}
+
+void store_sync::note(bool _answered)
+{
+	if (_answered)
+	{
+		if (!m_health.reached)
+		{
+			m_log.write(log_line(event::platform_up).number("failures", m_health.failures));
+		}
+		m_health = {true, m_clock.steady(), 0};
+		return;
+	}
+	m_replica.distrust();
+	++m_health.failures;
+	if (m_health.reached)
+	{
+		m_health.reached = false;
+		m_log.write(log_line(event::platform_down));
+	}
+}
+
+void store_sync::back_off(int _tries, const yield_context& _yield)
+{
+	const auto longest = std::min(k_pause_last, k_pause_first * (1 << std::min(_tries, 4)));
+	std::uniform_int_distribution<int> pause(static_cast<int>(longest.count()) / 2, static_cast<int>(longest.count()));
+	sleep_for(m_context.get_executor(), std::chrono::milliseconds(pause(m_random)), _yield);
+}
+
+bool store_sync::read_all(const std::string& _prefix, std::int64_t& _revision, const yield_context& _yield)
+{
+	const range_reply reply = m_store.range("read", _prefix, true, _yield);
+	note(call_status::done == reply.status);
+	if (call_status::done != reply.status)
+	{
+		return false;
+	}
+	m_replica.replace(_prefix, reply.values, reply.store_revision);
+	m_log.write(log_line(event::store_resynced)
+	                .text("prefix", _prefix)
+	                .number("keys", static_cast<std::int64_t>(reply.values.size()))
+	                .number("revision", reply.store_revision));
+	_revision = reply.store_revision;
+	return true;
+}
+
+void store_sync::follow(const std::string& _prefix, const yield_context& _yield)
+{
+	std::int64_t revision = 0;
+	bool synced = false;
+	int tries = 0;
+	while (!m_stopping)
+	{
+		if (!synced)
+		{
+			synced = read_all(_prefix, revision, _yield);
+			if (!synced)
+			{
+				back_off(tries++, _yield);
+				continue;
+			}
+		}
+		const watch_end end = m_store.watch(
+		    "watch", _prefix, revision + 1,
+		    [&](const watch_batch& _batch)
+		    {
+			    note(true);
+			    tries = 0;
+			    m_replica.apply(_batch);
+			    revision = std::max(revision, _batch.store_revision);
+			    return !m_stopping;
+		    },
+		    _yield);
+		if (watch_end::history_lost == end)
+		{
+			synced = false;
+			m_replica.distrust();
+			continue;
+		}
+		if (watch_end::broken == end)
+		{
+			note(false);
+			back_off(tries++, _yield);
+		}
+	}
+}
+
+std::int64_t store_sync::register_node(const yield_context& _yield)
+{
+	const lease_reply lease = m_store.lease_grant("register_lease", k_registration_ttl, _yield);
+	if (call_status::done != lease.status)
+	{
+		return 0;
+	}
+	store_write write;
+	write.key = m_codec.node_key(m_node);
+	write.value = m_node_value;
+	write.lease = lease.id;
+	const txn_reply reply = m_store.txn("register", {}, {write}, _yield);
+	// Written twice with the same value, the key is the same; so an unsure write is simply tried again.
+	return call_status::done == reply.status && reply.succeeded ? lease.id : 0;
+}
+
+void store_sync::keep_registered(const yield_context& _yield)
+{
+	std::int64_t lease = 0;
+	int tries = 0;
+	while (!m_stopping)
+	{
+		if (0 == lease)
+		{
+			lease = register_node(_yield);
+			if (0 == lease)
+			{
+				back_off(4 + tries++, _yield);
+				continue;
+			}
+			tries = 0;
+		}
+		sleep_for(m_context.get_executor(), k_registration_renewal, _yield);
+		const lease_reply kept = m_store.lease_keep_alive("register_renew", lease, _yield);
+		if (call_status::done == kept.status && 0 == kept.ttl.count())
+		{
+			lease = 0;
+		}
+	}
+}
+} // namespace larkrack
--- /dev/null
+++ b/src/edge/store_sync_p.h
@@ -0,0 +1,64 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// Keeps the replica of the platform's keys up to date, and this node registered there.
+#pragma once
+
+#include "state_replica_p.h"
+
+#include <random>
+
+namespace larkrack
+{
+/// How the platform has answered lately.
+struct store_health
+{
+	bool reached = false;
+	steady_time last_answer{};
+	int failures = 0; ///< In a row.
+};
+
+/// Reads and watches each prefix of the codec; registers this node under a lease.
+class store_sync
+{
+public:
+	/// @param[in] _node_value What is registered for this node.
+	store_sync(asio::io_context& _context, const clock_base& _clock, store_base& _store, state_replica& _replica,
+	    const record_codec_base& _codec, edge_log& _log, std::string _node, std::string _node_value);
+
+	/// Starts reading, watching and registering.
+	void begin();
+	/// Stops after the call that is under way.
+	void end()
+	{
+		m_stopping = true;
+	}
+	const store_health& health() const
+	{
+		return m_health;
+	}
+
+private:
+	void follow(const std::string& _prefix, const yield_context& _yield);
+	/// @returns Whether all keys were read; _revision is set then.
+	bool read_all(const std::string& _prefix, std::int64_t& _revision, const yield_context& _yield);
+	void keep_registered(const yield_context& _yield);
+	/// @returns Lease of the registration, or 0.
+	std::int64_t register_node(const yield_context& _yield);
+	void note(bool _answered);
+	void back_off(int _tries, const yield_context& _yield);
+
+	asio::io_context& m_context;
+	const clock_base& m_clock;
+	store_base& m_store;
+	state_replica& m_replica;
+	const record_codec_base& m_codec;
+	edge_log& m_log;
+	std::string m_node;
+	std::string m_node_value;
+	store_health m_health;
+	bool m_stopping = false;
+	std::minstd_rand m_random;
+};
+} // namespace larkrack
--- /dev/null
+++ b/src/edge/upstream.cpp
@@ -0,0 +1,327 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "upstream_p.h"
+
+#include "larkrack/config.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+
+namespace larkrack
+{
+namespace
+{
+constexpr std::uint64_t k_any_length = INT64_MAX;
+constexpr std::size_t k_buffer_kept = 4096;
+/// A connection is dropped this long before the backend server would close it.
+constexpr std::chrono::milliseconds k_rest_margin{1000};
+constexpr std::chrono::milliseconds k_rest_default{4000};
+/// A request that may run once only does not use a connection that rested longer.
+constexpr std::chrono::milliseconds k_rest_at_most_once{1500};
+/// Idle connections to one backend server.
+constexpr std::size_t k_idle_connections = 16;
+/// Late answers to earlier requests that are passed over on one connection.
+constexpr int k_foreign_answers = 2;
+
+std::chrono::milliseconds keep_alive_of(const caller_response& _response)
+{
+	const std::string value(_response[http::field::keep_alive]);
+	const std::size_t at = value.find("timeout=");
+	int seconds = 0;
+	if (std::string::npos == at ||
+	    std::from_chars(value.data() + at + 8, value.data() + value.size(), seconds).ec != std::errc())
+	{
+		return k_rest_default;
+	}
+	return std::chrono::seconds(seconds);
+}
+} // namespace
+
+upstream_connection::upstream_connection(asio::io_context& _context, backend_ptr _backend)
+    : socket(_context), m_backend(std::move(_backend)), m_timer(_context)
+{
+	++m_backend->connections;
+}
+
+upstream_connection::~upstream_connection()
+{
+	--m_backend->connections;
+}
+
+void upstream_connection::rest(std::chrono::milliseconds _life, steady_time _now)
+{
+	if (m_backend->gone || m_backend->idle.size() >= k_idle_connections || _life <= k_rest_margin)
+	{
+		return;
+	}
+	buffer.clear();
+	if (buffer.capacity() > k_buffer_kept)
+	{
+		buffer.shrink_to_fit();
+	}
+	m_resting = true;
+	m_rested_at = _now;
+	++m_rests;
+	m_backend->idle.push_back(shared_from_this());
+	const std::weak_ptr<upstream_connection> weak = weak_from_this();
+	const auto end_rest = [weak, number = m_rests](beast::error_code _error)
+	{
+		const auto self = weak.lock();
+		if (asio::error::operation_aborted != _error && self && self->m_resting && self->m_rests == number)
+		{
+			self->drop();
+		}
+	};
+	socket.async_wait(tcp::socket::wait_read, end_rest);
+	m_timer.expires_after(_life - k_rest_margin);
+	m_timer.async_wait(end_rest);
+}
+
+bool upstream_connection::wake(steady_time _now, std::chrono::milliseconds _longest_rest)
+{
+	m_resting = false;
+	m_timer.cancel();
+	beast::error_code error;
+	socket.cancel(error);
+	if (_now - m_rested_at > _longest_rest)
+	{
+		return false;
+	}
+	// Readable means closed, or bytes that belong to no request.
+	socket.non_blocking(true, error);
+	char byte = 0;
+	socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+	return asio::error::would_block == error;
+}
+
+void upstream_connection::drop()
+{
+	const auto self = shared_from_this();
+	m_resting = false;
+	m_timer.cancel();
+	beast::error_code ignored;
+	socket.close(ignored);
+	auto& idle = m_backend->idle;
+	idle.erase(std::remove(idle.begin(), idle.end(), self), idle.end());
+}
+
+upstream_exchange::upstream_exchange(asio::io_context& _context, const clock_base& _clock,
+    const header_names& _names, backend_ptr _backend, upstream_request _request,
+    std::chrono::milliseconds _connect_timeout, handler _handler)
+    : m_context(_context), m_clock(_clock), m_names(_names), m_backend(std::move(_backend)),
+      m_request(std::move(_request)), m_connect_timeout(_connect_timeout), m_handler(std::move(_handler)),
+      m_timer(_context)
+{
+}
+
+void upstream_exchange::start()
+{
+	++m_backend->in_flight;
+	const auto longest_rest =
+	    m_request.at_most_once ? k_rest_at_most_once : std::chrono::milliseconds(std::chrono::hours(1));
+	while (!m_backend->idle.empty())
+	{
+		const std::shared_ptr<upstream_connection> connection = std::move(m_backend->idle.back());
+		m_backend->idle.pop_back();
+		if (connection->wake(m_clock.steady(), longest_rest))
+		{
+			m_connection = connection;
+			write();
+			return;
+		}
+	}
+	connect();
+}
+
+void upstream_exchange::connect()
+{
+	m_fresh = true;
+	m_connection = std::make_shared<upstream_connection>(m_context, m_backend);
+	m_timer.expires_after(m_connect_timeout);
+	m_timer.async_wait(
+	    [self = shared_from_this()](beast::error_code _error)
+	    {
+		    if (!_error && !self->m_done && !self->m_sent)
+		    {
+			    exchange_result result;
+			    result.detail = "connect_timeout";
+			    self->finish(std::move(result), backend_signal::unreachable);
+		    }
+	    });
+	m_connection->socket.async_connect(m_backend->record.address,
+	    [self = shared_from_this()](beast::error_code _error)
+	    {
+		    if (self->m_done)
+		    {
+			    return;
+		    }
+		    if (_error)
+		    {
+			    exchange_result result;
+			    result.detail = "connect_failed";
+			    self->finish(std::move(result), backend_signal::unreachable);
+			    return;
+		    }
+		    beast::error_code ignored;
+		    self->m_connection->socket.set_option(tcp::no_delay(true), ignored);
+		    self->write();
+	    });
+}
+
+void upstream_exchange::write()
+{
+	m_sent = true;
+	m_timer.cancel();
+	// The answer may come before the request has left whole; reading goes on meanwhile.
+	asio::async_write(m_connection->socket, asio::buffer(*m_request.bytes),
+	    [self = shared_from_this(), bytes = m_request.bytes](beast::error_code, std::size_t)
+	    {
+	    });
+	read();
+}
+
+void upstream_exchange::read()
+{
+	m_parser.emplace();
+	m_parser->body_limit(k_any_length);
+	m_parser->skip(m_request.head);
+	http::async_read(m_connection->socket, m_connection->buffer, *m_parser,
+	    [self = shared_from_this()](beast::error_code _error, std::size_t)
+	    {
+		    if (self->m_done)
+		    {
+			    return;
+		    }
+		    if (_error)
+		    {
+			    exchange_result result;
+			    result.end = exchange_end::lost;
+			    result.detail =
+			        http::error::end_of_stream == _error || asio::error::connection_reset == _error ? "closed" : "broken_answer";
+			    self->finish(std::move(result), backend_signal::lost);
+			    return;
+		    }
+		    self->on_answer();
+	    });
+}
+
+bool upstream_exchange::is_ours(const caller_response& _response) const
+{
+	const auto id = _response.find(m_names.request_id);
+	return _response.end() == id || id->value() == m_request.request_id;
+}
+
+void upstream_exchange::on_answer()
+{
+	const unsigned status = m_parser->get().result_int();
+	if (status < 200 && 101 != status)
+	{
+		read();
+		return;
+	}
+	if (!is_ours(m_parser->get()))
+	{
+		if (++m_foreign_answers <= k_foreign_answers && m_parser->keep_alive())
+		{
+			read();
+			return;
+		}
+		exchange_result result;
+		result.end = exchange_end::lost;
+		result.detail = "foreign_answer";
+		finish(std::move(result), backend_signal::lost);
+		return;
+	}
+	exchange_result result;
+	caller_response response = m_parser->release();
+	take_load(response);
+	const bool unbroken = !m_parser->need_eof() && m_parser->keep_alive();
+	if (response.end() != response.find(m_names.not_run) || 421 == status)
+	{
+		result.end = exchange_end::not_run;
+		result.wrong_server = 421 == status;
+		result.detail = result.wrong_server ? "wrong_server" : "shed";
+		if (unbroken)
+		{
+			keep_connection(response);
+		}
+		finish(std::move(result),
+		    result.wrong_server ? backend_signal::unreachable : backend_signal::refused);
+		return;
+	}
+	if (response.end() == response.find(m_names.signature) && response.end() == response.find(m_names.request_id))
+	{
+		result.end = exchange_end::lost;
+		result.detail = "unsigned_answer";
+		finish(std::move(result), backend_signal::lost);
+		return;
+	}
+	if (unbroken)
+	{
+		keep_connection(response);
+	}
+	result.end = exchange_end::answered;
+	result.response = std::move(response);
+	finish(std::move(result), backend_signal::answered);
+}
+
+void upstream_exchange::take_load(const caller_response& _response)
+{
+	const std::string value(_response[m_names.load]);
+	backend_load load;
+	if (3 == std::sscanf(value.c_str(), "%d,%d,%d", &load.running, &load.waiting, &load.slots))
+	{
+		// The exchange that ends now is no longer among those that run.
+		--m_backend->in_flight;
+		m_backend->report(load, m_clock.steady());
+		++m_backend->in_flight;
+	}
+}
+
+void upstream_exchange::keep_connection(const caller_response& _response)
+{
+	if (m_connection->buffer.size() > 0)
+	{
+		return;
+	}
+	m_connection->rest(keep_alive_of(_response), m_clock.steady());
+	m_connection.reset();
+}
+
+void upstream_exchange::finish(exchange_result&& _result, backend_signal _signal)
+{
+	m_done = true;
+	m_timer.cancel();
+	--m_backend->in_flight;
+	m_backend->signal(_signal, m_clock.steady());
+	if (m_connection)
+	{
+		beast::error_code ignored;
+		m_connection->socket.close(ignored);
+		m_connection.reset();
+	}
+	const auto handler = std::move(m_handler);
+	m_handler = nullptr;
+	handler(std::move(_result));
+}
+
+void upstream_exchange::cancel()
+{
+	if (m_done)
+	{
+		return;
+	}
+	m_done = true;
+	m_handler = nullptr;
+	m_timer.cancel();
+	--m_backend->in_flight;
+	if (m_connection)
+	{
+		beast::error_code ignored;
+		m_connection->socket.close(ignored);
+		m_connection.reset();
+	}
+}
+} // namespace larkrack
--- /dev/null
+++ b/src/edge/upstream_p.h
@@ -0,0 +1,134 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// One exchange with a backend server. What a backend server sends is never trusted: an exchange that did not
+/// end cleanly closes its connection.
+#pragma once
+
+#include "backend_registry_p.h"
+#include "http_listener_p.h"
+
+#include <optional>
+#include <string>
+
+namespace larkrack
+{
+/// Names of the headers that callers, nodes and backend servers exchange. Set once, at the start.
+struct header_names
+{
+	std::string request_id = "Larkrack-Request-Id";
+	std::string timeout_ms = "Larkrack-Deadline-Ms"; ///< Milliseconds that remain.
+	std::string target_id = "Larkrack-Backend";      ///< Only this backend server may run the request.
+	std::string not_run = "Larkrack-Shed";           ///< The backend server did not run the request.
+	std::string load = "Larkrack-Load";              ///< Running, waiting, slots.
+	std::string affinity_cookie = "Larkrack-Affinity";
+	std::string signature = "Larkrack-Signature"; ///< Stands in each answer of a backend server that ran.
+};
+
+/// Connection to a backend server, for one exchange at a time.
+class upstream_connection : public std::enable_shared_from_this<upstream_connection>
+{
+public:
+	upstream_connection(asio::io_context& _context, backend_ptr _backend);
+	~upstream_connection();
+	upstream_connection(const upstream_connection&) = delete;
+	upstream_connection& operator=(const upstream_connection&) = delete;
+
+	/// Keeps the connection for a later exchange, and drops it as soon as anything comes on it.
+	/// @param[in] _life Time for which the backend server keeps it open.
+	void rest(std::chrono::milliseconds _life, steady_time _now);
+	/// Ends the rest.
+	/// @returns Whether the connection is still fit for use.
+	bool wake(steady_time _now, std::chrono::milliseconds _longest_rest);
+
+	tcp::socket socket;
+	beast::flat_buffer buffer;
+
+private:
+	void drop();
+
+	backend_ptr m_backend;
+	asio::steady_timer m_timer;
+	steady_time m_rested_at{};
+	bool m_resting = false;
+	unsigned m_rests = 0;
+};
+
+/// How an exchange ended.
+enum class exchange_end
+{
+	answered, ///< A whole answer of the backend server to this very request.
+	not_run,  ///< The backend server did not run it.
+	not_sent, ///< No byte of it was sent.
+	lost,     ///< It may have run.
+};
+
+/// Result of an exchange.
+struct exchange_result
+{
+	exchange_end end = exchange_end::not_sent;
+	std::optional<caller_response> response; ///< Set when answered.
+	bool wrong_server = false;               ///< Another backend server has the address.
+	const char* detail = "";                 ///< What went wrong, for the log.
+};
+
+/// A request as it goes to one backend server.
+struct upstream_request
+{
+	std::shared_ptr<const std::string> bytes;
+	std::string request_id;
+	bool head = false;         ///< Its answer has no body.
+	bool at_most_once = false; ///< A connection that may be stale is not used.
+};
+
+/// Sends one request to one backend server.
+class upstream_exchange : public std::enable_shared_from_this<upstream_exchange>
+{
+public:
+	using handler = std::function<void(exchange_result&&)>;
+
+	/// @param[in] _connect_timeout Longest time for a new connection to come up.
+	upstream_exchange(asio::io_context& _context, const clock_base& _clock, const header_names& _names,
+	    backend_ptr _backend, upstream_request _request, std::chrono::milliseconds _connect_timeout,
+	    handler _handler);
+	/// Starts it. The handler is called once, unless it is cancelled before.
+	void start();
+	/// Gives it up: the connection is closed, which stops the work of the backend server.
+	void cancel();
+	/// @returns Whether a byte of the request may have left.
+	bool sent() const
+	{
+		return m_sent;
+	}
+	const backend_ptr& backend() const
+	{
+		return m_backend;
+	}
+
+private:
+	void connect();
+	void write();
+	void read();
+	void on_answer();
+	void finish(exchange_result&& _result, backend_signal _signal);
+	bool is_ours(const caller_response& _response) const;
+	void take_load(const caller_response& _response);
+	void keep_connection(const caller_response& _response);
+
+	asio::io_context& m_context;
+	const clock_base& m_clock;
+	const header_names& m_names;
+	backend_ptr m_backend;
+	upstream_request m_request;
+	std::chrono::milliseconds m_connect_timeout;
+	handler m_handler;
+	asio::steady_timer m_timer;
+	std::shared_ptr<upstream_connection> m_connection;
+	std::optional<http::response_parser<http::string_body>> m_parser;
+	bool m_sent = false;
+	bool m_done = false;
+	bool m_fresh = false;
+	int m_foreign_answers = 0;
+};
+} // namespace larkrack
--- a/src/events_p.h
+++ b/src/events_p.h
@@ -55,7 +55,18 @@
 	X(1601, backend_unreachable, warning, "A backend server refuses connections.")                           \
 	X(1602, backend_shedding, warning, "A backend server sheds; the pace towards it is lowered.")            \
 	X(1701, operator_refused, warning, "A change without the right token was refused.")                      \
-	X(1801, trace_dropped, warning, "Spans were dropped because the queue was full.")
+	X(1801, trace_dropped, warning, "Spans were dropped because the queue was full.")                        \
+	X(1802, log_dropped, warning, "Lines of the log were dropped because its reader is slow.")               \
+	X(1901, request_ended, info, "A request got its final answer.")                                          \
+	X(1902, attempt_failed, warning, "A backend server did not serve a request that was sent to it.")        \
+	X(1903, backend_changed, info, "The registry tells a new state of a backend server.")                    \
+	X(1904, backend_removed, info, "A backend server left the registry.")                                    \
+	X(1905, domain_evacuated, info, "The failure domains that get no new work changed.")                     \
+	X(1906, shares_changed, info, "The shares of regions in a service's requests moved.")                    \
+	X(1907, settings_reloaded, info, "The settings file was read again.")                                    \
+	X(1908, settings_refused, error, "The settings file is invalid; the last good settings stay.")           \
+	X(1909, state_learned, info, "Configuration and registry were learned from another node.")               \
+	X(1910, store_resynced, info, "The platform's keys were read anew.")
 
 /// Numbered log event.
 enum class event : std::uint16_t
--- /dev/null
+++ b/src/store_base64.cpp
@@ -0,0 +1,37 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "store_p.h"
+
+#include <boost/beast/core/detail/base64.hpp>
+
+namespace larkrack
+{
+std::string to_base64(const std::string& _text)
+{
+	std::string out(beast::detail::base64::encoded_size(_text.size()), '\0');
+	out.resize(beast::detail::base64::encode(out.data(), _text.data(), _text.size()));
+	return out;
+}
+
+std::string from_base64(const std::string& _text)
+{
+	std::string out(beast::detail::base64::decoded_size(_text.size()), '\0');
+	out.resize(beast::detail::base64::decode(out.data(), _text.data(), _text.size()).first);
+	return out;
+}
+
+std::string prefix_end(std::string _prefix)
+{
+	while (!_prefix.empty())
+	{
+		if (static_cast<unsigned char>(_prefix.back()) < 0xff)
+		{
+			++_prefix.back();
+			return _prefix;
+		}
+		_prefix.pop_back();
+	}
+	return std::string(1, '\0');
+}
+} // namespace larkrack
--- a/src/store_http.cpp
+++ b/src/store_http.cpp
@@ -5,8 +5,6 @@
 
 #include "larkrack/config.h"
 
-#include <boost/beast/core/detail/base64.hpp>
-
 namespace larkrack
 {
 namespace
@@ -80,34 +78,6 @@
 }
 } // namespace
 
-std::string to_base64(const std::string& _text)
-{
-	std::string out(beast::detail::base64::encoded_size(_text.size()), '\0');
-	out.resize(beast::detail::base64::encode(out.data(), _text.data(), _text.size()));
-	return out;
-}
-
-std::string from_base64(const std::string& _text)
-{
-	std::string out(beast::detail::base64::decoded_size(_text.size()), '\0');
-	out.resize(beast::detail::base64::decode(out.data(), _text.data(), _text.size()).first);
-	return out;
-}
-
-std::string prefix_end(std::string _prefix)
-{
-	while (!_prefix.empty())
-	{
-		if (static_cast<unsigned char>(_prefix.back()) < 0xff)
-		{
-			++_prefix.back();
-			return _prefix;
-		}
-		_prefix.pop_back();
-	}
-	return std::string(1, '\0');
-}
-
 store_http::store_http(asio::io_context& _context, endpoint _endpoint)
     : m_context(_context), m_endpoint(std::move(_endpoint)), m_caller(_context.get_executor())
 {
@@ -218,19 +188,19 @@
 	return {post(_use, "/v3/lease/revoke", {{"ID", std::to_string(_id)}}, true, _yield).status, _id, {}};
 }
 
-void store_http::watch(const char* _use, const std::string& _prefix, std::int64_t _from,
+watch_end store_http::watch(const char* _use, const std::string& _prefix, std::int64_t _from,
     const std::function<bool(const watch_batch&)>& _on_batch, const yield_context& _yield)
 {
 	count(_use);
 	if (m_cut)
 	{
-		return;
+		return watch_end::broken;
 	}
 	connection_pool pool(m_context.get_executor());
 	connection_ptr connection = pool.connect(m_endpoint, k_platform_deadline, _yield);
 	if (!connection)
 	{
-		return;
+		return watch_end::broken;
 	}
 	nlohmann::json create = range_json(_prefix, true);
 	if (0 != _from)
@@ -253,16 +223,25 @@
 		{
 			const nlohmann::json line = nlohmann::json::parse(text.substr(0, end), nullptr, false);
 			text.erase(0, end + 1);
-			if (line.is_discarded() || !line.contains("result") || !_on_batch(batch_of_json(line["result"])))
+			if (line.is_discarded() || !line.contains("result"))
+			{
+				return watch_end::broken;
+			}
+			if (line["result"].contains("compact_revision"))
+			{
+				return watch_end::history_lost;
+			}
+			if (!_on_batch(batch_of_json(line["result"])))
 			{
-				return;
+				return watch_end::stopped;
 			}
 			end = text.find('\n');
 		}
 		if (parser.is_done())
 		{
-			return;
+			return watch_end::broken;
 		}
 	}
+	return watch_end::broken;
 }
 } // namespace larkrack
--- a/src/store_memory.cpp
+++ b/src/store_memory.cpp
@@ -69,7 +69,7 @@
 	return {call_status::done, _id, std::chrono::seconds(0)};
 }
 
-void store_memory::watch(const char* _use, const std::string& _prefix, std::int64_t _from,
+watch_end store_memory::watch(const char* _use, const std::string& _prefix, std::int64_t _from,
     const std::function<bool(const watch_batch&)>& _on_batch, const yield_context& _yield)
 {
 	count(_use);
@@ -81,10 +81,11 @@
 			next = batch.store_revision + 1;
 			if (!_on_batch(batch))
 			{
-				return;
+				return watch_end::stopped;
 			}
 		}
 		sleep_for(asio::get_associated_executor(_yield), k_watch_poll, _yield);
 	}
+	return watch_end::broken;
 }
 } // namespace larkrack
--- a/src/store_p.h
+++ b/src/store_p.h
@@ -76,6 +76,14 @@
 	std::int64_t store_revision = 0;
 };
 
+/// Why a watch ended.
+enum class watch_end
+{
+	stopped,      ///< The callback asked for it.
+	broken,       ///< The platform does not answer; the watch may go on from where it was.
+	history_lost, ///< Changes after the revision are no longer known; the keys must be read anew.
+};
+
 /// Each call names its use; calls are counted by that name.
 class store_base : public service_base
 {
@@ -97,7 +105,7 @@
 	/// Calls back for each change to keys with a prefix, until the callback returns false or the watch
 	/// breaks.
 	/// @param[in] _from First store revision of interest; 0: from now on.
-	virtual void watch(const char* _use, const std::string& _prefix, std::int64_t _from,
+	virtual watch_end watch(const char* _use, const std::string& _prefix, std::int64_t _from,
 	    const std::function<bool(const watch_batch&)>& _on_batch, const yield_context& _yield) = 0;
 
 	/// @returns Calls by use, since the start.
@@ -173,7 +181,7 @@
 	    const char* _use, std::chrono::seconds _ttl, const yield_context& _yield) override;
 	lease_reply lease_keep_alive(const char* _use, std::int64_t _id, const yield_context& _yield) override;
 	lease_reply lease_revoke(const char* _use, std::int64_t _id, const yield_context& _yield) override;
-	void watch(const char* _use, const std::string& _prefix, std::int64_t _from,
+	watch_end watch(const char* _use, const std::string& _prefix, std::int64_t _from,
 	    const std::function<bool(const watch_batch&)>& _on_batch, const yield_context& _yield) override;
 	/// Cuts the node off from the platform. For tests.
 	void set_cut(bool _cut)
@@ -211,7 +219,7 @@
 	    const char* _use, std::chrono::seconds _ttl, const yield_context& _yield) override;
 	lease_reply lease_keep_alive(const char* _use, std::int64_t _id, const yield_context& _yield) override;
 	lease_reply lease_revoke(const char* _use, std::int64_t _id, const yield_context& _yield) override;
-	void watch(const char* _use, const std::string& _prefix, std::int64_t _from,
+	watch_end watch(const char* _use, const std::string& _prefix, std::int64_t _from,
 	    const std::function<bool(const watch_batch&)>& _on_batch, const yield_context& _yield) override;
 
 	bool down = false;    ///< Calls end as not done.
