Hold the shares of regions when a region's demand jumps

Cause: a request whose planned region had no free slot went to any other one at once, so 46 of 100 requests of aragon-norte changed their region within 2 s when callers came back; and the first plan took demand for nothing, so that small regions refused until it was measured. Keys were spread over regions at random, so backend servers were cold.

Now: 3% of the requests may leave their plan; shares move away from home at 70% of the permitted pace and back at 20%; a key belongs to a region as long as shares stay; before anything was measured regions count as asking alike.

Tests: region_shares_test (pace, windows, keys).

--- a/src/edge/forwarded_request.cpp
+++ b/src/edge/forwarded_request.cpp
@@ -42,6 +42,17 @@
 	return std::chrono::milliseconds(std::min<long long>(ms, 3600LL * 1000));
 }
 
+/// @returns Place of a key in [0, 1); a request without one has any.
+double position_of(std::uint64_t _affinity, std::minstd_rand& _random)
+{
+	if (0 == _affinity)
+	{
+		return std::uniform_real_distribution<double>(0.0, 1.0)(_random);
+	}
+	const std::uint64_t hash = XXH64(&_affinity, sizeof(_affinity), 2);
+	return static_cast<double>(hash >> 11U) / static_cast<double>(1ULL << 53U);
+}
+
 std::chrono::milliseconds to_ms(steady_time::duration _time)
 {
 	return std::chrono::duration_cast<std::chrono::milliseconds>(_time);
@@ -99,7 +110,7 @@
 	forwarder::service_state& state = m_forwarder.state_of(m_service);
 	++state.arrivals;
 	state.budget.earn(m_arrived_at);
-	m_region = state.shares.next();
+	m_region = state.shares.next(position_of(m_affinity, m_forwarder.m_random));
 	m_deadline_timer.expires_after(timeout);
 	m_deadline_timer.async_wait(
 	    [self = shared_from_this()](beast::error_code _error)
@@ -185,19 +196,38 @@
 
 bool forwarded_request::try_send()
 {
+	forwarder::service_state& state = m_forwarder.state_of(m_service);
 	for (const std::string& region : regions_to_try())
 	{
 		const backend_ptr backend = choose_backend(region);
-		if (backend)
+		if (!backend)
 		{
-			leave_queue();
-			send_to(backend);
-			return true;
+			continue;
 		}
+		if (region != m_region)
+		{
+			if (!may_leave_region(state))
+			{
+				return false;
+			}
+			state.shares.moved(m_region, region);
+			m_region = region;
+		}
+		leave_queue();
+		send_to(backend);
+		return true;
 	}
 	return false;
 }
 
+bool forwarded_request::may_leave_region(forwarder::service_state& _state)
+{
+	// Where the route's homes leave no choice, the shares of the service do not bind.
+	const std::vector<std::string>& homes = m_route->home_regions;
+	const bool home_bound = !homes.empty() && homes.end() == std::find(homes.begin(), homes.end(), m_region);
+	return home_bound || m_region.empty() || m_forwarder.may_overflow(_state);
+}
+
 void forwarded_request::wait_for_slot()
 {
 	const auto objective = m_route->objective;
--- a/src/edge/forwarded_request_p.h
+++ b/src/edge/forwarded_request_p.h
@@ -35,6 +35,8 @@
 	void retry_or_end(http::status _status, reason _reason);
 
 	std::string choose_service();
+	/// @returns Whether it may run in another region than the planned one; that is then counted.
+	bool may_leave_region(forwarder::service_state& _state);
 	std::vector<std::string> regions_to_try();
 	backend_ptr choose_backend(const std::string& _region);
 	void send_to(const backend_ptr& _backend);
--- a/src/edge/forwarder.cpp
+++ b/src/edge/forwarder.cpp
@@ -16,17 +16,30 @@
 constexpr double k_service_time_weight = 0.05;
 /// Service time before any exchange has ended.
 constexpr double k_service_time_prior_s = 0.4;
-/// Part of the permitted shift that is used; the rest is left to chance in small numbers.
-constexpr double k_shift_part = 0.5;
+/// Parts of the permitted shift that are used; the rest is left to chance in small numbers.
+constexpr double k_shift_part_away = 0.7;
+constexpr double k_shift_part_back = 0.2;
 /// Part of a service's requests that may leave their planned region because it has no free slot.
-constexpr double k_overflow_part = 0.04;
+constexpr double k_overflow_part = 0.03;
 /// A region that lost this part of its slots at once has failed.
 constexpr double k_capacity_loss = 0.3;
+/// Part of the slots that plans count on: a region spills before its last slot is taken.
+constexpr double k_planned_part = 0.85;
+/// Before anything was measured, regions are taken to ask alike for this part of all slots.
+constexpr double k_first_load = 0.8;
+/// Requests a second below which nothing was measured.
+constexpr double k_no_demand = 0.5;
+
+share_pace pace_of(const shared_bounds& _bounds)
+{
+	const double per_s = _bounds.max_shift / std::chrono::duration<double>(_bounds.shift_window).count();
+	return {k_shift_part_away * per_s, k_shift_part_back * per_s};
+}
 } // namespace
 
-forwarder::service_state::service_state(const shared_bounds& _bounds)
-    : shares(k_shift_part * _bounds.max_shift / std::chrono::duration<double>(_bounds.shift_window).count()),
-      budget(_bounds.retry_ratio, 0.0, _bounds.retry_window), service_time_s(k_service_time_prior_s)
+forwarder::service_state::service_state(const std::string& _home, const shared_bounds& _bounds)
+    : shares(_home, pace_of(_bounds)), budget(_bounds.retry_ratio, 0.0, _bounds.retry_window),
+      service_time_s(k_service_time_prior_s)
 {
 }
 
@@ -65,32 +78,52 @@
 	{
 		return it->second;
 	}
-	service_state& state = m_services.emplace(_service, service_state(m_bounds)).first->second;
+	service_state& state = m_services.emplace(_service, service_state(m_placement.region, m_bounds)).first->second;
 	state.budget.set_slack(m_bounds.retry_slack / std::max(1.0, m_fleet.sharers().nodes));
 	update_shares(_service, state, m_clock.steady());
 	return state;
 }
 
-void forwarder::update_shares(const std::string& _service, service_state& _state, steady_time _now)
+figures_by_region forwarder::figures_of(
+    const std::string& _service, const service_state& _state, steady_time _now) const
 {
 	figures_by_region figures;
-	double home_capacity = 0.0;
+	double capacity = 0.0;
 	for (const backend_ptr& backend : m_backends.of_service(_service))
 	{
-		if (!backend->usable(_now) || backend->region.empty())
+		// A cold backend server carries little; it is left out until it is warm.
+		if (backend->usable(_now) && !backend->region.empty() && !backend->cold(_now))
 		{
-			continue;
+			const double slots = k_planned_part * backend->record.slots;
+			figures[backend->region].capacity += slots;
+			capacity += slots;
 		}
-		// A cold backend server carries little; it is left out until it is warm.
-		const double slots = backend->cold(_now) ? 0.0 : backend->record.slots;
-		figures[backend->region].capacity += slots;
-		home_capacity += backend->region == m_placement.region ? slots : 0.0;
 	}
-	figures[m_placement.region].demand += _state.requests_per_s * _state.service_time_s;
-	for (const auto& [region, per_s] : m_fleet.demand_of_others(_service))
+	std::map<std::string, double> per_s = m_fleet.demand_of_others(_service);
+	per_s[m_placement.region] += _state.requests_per_s;
+	double all_per_s = 0.0;
+	for (const auto& [region, rate] : per_s)
 	{
-		figures[region].demand += per_s * _state.service_time_s;
+		all_per_s += rate;
+		figures[region].demand += rate * _state.service_time_s;
 	}
+	if (all_per_s < k_no_demand)
+	{
+		figures[m_placement.region].demand = 0.0;
+		const double each = k_first_load * capacity / static_cast<double>(figures.size());
+		for (auto& [region, one] : figures)
+		{
+			one.demand = each;
+		}
+	}
+	return figures;
+}
+
+void forwarder::update_shares(const std::string& _service, service_state& _state, steady_time _now)
+{
+	const figures_by_region figures = figures_of(_service, _state, _now);
+	const auto home = figures.find(m_placement.region);
+	const double home_capacity = figures.end() == home ? 0.0 : home->second.capacity;
 	const bool failed = home_capacity < (1.0 - k_capacity_loss) * _state.last_capacity;
 	_state.last_capacity = home_capacity;
 	_state.shares.follow(plan_shares(m_placement.region, figures), failed, _now);
@@ -124,6 +157,12 @@
 	return demand;
 }
 
+bool forwarder::may_overflow(service_state& _state)
+{
+	return _state.overflow.take(
+	    std::max(1.0, k_overflow_part * _state.requests_per_s), 1.0, m_clock.steady());
+}
+
 void forwarder::pump()
 {
 	for (auto& [name, state] : m_services)
--- a/src/edge/forwarder_p.h
+++ b/src/edge/forwarder_p.h
@@ -108,17 +108,22 @@
 	/// State of one service.
 	struct service_state
 	{
-		service_state(const shared_bounds& _bounds);
+		service_state(const std::string& _home, const shared_bounds& _bounds);
 		region_shares shares;
 		windowed_retry_budget budget;
 		std::map<int, std::list<std::shared_ptr<forwarded_request>>> waiting; ///< By priority.
-		int arrivals = 0; ///< Since the last tick.
+		token_bucket overflow; ///< Requests that may leave their planned region.
+		int arrivals = 0;      ///< Since the last tick.
 		double requests_per_s = 0.0;
 		double service_time_s = 0.0;
 		double last_capacity = 0.0;
 	};
 	service_state& state_of(const std::string& _service);
+	/// @returns Demand and capacity of each region, in slots.
+	figures_by_region figures_of(const std::string& _service, const service_state& _state, steady_time _now) const;
 	void update_shares(const std::string& _service, service_state& _state, steady_time _now);
+	/// @returns Whether one more request may leave its planned region; it is then counted.
+	bool may_overflow(service_state& _state);
 	void pump_service(const std::string& _service, service_state& _state);
 
 	asio::io_context& m_context;
--- a/src/edge/region_shares.cpp
+++ b/src/edge/region_shares.cpp
@@ -12,6 +12,10 @@
 {
 /// Below this, a share or a number of slots counts as none.
 constexpr double k_nothing = 1e-9;
+/// Requests by which keys may lead a region away from its share.
+constexpr double k_key_slack = 2.0;
+/// Bound of what a region is owed, or owes, after it could not be used for a while.
+constexpr double k_most_credit = 6.0;
 /// Time that the first step of the shares covers.
 constexpr double k_first_step_s = 0.1;
 } // namespace
@@ -73,54 +77,91 @@
 	{
 		return;
 	}
-	double moved = 0.0;
-	for (const auto& [region, share] : _planned)
+	if (m_shares.empty() || _at_once)
 	{
-		moved += std::max(0.0, share - m_shares[region]);
+		m_shares = _planned;
+		return;
 	}
-	double part = 1.0;
-	if (!_at_once && moved > m_pace * passed)
+	for (const auto& [region, share] : _planned)
 	{
-		part = m_pace * passed / moved;
+		m_shares.emplace(region, 0.0);
 	}
-	share_by_region next;
-	double sum = 0.0;
+	const auto goal_of = [&](const std::string& _region)
+	{
+		const auto goal = _planned.find(_region);
+		return _planned.end() == goal ? 0.0 : goal->second;
+	};
+	double moved = 0.0;
 	for (const auto& [region, share] : m_shares)
 	{
-		const auto goal = _planned.find(region);
-		const double target = _planned.end() == goal ? 0.0 : goal->second;
-		next[region] = share + part * (target - share);
-		sum += next[region];
+		moved += std::max(0.0, goal_of(region) - share);
+	}
+	const double pace = goal_of(m_home) > m_shares[m_home] ? m_pace.back : m_pace.away;
+	const double part = moved > pace * passed ? pace * passed / moved : 1.0;
+	for (auto& [region, share] : m_shares)
+	{
+		share += part * (goal_of(region) - share);
+	}
+}
+
+std::string region_shares::region_at(double _position) const
+{
+	const auto home = m_shares.find(m_home);
+	double end = m_shares.end() == home ? 0.0 : home->second;
+	if (_position < end)
+	{
+		return m_home;
 	}
-	if (sum < k_nothing || sum < 0.999)
+	std::string last;
+	for (const auto& [region, share] : m_shares)
 	{
-		// The first plan: there is nothing to move away from.
-		next = _planned;
+		if (region == m_home || share < k_nothing)
+		{
+			continue;
+		}
+		end += share;
+		last = region;
+		if (_position < end)
+		{
+			return region;
+		}
 	}
-	m_shares = std::move(next);
+	return last.empty() ? m_home : last;
 }
 
-std::string region_shares::next()
+std::string region_shares::next(double _position)
 {
-	std::string chosen;
-	double best = -1.0;
+	if (m_shares.empty())
+	{
+		return {};
+	}
+	std::string richest;
+	double best = -INFINITY;
 	for (const auto& [region, share] : m_shares)
 	{
 		double& credit = m_credit[region];
-		credit += share;
-		if (share > k_nothing && (chosen.empty() || credit > best))
+		credit = std::clamp(credit + share, -k_most_credit, k_most_credit);
+		if (share > k_nothing && credit > best)
 		{
-			chosen = region;
+			richest = region;
 			best = credit;
 		}
 	}
-	if (!chosen.empty())
+	std::string chosen = region_at(_position);
+	if (m_credit[chosen] < -k_key_slack && !richest.empty())
 	{
-		m_credit[chosen] -= 1.0;
+		chosen = richest;
 	}
+	m_credit[chosen] -= 1.0;
 	return chosen;
 }
 
+void region_shares::moved(const std::string& _from, const std::string& _to)
+{
+	m_credit[_from] += 1.0;
+	m_credit[_to] -= 1.0;
+}
+
 std::size_t smooth_rotation::next(const std::vector<std::pair<std::string, double>>& _weights)
 {
 	double sum = 0.0;
--- a/src/edge/region_shares_p.h
+++ b/src/edge/region_shares_p.h
@@ -29,29 +29,44 @@
 /// @returns Shares that sum up to 1; empty when no region has any capacity.
 share_by_region plan_shares(const std::string& _home, const figures_by_region& _figures);
 
+/// How fast shares may move, as parts of the requests in a second.
+struct share_pace
+{
+	double away = 0.0; ///< Away from home: without it requests fail.
+	double back = 0.0; ///< Back home: it only saves distance.
+};
+
 /// Shares in force, which follow the planned ones at a bounded pace, and the order in which requests use them.
 class region_shares
 {
 public:
-	/// @param[in] _pace Largest part of the requests that may change their region in a second.
-	explicit region_shares(double _pace) : m_pace(_pace)
+	region_shares(std::string _home, share_pace _pace) : m_home(std::move(_home)), m_pace(_pace)
 	{
 	}
 	/// Moves the shares in force towards the planned ones.
 	/// @param[in] _at_once Whether to take the planned shares as they are: after a loss of capacity that nobody
 	/// planned, waiting would only fail requests.
 	void follow(const share_by_region& _planned, bool _at_once, steady_time _now);
-	/// @returns Region for the next request; empty when there is none.
-	/// @remarks Smooth weighted round robin, so that small numbers of requests keep to the shares as well.
-	std::string next();
+	/// Chooses the region for a request: the one that its key belongs to, unless that would leave the shares.
+	/// @param[in] _position Place of the request's key in [0, 1): equal keys go to one region as long as shares
+	/// stay.
+	/// @returns Empty when there is none.
+	std::string next(double _position);
+	/// Takes note that a request ran in another region than the chosen one.
+	void moved(const std::string& _from, const std::string& _to);
 	const share_by_region& shares() const
 	{
 		return m_shares;
 	}
 
 private:
-	double m_pace;
+	/// @returns Region whose part of [0, 1) holds the position; home's part comes first.
+	std::string region_at(double _position) const;
+
+	std::string m_home;
+	share_pace m_pace;
 	share_by_region m_shares;
+	/// Requests that each region should have had by its share, less those that it had.
 	std::map<std::string, double> m_credit;
 	steady_time m_followed_at{};
 };
--- /dev/null
+++ b/tests/region_shares_test.cpp
@@ -0,0 +1,107 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "fixtures.h"
+
+#include "edge/region_shares_p.h"
+
+#include <cmath>
+
+namespace larkrack
+{
+class region_shares_test : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(region_shares_test);
+	CPPUNIT_TEST(plan_demand_above_home_spills_in_proportion_to_spare);
+	CPPUNIT_TEST(plan_all_regions_overloaded_grants_each_the_same_part);
+	CPPUNIT_TEST(plan_home_without_capacity_sends_all_elsewhere);
+	CPPUNIT_TEST(follow_sudden_demand_moves_no_faster_than_the_pace);
+	CPPUNIT_TEST(follow_failure_takes_the_plan_at_once);
+	CPPUNIT_TEST(next_many_requests_keeps_to_the_shares_in_every_window);
+	CPPUNIT_TEST(next_same_key_goes_to_the_same_region);
+	CPPUNIT_TEST_SUITE_END();
+
+protected:
+	static constexpr share_pace k_pace{0.05, 0.015};
+	steady_time m_now{std::chrono::hours(1)};
+
+	void plan_demand_above_home_spills_in_proportion_to_spare()
+	{
+		const share_by_region shares =
+		    plan_shares("east", {{"east", {60, 20}}, {"north", {40, 100}}, {"west", {20, 40}}});
+		CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0 / 3.0, shares.at("east"), 1e-6);
+		CPPUNIT_ASSERT_DOUBLES_EQUAL(2.0 / 3.0 * 60 / 80, shares.at("north"), 1e-6);
+		CPPUNIT_ASSERT_DOUBLES_EQUAL(2.0 / 3.0 * 20 / 80, shares.at("west"), 1e-6);
+	}
+
+	void plan_all_regions_overloaded_grants_each_the_same_part()
+	{
+		const share_by_region shares = plan_shares("east", {{"east", {100, 20}}, {"west", {100, 80}}});
+		CPPUNIT_ASSERT_DOUBLES_EQUAL(0.4, shares.at("east"), 1e-6);
+		CPPUNIT_ASSERT_DOUBLES_EQUAL(0.6, shares.at("west"), 1e-6);
+	}
+
+	void plan_home_without_capacity_sends_all_elsewhere()
+	{
+		const share_by_region shares = plan_shares("east", {{"east", {10, 0}}, {"west", {10, 80}}});
+		CPPUNIT_ASSERT_DOUBLES_EQUAL(0.0, shares.at("east"), 1e-6);
+		CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, shares.at("west"), 1e-6);
+	}
+
+	void follow_sudden_demand_moves_no_faster_than_the_pace()
+	{
+		region_shares shares("east", k_pace);
+		shares.follow({{"east", 1.0}}, false, m_now);
+		for (int step = 1; step <= 8; ++step)
+		{
+			m_now += std::chrono::milliseconds(250);
+			shares.follow({{"east", 0.2}, {"west", 0.8}}, false, m_now);
+		}
+		CPPUNIT_ASSERT_DOUBLES_EQUAL(0.1, shares.shares().at("west"), 1e-6);
+		for (int step = 1; step <= 4; ++step)
+		{
+			m_now += std::chrono::milliseconds(250);
+			shares.follow({{"east", 1.0}}, false, m_now);
+		}
+		CPPUNIT_ASSERT_DOUBLES_EQUAL(0.085, shares.shares().at("west"), 1e-6);
+	}
+
+	void follow_failure_takes_the_plan_at_once()
+	{
+		region_shares shares("east", k_pace);
+		shares.follow({{"east", 1.0}}, false, m_now);
+		m_now += std::chrono::milliseconds(250);
+		shares.follow({{"east", 0.0}, {"west", 1.0}}, true, m_now);
+		CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, shares.shares().at("west"), 1e-6);
+	}
+
+	void next_many_requests_keeps_to_the_shares_in_every_window()
+	{
+		region_shares shares("east", k_pace);
+		shares.follow({{"east", 0.3}, {"west", 0.7}}, false, m_now);
+		// All keys belong to one region: the shares hold all the same.
+		for (int window = 0; window < 20; ++window)
+		{
+			int east = 0;
+			for (int i = 0; i < 100; ++i)
+			{
+				east += "east" == shares.next(0.1) ? 1 : 0;
+			}
+			CPPUNIT_ASSERT(std::abs(east - 30) <= 4);
+		}
+	}
+
+	void next_same_key_goes_to_the_same_region()
+	{
+		region_shares shares("east", k_pace);
+		shares.follow({{"east", 0.5}, {"west", 0.5}}, false, m_now);
+		for (int i = 0; i < 100; ++i)
+		{
+			CPPUNIT_ASSERT_EQUAL(std::string("east"), shares.next(0.2));
+			CPPUNIT_ASSERT_EQUAL(std::string("west"), shares.next(0.8));
+		}
+	}
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(region_shares_test);
+} // namespace larkrack
