Keep keys on few backend servers, and count what other nodes have in flight

Now: heartbeats every 100 ms tell requests in flight; each node has a part of the slots of its own by what it sends; a key stays on two or three backend servers unless another is half idle; a key is the same on all routes.

Tests: backend_selector_test.

--- a/src/edge/backend_registry.cpp
+++ b/src/edge/backend_registry.cpp
@@ -5,12 +5,15 @@
 
 #include <algorithm>
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 namespace larkrack
 {
 namespace
 {
-/// A report of load loses its weight within this time.
-constexpr std::chrono::milliseconds k_report_life{1500};
+/// A report of a backend server is better than what heartbeats tell for so long.
+constexpr std::chrono::milliseconds k_report_fresh{100};
 /// First and last time for which a backend server that fails gets no new requests.
 constexpr std::chrono::milliseconds k_suspend_first{300};
 constexpr std::chrono::milliseconds k_suspend_last{3000};
@@ -20,10 +23,8 @@
 
 double backend_server::busy(steady_time _now) const
 {
-	const double age = std::chrono::duration<double>(_now - m_reported_at).count();
-	const double life = std::chrono::duration<double>(k_report_life).count();
-	const double weight = std::max(0.0, 1.0 - age / life);
-	return in_flight + m_others * weight;
+	const bool fresh = _now - m_reported_at <= k_report_fresh;
+	return in_flight + (fresh ? m_others : told_by_others);
 }
 
 void backend_server::report(const backend_load& _load, steady_time _now)
@@ -62,6 +63,8 @@
 	if (!backend)
 	{
 		backend = std::make_shared<backend_server>();
+		backend->key = XXH32(_record.id.data(), _record.id.size(), 0);
+		m_by_key[backend->key] = backend.get();
 		const auto region = m_region_of.find(_record.domain);
 		backend->region = m_region_of.end() == region ? std::string() : region->second;
 		m_by_service[_record.service].push_back(backend);
@@ -84,6 +87,7 @@
 	it->second->idle.clear();
 	std::vector<backend_ptr>& siblings = m_by_service[it->second->record.service];
 	siblings.erase(std::remove(siblings.begin(), siblings.end(), it->second), siblings.end());
+	m_by_key.erase(it->second->key);
 	m_by_id.erase(it);
 }
 
@@ -97,6 +101,38 @@
 	}
 }
 
+void backend_registry::take_told(const std::string& _node, const told_loads& _loads)
+{
+	const auto add = [this](const told_loads& _some, int _sign)
+	{
+		for (const told_load& load : _some)
+		{
+			const auto it = m_by_key.find(load.key);
+			if (m_by_key.end() != it)
+			{
+				it->second->told_by_others = std::max(0, it->second->told_by_others + _sign * load.in_flight);
+			}
+		}
+	};
+	told_loads& before = m_told[_node];
+	add(before, -1);
+	add(_loads, 1);
+	before = _loads;
+}
+
+told_loads backend_registry::own_loads() const
+{
+	told_loads loads;
+	for (const auto& [key, backend] : m_by_key)
+	{
+		if (backend->in_flight > 0)
+		{
+			loads.push_back({key, backend->in_flight});
+		}
+	}
+	return loads;
+}
+
 const std::vector<backend_ptr>& backend_registry::of_service(const std::string& _service) const
 {
 	static const std::vector<backend_ptr> s_none;
--- a/src/edge/backend_registry_p.h
+++ b/src/edge/backend_registry_p.h
@@ -58,6 +58,8 @@
 	steady_time cold_until{};
 	int in_flight = 0;   ///< Requests of this node.
 	int connections = 0; ///< Open connections of this node.
+	std::uint32_t key = 0; ///< Hash of the id; stands for it in heartbeats.
+	int told_by_others = 0; ///< Requests that the heartbeats of other nodes tell of.
 	std::vector<std::shared_ptr<upstream_connection>> idle;
 	token_bucket warmup; ///< This node's part of what the backend server bears while cold.
 
@@ -78,7 +80,7 @@
 	void signal(backend_signal _signal, steady_time _now);
 
 private:
-	double m_others = 0.0; ///< Requests of other nodes at the last report.
+	double m_others = 0.0; ///< Requests of other nodes at the last report of the backend server itself.
 	steady_time m_reported_at{};
 	steady_time m_suspended_until{};
 	int m_failures = 0; ///< In a row.
@@ -86,6 +88,15 @@
 
 using backend_ptr = std::shared_ptr<backend_server>;
 
+/// Requests of one node at one backend server.
+struct told_load
+{
+	std::uint32_t key = 0; ///< Hash of the backend server's id.
+	int in_flight = 0;
+};
+/// Requests of one node at all backend servers.
+using told_loads = std::vector<told_load>;
+
 /// All backend servers that are known.
 class backend_registry
 {
@@ -103,6 +114,10 @@
 	void set_evacuated(const std::vector<std::string>& _domains);
 	/// @returns Backend servers of a service.
 	const std::vector<backend_ptr>& of_service(const std::string& _service) const;
+	/// Takes what another node tells of its requests, in place of what it told before.
+	void take_told(const std::string& _node, const told_loads& _loads);
+	/// @returns What this node tells of its requests.
+	told_loads own_loads() const;
 	/// @returns Null when there is none of that id.
 	backend_ptr find(const std::string& _id) const;
 	std::size_t size() const
@@ -114,6 +129,8 @@
 	std::unordered_map<std::string, std::string> m_region_of;
 	std::unordered_map<std::string, backend_ptr> m_by_id;
 	std::unordered_map<std::string, std::vector<backend_ptr>> m_by_service;
+	std::unordered_map<std::uint32_t, backend_server*> m_by_key;
+	std::unordered_map<std::string, told_loads> m_told; ///< By node.
 	std::vector<std::string> m_evacuated;
 };
 } // namespace larkrack
--- a/src/edge/backend_selector.cpp
+++ b/src/edge/backend_selector.cpp
@@ -4,6 +4,7 @@
 #include "backend_selector_p.h"
 
 #include <algorithm>
+#include <cmath>
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
@@ -14,12 +15,18 @@
 {
 /// Part of the warm-up rate that is used, so that small bursts of several nodes stay within the bound.
 constexpr double k_warmup_part = 0.9;
+/// Backend servers of each key, besides those that its share of the requests needs.
+constexpr double k_key_servers = 2.0;
+/// Backend servers of a key for each one that its requests would fill if all were alike.
+constexpr double k_key_servers_by_share = 2.0;
+/// Part of its slots up to which a backend server takes keys that are not its own.
+constexpr double k_idle_part = 0.5;
 /// Ranks by which a backend server in another failure domain than the preferred one falls behind.
 constexpr double k_domain_penalty = 2.0;
 
-bool has_slot(const backend_server& _backend, steady_time _now)
+bool has_slot(const backend_server& _backend, const slot_portion& _portion, steady_time _now)
 {
-	return _backend.busy(_now) < _backend.record.slots;
+	return _backend.busy(_now) < _backend.record.slots || _backend.in_flight < _portion.slots_of(_backend);
 }
 
 bool has_connection(const backend_server& _backend, const service_bounds& _bounds, const sharing& _sharing)
@@ -64,6 +71,13 @@
 }
 } // namespace
 
+int slot_portion::slots_of(const backend_server& _backend) const
+{
+	const double offset = _backend.key / static_cast<double>(UINT32_MAX);
+	const int slots = _backend.record.slots;
+	return static_cast<int>(std::floor(end * slots + offset) - std::floor(begin * slots + offset));
+}
+
 backend_ptr backend_selector::select(const selection& _selection, const service_bounds& _bounds,
     const sharing& _sharing, steady_time _now) const
 {
@@ -72,31 +86,38 @@
 		double rank;
 		const backend_ptr* backend;
 	};
-	std::vector<ranked> ready;
+	std::vector<ranked> order;
 	for (const backend_ptr& backend : *_selection.candidates)
 	{
-		if (backend->region != _selection.region || !backend->usable(_now) || !has_slot(*backend, _now) ||
-		    !has_connection(*backend, _bounds, _sharing))
-		{
-			continue;
-		}
-		const bool tried = _selection.tried.end() !=
-		                   std::find(_selection.tried.begin(), _selection.tried.end(), backend->record.id);
-		if (!tried)
+		if (backend->region == _selection.region && backend->usable(_now))
 		{
-			ready.push_back({rank_of(*backend, _selection, _now), &backend});
+			order.push_back({rank_of(*backend, _selection, _now), &backend});
 		}
 	}
-	std::sort(ready.begin(), ready.end(),
+	std::sort(order.begin(), order.end(),
 	    [](const ranked& _left, const ranked& _right)
 	    {
 		    return _left.rank < _right.rank;
 	    });
-	for (const ranked& one : ready)
+	const auto own = static_cast<std::size_t>(k_key_servers +
+	    std::ceil(k_key_servers_by_share * _selection.key_share * static_cast<double>(order.size())));
+	for (std::size_t i = 0; i < order.size(); ++i)
 	{
-		if (grant_cold(**one.backend, _selection, _bounds.warmup_requests_per_s, _sharing.nodes_in_region, _now))
+		backend_server& backend = **order[i].backend;
+		const bool foreign = 0 != _selection.affinity && i >= own;
+		if (foreign && backend.busy(_now) > k_idle_part * backend.record.slots)
+		{
+			continue;
+		}
+		const bool tried = _selection.tried.end() !=
+		                   std::find(_selection.tried.begin(), _selection.tried.end(), backend.record.id);
+		if (tried || !has_slot(backend, _selection.portion, _now) || !has_connection(backend, _bounds, _sharing))
+		{
+			continue;
+		}
+		if (grant_cold(backend, _selection, _bounds.warmup_requests_per_s, _sharing.nodes_in_region, _now))
 		{
-			return *one.backend;
+			return *order[i].backend;
 		}
 	}
 	return nullptr;
--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -14,8 +14,6 @@
 {
 namespace
 {
-/// Interval of heartbeats and of the figures that are worked out anew.
-constexpr std::chrono::milliseconds k_tick_interval{250};
 /// Descriptors for files, the store, peers and the like.
 constexpr int k_reserved_descriptors = 260;
 /// Part of the descriptors that connections of callers may take; the rest is for backend servers.
@@ -96,7 +94,7 @@
 edge_node::edge_node(
     const edge_settings& _settings, std::string _settings_path, const edge_dialect_base& _dialect)
     : m_settings(_settings), m_settings_path(std::move(_settings_path)), m_dialect(_dialect), m_context(1),
-      m_log(_settings.place.node), m_backends(_settings.region_of), m_fleet(m_clock, self_of(_settings)),
+      m_log(_settings.place.node), m_backends(_settings.region_of), m_fleet(m_clock, self_of(_settings), m_backends),
       m_forwarder(m_context, m_clock, _dialect.headers(), _settings.place, _settings.bounds, m_backends, m_fleet,
           m_log),
       m_replica(
@@ -315,7 +313,7 @@
 	send_heartbeats();
 	learn_from_peers();
 	m_log.flush();
-	m_tick_timer.expires_after(k_tick_interval);
+	m_tick_timer.expires_after(m_fleet.interval());
 	m_tick_timer.async_wait(
 	    [this](beast::error_code _error)
 	    {
@@ -357,6 +355,8 @@
 	{
 		self.requests_per_s[service] = demand.requests_per_s;
 	}
+	self.sent_per_s = m_forwarder.sent_per_s();
+	self.loads = m_backends.own_loads();
 	const std::vector<std::uint8_t> bytes = encode(m_fleet.next());
 	for (const std::string& ip : m_fleet.targets())
 	{
--- a/src/edge/fleet.cpp
+++ b/src/edge/fleet.cpp
@@ -9,8 +9,12 @@
 {
 namespace
 {
-/// A node that is silent for longer is not named to callers.
-constexpr std::chrono::milliseconds k_silent{1300};
+/// Time between two heartbeats in a small fleet, and for each node of a large one.
+constexpr std::chrono::milliseconds k_interval{100};
+constexpr std::chrono::milliseconds k_interval_per_node{8};
+/// A node that was silent for so many heartbeats, and so long, is not named to callers.
+constexpr int k_silent_heartbeats = 5;
+constexpr std::chrono::milliseconds k_silent{900};
 /// A node that is silent for longer is forgotten.
 constexpr std::chrono::seconds k_forgotten{60};
 /// Addresses told in one heartbeat.
@@ -19,13 +23,19 @@
 constexpr std::size_t k_named_addresses = 64;
 } // namespace
 
-fleet::fleet(const clock_base& _clock, heartbeat _self) : m_clock(_clock), m_self(std::move(_self))
+fleet::fleet(const clock_base& _clock, heartbeat _self, backend_registry& _backends)
+    : m_clock(_clock), m_self(std::move(_self)), m_backends(_backends)
 {
 }
 
+std::chrono::milliseconds fleet::interval() const
+{
+	return std::max(k_interval, k_interval_per_node * static_cast<int>(m_members.size()));
+}
+
 bool fleet::alive(const fleet_member& _member) const
 {
-	return m_clock.steady() - _member.heard_at <= k_silent;
+	return m_clock.steady() - _member.heard_at <= std::max<std::chrono::milliseconds>(k_silent, k_silent_heartbeats * interval());
 }
 
 void fleet::hear(const heartbeat& _heartbeat)
@@ -46,6 +56,7 @@
 	}
 	member.last = _heartbeat;
 	member.heard_at = m_clock.steady();
+	m_backends.take_told(_heartbeat.node, _heartbeat.loads);
 	add_address(_heartbeat.ip);
 	for (const std::string& ip : _heartbeat.known_ips)
 	{
@@ -153,6 +164,11 @@
 {
 	for (auto it = m_members.begin(); it != m_members.end();)
 	{
+		if (!alive(it->second))
+		{
+			// What it has in flight now is not known; the reports of backend servers are all there is.
+			m_backends.take_told(it->first, {});
+		}
 		it = m_clock.steady() - it->second.heard_at > k_forgotten ? m_members.erase(it) : std::next(it);
 	}
 }
@@ -162,6 +178,38 @@
 	return {static_cast<double>(m_most_in_region), static_cast<double>(m_most_nodes)};
 }
 
+slot_portion fleet::portion(const std::string& _service, const std::string& _region) const
+{
+	const auto rate_of = [&](const heartbeat& _node)
+	{
+		const auto service = _node.sent_per_s.find(_service);
+		if (_node.sent_per_s.end() == service)
+		{
+			return 0.0;
+		}
+		const auto region = service->second.find(_region);
+		return service->second.end() == region ? 0.0 : region->second;
+	};
+	const double own = rate_of(m_self);
+	double before = 0.0;
+	double all = own;
+	for (const auto& [name, member] : m_members)
+	{
+		if (!alive(member))
+		{
+			continue;
+		}
+		const double rate = rate_of(member.last);
+		all += rate;
+		before += name < m_self.node ? rate : 0.0;
+	}
+	if (own <= 0.0)
+	{
+		return all > 0.0 ? slot_portion{0.0, 0.0} : slot_portion{};
+	}
+	return {before / all, (before + own) / all};
+}
+
 std::map<std::string, double> fleet::demand_of_others(const std::string& _service) const
 {
 	std::map<std::string, double> demand;
--- a/src/edge/fleet_p.h
+++ b/src/edge/fleet_p.h
@@ -24,7 +24,8 @@
 {
 public:
 	/// @param[in] _self This node; its state and figures are set before each heartbeat.
-	fleet(const clock_base& _clock, heartbeat _self);
+	/// @param[in] _backends Told what other nodes have in flight.
+	fleet(const clock_base& _clock, heartbeat _self, backend_registry& _backends);
 
 	/// Takes a heartbeat of another node.
 	void hear(const heartbeat& _heartbeat);
@@ -40,9 +41,12 @@
 	const fleet_member* newer(std::uint64_t _config_version) const;
 	/// Forgets nodes that have been silent for long.
 	void tick();
+	/// @returns Time between two heartbeats. It grows with the fleet, so that a node's cost does not.
+	std::chrono::milliseconds interval() const;
 
 	sharing sharers() const override;
 	std::map<std::string, double> demand_of_others(const std::string& _service) const override;
+	slot_portion portion(const std::string& _service, const std::string& _region) const override;
 
 	heartbeat& self()
 	{
@@ -59,6 +63,7 @@
 
 	const clock_base& m_clock;
 	heartbeat m_self;
+	backend_registry& m_backends;
 	std::map<std::string, fleet_member> m_members; ///< By node.
 	std::set<std::string> m_addresses;
 	/// Most nodes ever seen at once: who is silent may be cut off and draws from shared budgets all the same.
--- a/src/edge/forwarded_request.cpp
+++ b/src/edge/forwarded_request.cpp
@@ -105,10 +105,11 @@
 	if (m_route->sticky)
 	{
 		const std::string key = cookie_value(m_request, m_forwarder.m_names.affinity_cookie);
-		m_affinity = key.empty() ? 0 : XXH64(key.data(), key.size(), XXH64(m_route->path_prefix.data(), m_route->path_prefix.size(), 1));
+		m_affinity = key.empty() ? 0 : XXH64(key.data(), key.size(), 1);
 	}
 	forwarder::service_state& state = m_forwarder.state_of(m_service);
 	++state.arrivals;
+	state.keys.count(m_affinity);
 	state.budget.earn(m_arrived_at);
 	m_region = state.shares.next(position_of(m_affinity, m_forwarder.m_random));
 	m_deadline_timer.expires_after(timeout);
@@ -179,7 +180,11 @@
 	wanted.region = _region;
 	wanted.own_region = m_forwarder.m_placement.region;
 	wanted.affinity = m_affinity;
+	wanted.key_share = m_forwarder.state_of(m_service).keys.share(m_affinity);
 	wanted.tried = m_tried;
+	const auto& portions = m_forwarder.state_of(m_service).portions;
+	const auto portion = portions.find(_region);
+	wanted.portion = portions.end() == portion ? slot_portion{} : portion->second;
 	if (m_route->large_answers)
 	{
 		wanted.nearest_domain = m_forwarder.m_placement.domain;
--- a/src/edge/forwarder.cpp
+++ b/src/edge/forwarder.cpp
@@ -143,6 +143,10 @@
 		state.arrivals = 0;
 		state.budget.set_slack(slack);
 		update_shares(name, state, now);
+		for (const auto& [region, share] : state.shares.shares())
+		{
+			state.portions[region] = m_fleet.portion(name, region);
+		}
 	}
 	pump();
 }
@@ -163,6 +167,22 @@
 	    std::max(1.0, k_overflow_part * _state.requests_per_s), 1.0, m_clock.steady());
 }
 
+std::map<std::string, rate_by_region> forwarder::sent_per_s() const
+{
+	std::map<std::string, rate_by_region> sent;
+	for (const auto& [name, state] : m_services)
+	{
+		for (const auto& [region, share] : state.shares.shares())
+		{
+			if (share * state.requests_per_s > k_no_demand)
+			{
+				sent[name][region] = share * state.requests_per_s;
+			}
+		}
+	}
+	return sent;
+}
+
 void forwarder::pump()
 {
 	for (auto& [name, state] : m_services)
--- a/src/edge/forwarder_p.h
+++ b/src/edge/forwarder_p.h
@@ -7,6 +7,7 @@
 
 #include "backend_selector_p.h"
 #include "edge_log_p.h"
+#include "key_shares_p.h"
 #include "region_shares_p.h"
 #include "upstream_p.h"
 
@@ -44,6 +45,9 @@
 };
 using demand_by_service = std::map<std::string, service_demand>;
 
+/// Requests a second that a node sends to each region.
+using rate_by_region = std::map<std::string, double>;
+
 /// What the forwarder asks of the fleet of nodes.
 class fleet_view_base
 {
@@ -53,6 +57,9 @@
 	virtual sharing sharers() const = 0;
 	/// @returns Requests a second for a service, by region of the nodes that took them; this node left out.
 	virtual std::map<std::string, double> demand_of_others(const std::string& _service) const = 0;
+	/// @returns This node's part of the slots of a service's backend servers in a region, by what each node
+	/// sends there.
+	virtual slot_portion portion(const std::string& _service, const std::string& _region) const = 0;
 };
 
 /// Counters for the metrics page and tests.
@@ -89,6 +96,8 @@
 	void tick();
 	/// @returns Rates for the other nodes.
 	demand_by_service demand() const;
+	/// @returns Requests a second that this node sends to each region, by service.
+	std::map<std::string, rate_by_region> sent_per_s() const;
 	const forwarder_counters& counters() const
 	{
 		return m_counters;
@@ -112,6 +121,8 @@
 		region_shares shares;
 		windowed_retry_budget budget;
 		std::map<int, std::list<std::shared_ptr<forwarded_request>>> waiting; ///< By priority.
+		std::map<std::string, slot_portion> portions; ///< By region.
+		key_shares keys;
 		token_bucket overflow; ///< Requests that may leave their planned region.
 		int arrivals = 0;      ///< Since the last tick.
 		double requests_per_s = 0.0;
--- a/src/edge/heartbeat.cpp
+++ b/src/edge/heartbeat.cpp
@@ -10,15 +10,23 @@
 namespace
 {
 /// Layout of the datagram; another one is not understood.
-constexpr int k_layout = 1;
+constexpr int k_layout = 2;
+constexpr std::size_t k_fields = 15;
 } // namespace
 
 std::vector<std::uint8_t> encode(const heartbeat& _heartbeat)
 {
+	nlohmann::json loads = nlohmann::json::array();
+	for (const told_load& load : _heartbeat.loads)
+	{
+		loads.push_back(load.key);
+		loads.push_back(load.in_flight);
+	}
 	const nlohmann::json document = {k_layout, _heartbeat.node, _heartbeat.incarnation, _heartbeat.sequence,
 	    _heartbeat.domain, _heartbeat.region, _heartbeat.ip, _heartbeat.callers,
 	    static_cast<int>(_heartbeat.state), _heartbeat.config_version, _heartbeat.store_revision,
-	    nlohmann::json(_heartbeat.requests_per_s), nlohmann::json(_heartbeat.known_ips)};
+	    nlohmann::json(_heartbeat.requests_per_s), nlohmann::json(_heartbeat.known_ips),
+	    nlohmann::json(_heartbeat.sent_per_s), std::move(loads)};
 	return nlohmann::json::to_cbor(document);
 }
 
@@ -27,7 +35,7 @@
 	try
 	{
 		const nlohmann::json document = nlohmann::json::from_cbor(_data, _data + _size);
-		if (!document.is_array() || 13 != document.size() || k_layout != document.at(0).get<int>())
+		if (!document.is_array() || k_fields != document.size() || k_layout != document.at(0).get<int>())
 		{
 			return error{"bad_heartbeat", "another layout"};
 		}
@@ -44,6 +52,12 @@
 		one.store_revision = document.at(10).get<std::int64_t>();
 		one.requests_per_s = document.at(11).get<std::map<std::string, double>>();
 		one.known_ips = document.at(12).get<std::vector<std::string>>();
+		one.sent_per_s = document.at(13).get<std::map<std::string, std::map<std::string, double>>>();
+		const nlohmann::json& loads = document.at(14);
+		for (std::size_t i = 0; i + 1 < loads.size(); i += 2)
+		{
+			one.loads.push_back({loads.at(i).get<std::uint32_t>(), loads.at(i + 1).get<int>()});
+		}
 		return one;
 	}
 	catch (const nlohmann::json::exception& exception)
--- a/src/edge/heartbeat_p.h
+++ b/src/edge/heartbeat_p.h
@@ -5,6 +5,8 @@
 /// Datagram by which nodes tell each other that they are there, and its CBOR codec.
 #pragma once
 
+#include "backend_registry_p.h"
+
 #include "larkrack/outcome.h"
 
 #include <cstdint>
@@ -36,6 +38,9 @@
 	std::uint64_t config_version = 0;
 	std::int64_t store_revision = 0;
 	std::map<std::string, double> requests_per_s; ///< By service.
+	/// Requests a second that this node sends to each region, by service.
+	std::map<std::string, std::map<std::string, double>> sent_per_s;
+	told_loads loads;
 	std::vector<std::string> known_ips;           ///< Other nodes; how nodes find each other.
 };
 
--- /dev/null
+++ b/tests/backend_selector_test.cpp
@@ -0,0 +1,213 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "fixtures.h"
+
+#include "edge/backend_selector_p.h"
+#include "edge/key_shares_p.h"
+
+#include <set>
+
+namespace larkrack
+{
+class backend_selector_test : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(backend_selector_test);
+	CPPUNIT_TEST(select_same_key_free_servers_returns_the_same_server);
+	CPPUNIT_TEST(select_key_while_all_are_busy_stays_on_few_servers);
+	CPPUNIT_TEST(select_key_others_idle_uses_an_idle_one);
+	CPPUNIT_TEST(select_frequent_key_gets_more_servers);
+	CPPUNIT_TEST(select_full_server_own_portion_is_still_granted);
+	CPPUNIT_TEST(select_draining_gone_or_evacuated_server_is_never_chosen);
+	CPPUNIT_TEST(select_cold_server_keeps_to_this_nodes_part_of_the_rate);
+	CPPUNIT_TEST(select_cold_server_of_another_region_is_left_alone);
+	CPPUNIT_TEST(portions_of_all_nodes_sum_up_to_the_slots);
+	CPPUNIT_TEST(told_loads_of_a_silent_node_are_forgotten);
+	CPPUNIT_TEST_SUITE_END();
+
+public:
+	void setUp() override
+	{
+		m_registry = std::make_unique<backend_registry>(
+		    std::unordered_map<std::string, std::string>{{"east-a", "east"}, {"east-b", "east"}, {"west-a", "west"}});
+		for (int i = 0; i < 12; ++i)
+		{
+			put("s" + std::to_string(i), i % 2 == 0 ? "east-a" : "east-b");
+		}
+	}
+
+protected:
+	backend_record put(const std::string& _id, const std::string& _domain)
+	{
+		backend_record record;
+		record.id = _id;
+		record.service = "shop";
+		record.domain = _domain;
+		record.slots = 3;
+		m_registry->put(record, m_now);
+		return record;
+	}
+
+	selection wanted(std::uint64_t _key)
+	{
+		selection one;
+		one.candidates = &m_registry->of_service("shop");
+		one.region = "east";
+		one.own_region = "east";
+		one.affinity = _key;
+		one.portion = {0.0, 0.0};
+		return one;
+	}
+
+	backend_ptr select(const selection& _wanted, double _warmup_per_s = 0.0)
+	{
+		return m_selector.select(_wanted, {_warmup_per_s, 0}, {3.0, 9.0}, m_now);
+	}
+
+	void fill(const backend_ptr& _backend, int _in_flight)
+	{
+		_backend->in_flight = _in_flight;
+	}
+
+	void select_same_key_free_servers_returns_the_same_server()
+	{
+		for (std::uint64_t key = 1; key < 50; ++key)
+		{
+			CPPUNIT_ASSERT(select(wanted(key)) == select(wanted(key)));
+		}
+	}
+
+	void select_key_while_all_are_busy_stays_on_few_servers()
+	{
+		for (const backend_ptr& backend : m_registry->of_service("shop"))
+		{
+			fill(backend, 2); // One slot of three is free.
+		}
+		std::set<std::string> used;
+		while (const backend_ptr backend = select(wanted(7)))
+		{
+			used.insert(backend->record.id);
+			++backend->in_flight;
+		}
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), used.size());
+	}
+
+	void select_key_others_idle_uses_an_idle_one()
+	{
+		const backend_ptr first = select(wanted(7));
+		fill(first, 3);
+		const backend_ptr second = select(wanted(7));
+		fill(second, 3);
+		CPPUNIT_ASSERT(nullptr != select(wanted(7)));
+	}
+
+	void select_frequent_key_gets_more_servers()
+	{
+		for (const backend_ptr& backend : m_registry->of_service("shop"))
+		{
+			fill(backend, 2);
+		}
+		std::set<std::string> used;
+		selection frequent = wanted(7);
+		frequent.key_share = 0.25;
+		while (const backend_ptr backend = select(frequent))
+		{
+			used.insert(backend->record.id);
+			++backend->in_flight;
+		}
+		CPPUNIT_ASSERT_EQUAL(std::size_t(8), used.size());
+	}
+
+	void select_full_server_own_portion_is_still_granted()
+	{
+		for (const backend_ptr& backend : m_registry->of_service("shop"))
+		{
+			backend->told_by_others = 3;
+		}
+		CPPUNIT_ASSERT(nullptr == select(wanted(7)));
+		selection own = wanted(7);
+		own.portion = {0.0, 0.5};
+		CPPUNIT_ASSERT(nullptr != select(own));
+	}
+
+	void select_draining_gone_or_evacuated_server_is_never_chosen()
+	{
+		for (int i = 0; i < 12; ++i)
+		{
+			backend_record record = m_registry->find("s" + std::to_string(i))->record;
+			record.draining = 0 == i % 3;
+			m_registry->put(record, m_now);
+		}
+		m_registry->set_evacuated({"east-b"});
+		m_registry->remove("s2");
+		for (std::uint64_t key = 1; key < 200; ++key)
+		{
+			const backend_ptr chosen = select(wanted(key));
+			CPPUNIT_ASSERT(chosen && !chosen->record.draining && "east-a" == chosen->record.domain);
+			CPPUNIT_ASSERT("s2" != chosen->record.id);
+		}
+	}
+
+	void select_cold_server_keeps_to_this_nodes_part_of_the_rate()
+	{
+		setUp();
+		for (int i = 1; i < 12; ++i)
+		{
+			m_registry->remove("s" + std::to_string(i));
+		}
+		backend_record record = m_registry->find("s0")->record;
+		record.warmup_left = std::chrono::seconds(60);
+		m_registry->put(record, m_now);
+		int granted = 0;
+		for (int ms = 0; ms < 10000; ms += 10)
+		{
+			granted += select(wanted(7), 9.0) ? 1 : 0;
+			m_now += std::chrono::milliseconds(10);
+		}
+		// 9 a second for 3 nodes, and a tenth of margin.
+		CPPUNIT_ASSERT(granted >= 24 && granted <= 29);
+	}
+
+	void select_cold_server_of_another_region_is_left_alone()
+	{
+		backend_record record = put("far", "west-a");
+		record.warmup_left = std::chrono::seconds(60);
+		m_registry->put(record, m_now);
+		selection far = wanted(7);
+		far.region = "west";
+		CPPUNIT_ASSERT(nullptr == select(far, 9.0));
+	}
+
+	void portions_of_all_nodes_sum_up_to_the_slots()
+	{
+		const double ends[] = {0.0, 0.11, 0.5, 0.77, 1.0};
+		for (const backend_ptr& backend : m_registry->of_service("shop"))
+		{
+			int sum = 0;
+			for (int node = 0; node < 4; ++node)
+			{
+				sum += slot_portion{ends[node], ends[node + 1]}.slots_of(*backend);
+			}
+			CPPUNIT_ASSERT_EQUAL(backend->record.slots, sum);
+		}
+	}
+
+	void told_loads_of_a_silent_node_are_forgotten()
+	{
+		const backend_ptr backend = m_registry->find("s0");
+		m_registry->take_told("n1", {{backend->key, 2}});
+		m_registry->take_told("n2", {{backend->key, 1}});
+		CPPUNIT_ASSERT_DOUBLES_EQUAL(3.0, backend->busy(m_now + std::chrono::seconds(1)), 1e-9);
+		m_registry->take_told("n1", {{backend->key, 1}});
+		CPPUNIT_ASSERT_DOUBLES_EQUAL(2.0, backend->busy(m_now + std::chrono::seconds(1)), 1e-9);
+		m_registry->take_told("n1", {});
+		CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, backend->busy(m_now + std::chrono::seconds(1)), 1e-9);
+	}
+
+	std::unique_ptr<backend_registry> m_registry;
+	backend_selector m_selector;
+	steady_time m_now{std::chrono::hours(1)};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(backend_selector_test);
+} // namespace larkrack
