--- a/src/edge/backend_registry_p.h
+++ b/src/edge/backend_registry_p.h
@@ -56,9 +56,9 @@
 	bool gone = false;      ///< It left the registry: no new requests.
 	bool evacuated = false; ///< Its failure domain is being evacuated: no new requests.
 	steady_time cold_until{};
-	int in_flight = 0;   ///< Requests of this node.
-	int connections = 0; ///< Open connections of this node.
-	std::uint32_t key = 0; ///< Hash of the id; stands for it in heartbeats.
+	int in_flight = 0;      ///< Requests of this node.
+	int connections = 0;    ///< Open connections of this node.
+	std::uint32_t key = 0;  ///< Hash of the id; stands for it in heartbeats.
 	int told_by_others = 0; ///< Requests that the heartbeats of other nodes tell of.
 	std::vector<std::shared_ptr<upstream_connection>> idle;
 	token_bucket warmup; ///< This node's part of what the backend server bears while cold.
--- a/src/edge/backend_selector.cpp
+++ b/src/edge/backend_selector.cpp
@@ -99,7 +99,8 @@
 	    {
 		    return _left.rank < _right.rank;
 	    });
-	const auto own = static_cast<std::size_t>(k_key_servers +
+	const auto own = static_cast<std::size_t>(
+	    k_key_servers +
 	    std::ceil(k_key_servers_by_share * _selection.key_share * static_cast<double>(order.size())));
 	for (std::size_t i = 0; i < order.size(); ++i)
 	{
@@ -111,7 +112,8 @@
 		}
 		const bool tried = _selection.tried.end() !=
 		                   std::find(_selection.tried.begin(), _selection.tried.end(), backend.record.id);
-		if (tried || !has_slot(backend, _selection.portion, _now) || !has_connection(backend, _bounds, _sharing))
+		if (tried || !has_slot(backend, _selection.portion, _now) ||
+		    !has_connection(backend, _bounds, _sharing))
 		{
 			continue;
 		}
--- a/src/edge/backend_selector_p.h
+++ b/src/edge/backend_selector_p.h
@@ -14,15 +14,15 @@
 
 namespace larkrack
 {
-/// A node's part of the slots of each backend server: the part of [0, 1) between two ends. The parts of all nodes
-/// lie side by side.
+/// A node's part of the slots of each backend server: the part of [0, 1) between two ends. The parts of all
+/// nodes lie side by side.
 struct slot_portion
 {
 	double begin = 0.0;
 	double end = 1.0;
 
-	/// @returns Slots of one backend server that are this node's own. Where the part is no whole number of slots,
-	/// the nodes take turns over the backend servers.
+	/// @returns Slots of one backend server that are this node's own. Where the part is no whole number of
+	/// slots, the nodes take turns over the backend servers.
 	int slots_of(const backend_server& _backend) const;
 };
 
@@ -35,7 +35,7 @@
 	std::string nearest_domain; ///< Failure domain that is preferred; empty: none.
 	std::uint64_t affinity = 0; ///< Hash of the affinity key; 0: none.
 	double key_share = 0.0;     ///< Part of the service's requests that have this key.
-	slot_portion portion; ///< Slots that this node may use whatever other nodes do.
+	slot_portion portion;       ///< Slots that this node may use whatever other nodes do.
 	std::vector<std::string> tried;
 };
 
@@ -56,9 +56,10 @@
 /// Chooses among backend servers that have a free slot, by rendezvous hashing when there is an affinity key,
 /// else by load. Counts what it grants against the budget of cold backend servers.
 ///
-/// A key stays on one backend server, or on as many as its share of the requests needs: one that has seen the key lately is several times as fast, and one that sees
-/// all keys remembers none. Spreading keys while everything is busy would make all backend servers slow, which
-/// would keep everything busy. So a key leaves its few only for a backend server that is half idle.
+/// A key stays on one backend server, or on as many as its share of the requests needs: one that has seen the
+/// key lately is several times as fast, and one that sees all keys remembers none. Spreading keys while
+/// everything is busy would make all backend servers slow, which would keep everything busy. So a key leaves
+/// its few only for a backend server that is half idle.
 class backend_selector
 {
 public:
--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -94,9 +94,10 @@
 edge_node::edge_node(
     const edge_settings& _settings, std::string _settings_path, const edge_dialect_base& _dialect)
     : m_settings(_settings), m_settings_path(std::move(_settings_path)), m_dialect(_dialect), m_context(1),
-      m_log(_settings.place.node), m_backends(_settings.region_of), m_fleet(m_clock, self_of(_settings), m_backends),
-      m_forwarder(m_context, m_clock, _dialect.headers(), _settings.place, _settings.bounds, m_backends, m_fleet,
-          m_log),
+      m_log(_settings.place.node), m_backends(_settings.region_of),
+      m_fleet(m_clock, self_of(_settings), m_backends),
+      m_forwarder(m_context, m_clock, _dialect.headers(), _settings.place, _settings.bounds, m_backends,
+          m_fleet, m_log),
       m_replica(
           m_clock, _dialect.codec(), m_backends, m_log,
           [this](std::shared_ptr<const routing_table> _routes)
@@ -109,7 +110,8 @@
 	          m_fleet.add_address(_ip);
           }),
       m_store(_dialect.make_store(m_context, _settings.store)),
-      m_sync(m_context, m_clock, *m_store, m_replica, _dialect.codec(), m_log, _settings.place.node, _settings.ip),
+      m_sync(m_context, m_clock, *m_store, m_replica, _dialect.codec(), m_log, _settings.place.node,
+          _settings.ip),
       m_callers(
           m_context,
           [this](const std::shared_ptr<caller_session>& _session, caller_request&& _request)
@@ -155,7 +157,8 @@
 
 std::optional<error> edge_node::open()
 {
-	const auto listen = [](http_listener& _listener, const std::optional<endpoint>& _where) -> std::optional<error>
+	const auto listen = [](http_listener& _listener,
+	                        const std::optional<endpoint>& _where) -> std::optional<error>
 	{
 		if (!_where)
 		{
@@ -173,7 +176,7 @@
 	    {&m_metrics, m_settings.metrics}};
 	for (const auto& [listener, where] : listeners)
 	{
-		if (const auto failed = listen(*listener, where))
+		if (auto failed = listen(*listener, where))
 		{
 			return failed;
 		}
@@ -184,7 +187,8 @@
 	m_heartbeats.bind(where, failed);
 	if (failed)
 	{
-		return error{"listen", "can not bind UDP port " + std::to_string(where.port()) + ": " + failed.message()};
+		return error{
+		    "listen", "can not bind UDP port " + std::to_string(where.port()) + ": " + failed.message()};
 	}
 	m_heartbeats.non_blocking(true, failed);
 	return std::nullopt;
@@ -253,7 +257,8 @@
 	add_seeds(fresh.seeds);
 	m_settings.lookup_ttl = fresh.lookup_ttl;
 	m_settings.grace = fresh.grace;
-	m_log.write(log_line(event::settings_reloaded).number("seeds", static_cast<std::int64_t>(fresh.seeds.size())));
+	m_log.write(
+	    log_line(event::settings_reloaded).number("seeds", static_cast<std::int64_t>(fresh.seeds.size())));
 }
 
 void edge_node::begin_stop()
@@ -265,7 +270,8 @@
 	m_stopping = true;
 	m_stopping_since = m_clock.steady();
 	m_last_busy = m_stopping_since;
-	m_log.write(log_line(event::node_stopping).number("in_flight", static_cast<std::int64_t>(m_forwarder.in_flight())));
+	m_log.write(log_line(event::node_stopping)
+	                .number("in_flight", static_cast<std::int64_t>(m_forwarder.in_flight())));
 	m_fleet.self().state = node_state::stopping;
 	send_heartbeats();
 	m_callers.begin_stop();
@@ -284,7 +290,8 @@
 	{
 		m_callers.stop_accepting();
 		m_sync.end();
-		m_log.write(log_line(event::node_stopped).number("in_flight", static_cast<std::int64_t>(m_forwarder.in_flight())));
+		m_log.write(log_line(event::node_stopped)
+		                .number("in_flight", static_cast<std::int64_t>(m_forwarder.in_flight())));
 		m_log.flush();
 		m_context.stop();
 		return;
@@ -398,11 +405,13 @@
 void edge_node::fetch_state(const std::string& _ip, const yield_context& _yield)
 {
 	const endpoint where{_ip, m_settings.peers->port};
-	result<http_response> reply = m_peer_caller.call(where, make_request(http::verb::get, "/state", where), k_learn_timeout, _yield);
+	result<http_response> reply =
+	    m_peer_caller.call(where, make_request(http::verb::get, "/state", where), k_learn_timeout, _yield);
 	const http_response* response = value_of(reply);
 	std::int64_t revision = 0;
 	std::vector<store_value> values;
-	if (nullptr == response || http::status::ok != response->result() || !decode_state(response->body(), revision, values))
+	if (nullptr == response || http::status::ok != response->result() ||
+	    !decode_state(response->body(), revision, values))
 	{
 		return;
 	}
@@ -437,7 +446,8 @@
 	}
 	caller_response response(http::status::ok, 11);
 	response.set(http::field::content_type, "application/json");
-	response.body() = m_dialect.render_lookup(m_fleet.addresses_for(question->region, homes), m_settings.lookup_ttl);
+	response.body() =
+	    m_dialect.render_lookup(m_fleet.addresses_for(question->region, homes), m_settings.lookup_ttl);
 	_session->respond(std::move(response));
 }
 
--- a/src/edge/edge_node_p.h
+++ b/src/edge/edge_node_p.h
@@ -31,9 +31,11 @@
 	/// @returns The question in a look-up's target, or nothing when it is no look-up.
 	virtual std::optional<lookup_question> parse_lookup(const std::string& _target) const = 0;
 	/// @returns Body of the answer to a look-up.
-	virtual std::string render_lookup(const std::vector<std::string>& _addresses, std::chrono::milliseconds _ttl) const = 0;
+	virtual std::string render_lookup(
+	    const std::vector<std::string>& _addresses, std::chrono::milliseconds _ttl) const = 0;
 	/// @returns Client for the store.
-	virtual std::unique_ptr<store_base> make_store(asio::io_context& _context, const endpoint& _address) const = 0;
+	virtual std::unique_ptr<store_base> make_store(
+	    asio::io_context& _context, const endpoint& _address) const = 0;
 };
 
 /// All parts of a node, on one thread: an entry VM has a fraction of one core, and a second thread would only
--- a/src/edge/edge_settings.cpp
+++ b/src/edge/edge_settings.cpp
@@ -48,7 +48,8 @@
 	}
 }})JSON";
 
-/// Part of the retry budget that is used. The rest covers requests that reach the same window of a judge later.
+/// Part of the retry budget that is used. The rest covers requests that reach the same window of a judge
+/// later.
 constexpr double k_retry_part = 0.75;
 constexpr double k_lookup_ttl_s = 1.5;
 
--- a/src/edge/fleet.cpp
+++ b/src/edge/fleet.cpp
@@ -35,7 +35,8 @@
 
 bool fleet::alive(const fleet_member& _member) const
 {
-	return m_clock.steady() - _member.heard_at <= std::max<std::chrono::milliseconds>(k_silent, k_silent_heartbeats * interval());
+	return m_clock.steady() - _member.heard_at <=
+	       std::max<std::chrono::milliseconds>(k_silent, k_silent_heartbeats * interval());
 }
 
 void fleet::hear(const edge_heartbeat& _heartbeat)
--- a/src/edge/fleet_p.h
+++ b/src/edge/fleet_p.h
@@ -36,7 +36,8 @@
 	/// @returns This node's next heartbeat.
 	edge_heartbeat next();
 	/// @returns Addresses of nodes that callers of a region should use; never empty once this node is ready.
-	std::vector<std::string> addresses_for(const std::string& _region, const std::vector<std::string>& _homes) const;
+	std::vector<std::string> addresses_for(
+	    const std::string& _region, const std::vector<std::string>& _homes) const;
 	/// @returns A node that has a newer configuration than the given one, or null.
 	const fleet_member* newer(std::uint64_t _config_version) const;
 	/// Forgets nodes that have been silent for long.
--- a/src/edge/forwarded_request.cpp
+++ b/src/edge/forwarded_request.cpp
@@ -16,6 +16,8 @@
 {
 namespace
 {
+/// Weight of the newest exchange in the mean service time.
+constexpr double k_service_time_weight = 0.05;
 /// Deadline when neither the caller nor the route names one.
 constexpr std::chrono::milliseconds k_default_timeout{30000};
 /// Part of the objective for which a request waits for a free slot before it is refused.
@@ -95,7 +97,8 @@
 {
 	const auto stated = m_request.find(m_forwarder.m_names.timeout_ms);
 	std::chrono::milliseconds timeout =
-	    m_request.end() == stated ? k_default_timeout : stated_timeout({stated->value().data(), stated->value().size()});
+	    m_request.end() == stated ? k_default_timeout
+	                              : stated_timeout({stated->value().data(), stated->value().size()});
 	if (m_route->timeout.count() > 0)
 	{
 		timeout = std::min(timeout, m_route->timeout);
@@ -236,9 +239,9 @@
 void forwarded_request::wait_for_slot()
 {
 	const auto objective = m_route->objective;
-	const auto wait = objective.count() > 0
-	                      ? std::chrono::milliseconds(static_cast<std::int64_t>(k_wait_part * static_cast<double>(objective.count())))
-	                      : k_wait_default;
+	const auto wait = objective.count() > 0 ? std::chrono::milliseconds(static_cast<std::int64_t>(
+	                                              k_wait_part * static_cast<double>(objective.count())))
+	                                        : k_wait_default;
 	m_waiting = true;
 	++m_forwarder.m_counters.queued;
 	m_forwarder.state_of(m_service).waiting[m_route->priority].push_back(shared_from_this());
@@ -315,8 +318,7 @@
 	m_tried.push_back(_backend->record.id);
 	m_sent_at = m_forwarder.m_clock.steady();
 	++m_forwarder.m_counters.attempts;
-	const auto connect =
-	    _backend->region == m_forwarder.m_placement.region ? k_connect_near : k_connect_far;
+	const auto connect = _backend->region == m_forwarder.m_placement.region ? k_connect_near : k_connect_far;
 	m_exchange = std::make_shared<upstream_exchange>(m_forwarder.m_context, m_forwarder.m_clock,
 	    m_forwarder.m_names, _backend, std::move(request), connect,
 	    [self = shared_from_this()](exchange_result&& _result)
@@ -351,7 +353,7 @@
 		++m_attempts;
 		forwarder::service_state& state = m_forwarder.state_of(m_service);
 		const double took = std::chrono::duration<double>(m_forwarder.m_clock.steady() - m_sent_at).count();
-		state.service_time_s += 0.05 * (took - state.service_time_s);
+		state.service_time_s += k_service_time_weight * (took - state.service_time_s);
 		const bool failed = _result.response->result_int() >= 500;
 		if (failed && repeat_rule::repeatable == m_route->repeat)
 		{
@@ -422,7 +424,8 @@
 	}
 	if (m_may_have_run)
 	{
-		end_with(http::status::service_unavailable == _status ? http::status::bad_gateway : _status, outcome::unknown, _reason);
+		end_with(http::status::service_unavailable == _status ? http::status::bad_gateway : _status,
+		    outcome::unknown, _reason);
 		return;
 	}
 	refuse(_reason);
--- a/src/edge/forwarded_request_p.h
+++ b/src/edge/forwarded_request_p.h
@@ -13,7 +13,8 @@
 class forwarded_request : public std::enable_shared_from_this<forwarded_request>
 {
 public:
-	forwarded_request(forwarder& _forwarder, std::shared_ptr<caller_session> _session, caller_request&& _request);
+	forwarded_request(
+	    forwarder& _forwarder, std::shared_ptr<caller_session> _session, caller_request&& _request);
 
 	/// Finds the route and makes the first attempt.
 	void start();
@@ -63,7 +64,8 @@
 	asio::steady_timer m_deadline_timer;
 	asio::steady_timer m_wait_timer;
 	std::shared_ptr<upstream_exchange> m_exchange;
-	std::optional<caller_response> m_fallback; ///< Failure of a backend server, in case no other attempt does better.
+	std::optional<caller_response>
+	    m_fallback; ///< Failure of a backend server, in case no other attempt does better.
 	std::vector<std::string> m_tried;
 	int m_attempts = 0; ///< Attempts that reached a backend server.
 	int m_unsent = 0;   ///< Attempts that did not.
--- a/src/edge/forwarder.cpp
+++ b/src/edge/forwarder.cpp
@@ -12,8 +12,6 @@
 {
 /// Weight of the newest tick in a rate is tick / k_rate_memory_s.
 constexpr double k_rate_memory_s = 2.0;
-/// Weight of the newest exchange in the mean service time.
-constexpr double k_service_time_weight = 0.05;
 /// Service time before any exchange has ended.
 constexpr double k_service_time_prior_s = 0.4;
 /// Parts of the permitted shift that are used; the rest is left to chance in small numbers.
@@ -78,7 +76,8 @@
 	{
 		return it->second;
 	}
-	service_state& state = m_services.emplace(_service, service_state(m_placement.region, m_bounds)).first->second;
+	service_state& state =
+	    m_services.emplace(_service, service_state(m_placement.region, m_bounds)).first->second;
 	state.budget.set_slack(m_bounds.retry_slack / std::max(1.0, m_fleet.sharers().nodes));
 	update_shares(_service, state, m_clock.steady());
 	return state;
@@ -132,7 +131,9 @@
 void forwarder::tick()
 {
 	const steady_time now = m_clock.steady();
-	const double passed = steady_time{} == m_ticked_at ? k_rate_memory_s : std::chrono::duration<double>(now - m_ticked_at).count();
+	const double passed = steady_time{} == m_ticked_at
+	                          ? k_rate_memory_s
+	                          : std::chrono::duration<double>(now - m_ticked_at).count();
 	m_ticked_at = now;
 	const double weight = std::min(1.0, passed / k_rate_memory_s);
 	const double slack = m_bounds.retry_slack / std::max(1.0, m_fleet.sharers().nodes);
--- a/src/edge/forwarder_p.h
+++ b/src/edge/forwarder_p.h
@@ -25,7 +25,8 @@
 	double retry_ratio = 0.1;
 	double retry_slack = 0.0;
 	std::chrono::milliseconds retry_window{10000};
-	double max_shift = 0.15; ///< Part of a region's requests that may change their region from one window to the next.
+	double max_shift =
+	    0.15; ///< Part of a region's requests that may change their region from one window to the next.
 	std::chrono::milliseconds shift_window{2000};
 };
 
@@ -53,7 +54,8 @@
 {
 public:
 	virtual ~fleet_view_base() = default;
-	/// @returns Nodes that draw from the budgets of backend servers in this node's region, and in all regions.
+	/// @returns Nodes that draw from the budgets of backend servers in this node's region, and in all
+	/// regions.
 	virtual sharing sharers() const = 0;
 	/// @returns Requests a second for a service, by region of the nodes that took them; this node left out.
 	virtual std::map<std::string, double> demand_of_others(const std::string& _service) const = 0;
@@ -121,7 +123,7 @@
 		region_shares shares;
 		windowed_retry_budget budget;
 		std::map<int, std::list<std::shared_ptr<forwarded_request>>> waiting; ///< By priority.
-		std::map<std::string, slot_portion> portions; ///< By region.
+		std::map<std::string, slot_portion> portions;                         ///< By region.
 		key_shares keys;
 		token_bucket overflow; ///< Requests that may leave their planned region.
 		int arrivals = 0;      ///< Since the last tick.
@@ -131,7 +133,8 @@
 	};
 	service_state& state_of(const std::string& _service);
 	/// @returns Demand and capacity of each region, in slots.
-	figures_by_region figures_of(const std::string& _service, const service_state& _state, steady_time _now) const;
+	figures_by_region figures_of(
+	    const std::string& _service, const service_state& _state, steady_time _now) const;
 	void update_shares(const std::string& _service, service_state& _state, steady_time _now);
 	/// @returns Whether one more request may leave its planned region; it is then counted.
 	bool may_overflow(service_state& _state);
--- a/src/edge/header_rules.cpp
+++ b/src/edge/header_rules.cpp
@@ -11,8 +11,8 @@
 {
 namespace
 {
-constexpr const char* k_connection_headers[] = {"connection", "keep-alive", "proxy-connection", "te", "trailer",
-    "transfer-encoding", "upgrade", "proxy-authenticate", "proxy-authorization"};
+constexpr const char* k_connection_headers[] = {"connection", "keep-alive", "proxy-connection", "te",
+    "trailer", "transfer-encoding", "upgrade", "proxy-authenticate", "proxy-authorization"};
 } // namespace
 
 bool is_hop_by_hop(beast::string_view _name, const std::string& _listed)
--- a/src/edge/heartbeat_p.h
+++ b/src/edge/heartbeat_p.h
@@ -41,7 +41,7 @@
 	/// Requests a second that this node sends to each region, by service.
 	std::map<std::string, std::map<std::string, double>> sent_per_s;
 	told_loads loads;
-	std::vector<std::string> known_ips;           ///< Other nodes; how nodes find each other.
+	std::vector<std::string> known_ips; ///< Other nodes; how nodes find each other.
 };
 
 /// @returns The heartbeat as CBOR.
--- a/src/edge/key_shares_p.h
+++ b/src/edge/key_shares_p.h
@@ -10,7 +10,8 @@
 
 namespace larkrack
 {
-/// Counts keys in buckets; old counts fade. Keys that share a bucket are taken for one, so a share is never too small.
+/// Counts keys in buckets; old counts fade. Keys that share a bucket are taken for one, so a share is never
+/// too small.
 class key_shares
 {
 public:
--- a/src/edge/region_shares.cpp
+++ b/src/edge/region_shares.cpp
@@ -12,6 +12,7 @@
 {
 /// Below this, a share or a number of slots counts as none.
 constexpr double k_nothing = 1e-9;
+constexpr double k_below_all = -1e300;
 /// Requests by which keys may lead a region away from its share.
 constexpr double k_key_slack = 5.0;
 /// Part of all keys by which a region grows for each request that it is owed.
@@ -62,8 +63,8 @@
 			continue;
 		}
 		const double spare = std::max(0.0, figures.capacity - granted * figures.demand);
-		const double part =
-		    spare_elsewhere > k_nothing ? spare / spare_elsewhere : figures.capacity / (capacity - home_capacity);
+		const double part = spare_elsewhere > k_nothing ? spare / spare_elsewhere
+		                                                : figures.capacity / (capacity - home_capacity);
 		shares[region] = (1.0 - kept) * part;
 	}
 	return shares;
@@ -149,7 +150,7 @@
 		return {};
 	}
 	std::string richest;
-	double best = -INFINITY;
+	double best = k_below_all;
 	for (const auto& [region, share] : m_shares)
 	{
 		double& credit = m_credit[region];
@@ -183,7 +184,7 @@
 		sum += weight;
 	}
 	std::size_t chosen = 0;
-	double best = -INFINITY;
+	double best = k_below_all;
 	for (std::size_t i = 0; i < _weights.size(); ++i)
 	{
 		double& credit = m_credit[_weights[i].first];
--- a/src/edge/region_shares_p.h
+++ b/src/edge/region_shares_p.h
@@ -36,7 +36,8 @@
 	double back = 0.0; ///< Back home: it only saves distance.
 };
 
-/// Shares in force, which follow the planned ones at a bounded pace, and the order in which requests use them.
+/// Shares in force, which follow the planned ones at a bounded pace, and the order in which requests use
+/// them.
 class region_shares
 {
 public:
@@ -44,12 +45,12 @@
 	{
 	}
 	/// Moves the shares in force towards the planned ones.
-	/// @param[in] _at_once Whether to take the planned shares as they are: after a loss of capacity that nobody
-	/// planned, waiting would only fail requests.
+	/// @param[in] _at_once Whether to take the planned shares as they are: after a loss of capacity that
+	/// nobody planned, waiting would only fail requests.
 	void follow(const share_by_region& _planned, bool _at_once, steady_time _now);
 	/// Chooses the region for a request: the one that its key belongs to, unless that would leave the shares.
-	/// @param[in] _position Place of the request's key in [0, 1): equal keys go to one region as long as shares
-	/// stay.
+	/// @param[in] _position Place of the request's key in [0, 1): equal keys go to one region as long as
+	/// shares stay.
 	/// @returns Empty when there is none.
 	std::string next(double _position);
 	/// Takes note that a request ran in another region than the chosen one.
--- a/src/edge/routing_table_p.h
+++ b/src/edge/routing_table_p.h
@@ -50,7 +50,7 @@
 {
 	std::string name;
 	std::string health_path;
-	int max_connections = 0;            ///< Connections that one backend server takes from all callers; 0: no limit.
+	int max_connections = 0; ///< Connections that one backend server takes from all callers; 0: no limit.
 	double warmup_requests_per_s = 0.0; ///< What a cold backend server bears; 0: no limit.
 };
 
--- a/src/edge/state_replica.cpp
+++ b/src/edge/state_replica.cpp
@@ -24,8 +24,8 @@
 
 state_replica::state_replica(const clock_base& _clock, const record_codec_base& _codec,
     backend_registry& _backends, edge_log& _log, routes_handler _on_routes, node_handler _on_node)
-    : m_clock(_clock), m_codec(_codec), m_backends(_backends), m_log(_log), m_on_routes(std::move(_on_routes)),
-      m_on_node(std::move(_on_node))
+    : m_clock(_clock), m_codec(_codec), m_backends(_backends), m_log(_log),
+      m_on_routes(std::move(_on_routes)), m_on_node(std::move(_on_node))
 {
 }
 
@@ -78,8 +78,8 @@
 void state_replica::put(const store_value& _value)
 {
 	const auto it = m_values.find(_value.key);
-	const bool returned =
-	    record_kind::backend == m_codec.kind_of(_value.key) && m_removals.erase(m_codec.name_of(_value.key)) > 0;
+	const bool returned = record_kind::backend == m_codec.kind_of(_value.key) &&
+	                      m_removals.erase(m_codec.name_of(_value.key)) > 0;
 	if (m_values.end() != it && it->second.mod_revision >= _value.mod_revision && !returned)
 	{
 		return;
@@ -109,7 +109,9 @@
 	result<std::shared_ptr<const routing_table>> routes = m_codec.decode_routes(_value.value);
 	if (const error* refused = std::get_if<error>(&routes))
 	{
-		m_log.write(log_line(event::config_refused).text("why", refused->message).number("revision", _value.mod_revision));
+		m_log.write(log_line(event::config_refused)
+		                .text("why", refused->message)
+		                .number("revision", _value.mod_revision));
 		return;
 	}
 	const auto& table = *value_of(routes);
--- a/src/edge/state_replica_p.h
+++ b/src/edge/state_replica_p.h
@@ -37,13 +37,14 @@
 	/// @returns What the key names: id of the backend server, failure domain, node.
 	virtual std::string name_of(const std::string& _key) const = 0;
 	virtual result<std::shared_ptr<const routing_table>> decode_routes(const std::string& _value) const = 0;
-	virtual result<backend_record> decode_backend(const std::string& _key, const std::string& _value) const = 0;
+	virtual result<backend_record> decode_backend(
+	    const std::string& _key, const std::string& _value) const = 0;
 	/// @returns Key under which a node registers itself.
 	virtual std::string node_key(const std::string& _node) const = 0;
 };
 
-/// Applies changes of the platform's keys to the routing table and the registry of backend servers. A key goes
-/// back to an older revision only when the whole copy is replaced; the configuration never goes back.
+/// Applies changes of the platform's keys to the routing table and the registry of backend servers. A key
+/// goes back to an older revision only when the whole copy is replaced; the configuration never goes back.
 class state_replica
 {
 public:
--- a/src/edge/store_sync.cpp
+++ b/src/edge/store_sync.cpp
@@ -22,8 +22,8 @@
 store_sync::store_sync(asio::io_context& _context, const clock_base& _clock, store_base& _store,
     state_replica& _replica, const record_codec_base& _codec, edge_log& _log, std::string _node,
     std::string _node_value)
-    : m_context(_context), m_clock(_clock), m_store(_store), m_replica(_replica), m_codec(_codec), m_log(_log),
-      m_node(std::move(_node)), m_node_value(std::move(_node_value)),
+    : m_context(_context), m_clock(_clock), m_store(_store), m_replica(_replica), m_codec(_codec),
+      m_log(_log), m_node(std::move(_node)), m_node_value(std::move(_node_value)),
       m_random(static_cast<unsigned>(std::hash<std::string>()(m_node)))
 {
 }
@@ -68,7 +68,8 @@
 void store_sync::back_off(int _tries, const yield_context& _yield)
 {
 	const auto longest = std::min(k_pause_last, k_pause_first * (1 << std::min(_tries, 4)));
-	std::uniform_int_distribution<int> pause(static_cast<int>(longest.count()) / 2, static_cast<int>(longest.count()));
+	std::uniform_int_distribution<int> pause(
+	    static_cast<int>(longest.count()) / 2, static_cast<int>(longest.count()));
 	sleep_for(m_context.get_executor(), std::chrono::milliseconds(pause(m_random)), _yield);
 }
 
--- a/src/edge/store_sync_p.h
+++ b/src/edge/store_sync_p.h
@@ -24,8 +24,9 @@
 {
 public:
 	/// @param[in] _node_value What is registered for this node.
-	store_sync(asio::io_context& _context, const clock_base& _clock, store_base& _store, state_replica& _replica,
-	    const record_codec_base& _codec, edge_log& _log, std::string _node, std::string _node_value);
+	store_sync(asio::io_context& _context, const clock_base& _clock, store_base& _store,
+	    state_replica& _replica, const record_codec_base& _codec, edge_log& _log, std::string _node,
+	    std::string _node_value);
 
 	/// Starts reading, watching and registering.
 	void begin();
--- a/src/edge/upstream.cpp
+++ b/src/edge/upstream.cpp
@@ -176,8 +176,9 @@
 	m_timer.cancel();
 	// The answer may come before the request has left whole; reading goes on meanwhile.
 	asio::async_write(m_connection->socket, asio::buffer(*m_request.bytes),
-	    [self = shared_from_this(), bytes = m_request.bytes](beast::error_code, std::size_t)
+	    [self = shared_from_this(), bytes = m_request.bytes](beast::error_code _error, std::size_t)
 	    {
+		    self->m_written = !_error;
 	    });
 	read();
 }
@@ -199,7 +200,9 @@
 			    exchange_result result;
 			    result.end = exchange_outcome::lost;
 			    result.detail =
-			        http::error::end_of_stream == _error || asio::error::connection_reset == _error ? "closed" : "broken_answer";
+			        http::error::end_of_stream == _error || asio::error::connection_reset == _error
+			            ? "closed"
+			            : "broken_answer";
 			    self->finish(std::move(result), backend_signal::lost);
 			    return;
 		    }
@@ -247,11 +250,12 @@
 		{
 			keep_connection(response);
 		}
-		finish(std::move(result),
-		    result.wrong_server ? backend_signal::unreachable : backend_signal::refused);
+		finish(
+		    std::move(result), result.wrong_server ? backend_signal::unreachable : backend_signal::refused);
 		return;
 	}
-	if (response.end() == response.find(m_names.signature) && response.end() == response.find(m_names.request_id))
+	if (response.end() == response.find(m_names.signature) &&
+	    response.end() == response.find(m_names.request_id))
 	{
 		result.end = exchange_outcome::lost;
 		result.detail = "unsigned_answer";
@@ -282,7 +286,8 @@
 
 void upstream_exchange::keep_connection(const caller_response& _response)
 {
-	if (m_connection->buffer.size() > 0)
+	// What is left of the request, or of an answer, would be taken for a part of the next exchange.
+	if (!m_written || m_connection->buffer.size() > 0)
 	{
 		return;
 	}
--- a/src/edge/upstream_p.h
+++ b/src/edge/upstream_p.h
@@ -127,6 +127,7 @@
 	std::shared_ptr<upstream_connection> m_connection;
 	std::optional<http::response_parser<http::string_body>> m_parser;
 	bool m_sent = false;
+	bool m_written = false; ///< The whole request has left.
 	bool m_done = false;
 	bool m_fresh = false;
 	int m_foreign_answers = 0;
--- a/tests/backend_selector_test.cpp
+++ b/tests/backend_selector_test.cpp
@@ -28,8 +28,8 @@
 public:
 	void setUp() override
 	{
-		m_registry = std::make_unique<backend_registry>(
-		    std::unordered_map<std::string, std::string>{{"east-a", "east"}, {"east-b", "east"}, {"west-a", "west"}});
+		m_registry = std::make_unique<backend_registry>(std::unordered_map<std::string, std::string>{
+		    {"east-a", "east"}, {"east-b", "east"}, {"west-a", "west"}});
 		for (int i = 0; i < 12; ++i)
 		{
 			put("s" + std::to_string(i), i % 2 == 0 ? "east-a" : "east-b");
--- /dev/null
+++ b/tests/edge_fixture.h
@@ -0,0 +1,315 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// A forwarder with its listener on loopback, backend servers that follow a script, and a raw caller.
+#pragma once
+
+#include "fixtures.h"
+
+#include "edge/forwarder_p.h"
+
+#include <deque>
+
+namespace larkrack
+{
+/// No other nodes.
+class fleet_view_alone : public fleet_view_base
+{
+public:
+	sharing sharers() const override
+	{
+		return {nodes, nodes};
+	}
+	std::map<std::string, double> demand_of_others(const std::string&) const override
+	{
+		return {};
+	}
+	slot_portion portion(const std::string&, const std::string&) const override
+	{
+		return {};
+	}
+	double nodes = 1.0;
+};
+
+/// Backend server that answers each request with the next text of its script, as raw bytes.
+class scripted_backend
+{
+public:
+	/// What one exchange does.
+	struct step
+	{
+		std::string bytes;  ///< "{id}" stands for the id of the request that is answered.
+		bool close = false; ///< Closes the connection afterwards.
+		bool reset = false; ///< Resets it.
+		bool hold = false;  ///< Answers nothing and keeps the connection open.
+	};
+
+	explicit scripted_backend(asio::io_context& _context)
+	    : m_context(_context), m_acceptor(_context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+	{
+		accept();
+	}
+	tcp::endpoint address() const
+	{
+		return m_acceptor.local_endpoint();
+	}
+	/// A whole answer with an id, a signature and a load.
+	static std::string answer(const std::string& _body, int _status = 200, const std::string& _more = "")
+	{
+		return "HTTP/1.1 " + std::to_string(_status) +
+		       " X\r\nLarkrack-Request-Id: {id}\r\nLarkrack-Signature: s\r\n" + _more +
+		       "Content-Length: " + std::to_string(_body.size()) + "\r\n\r\n" + _body;
+	}
+
+	std::deque<step> script;           ///< When it is empty: a plain answer.
+	std::vector<std::string> requests; ///< As they came, head and body.
+	int connections = 0;
+	int closed_by_peer = 0;
+
+private:
+	struct session
+	{
+		explicit session(tcp::socket _socket) : socket(std::move(_socket))
+		{
+		}
+		tcp::socket socket;
+		beast::flat_buffer buffer;
+		http::request<http::string_body> request;
+	};
+	using session_ptr = std::shared_ptr<session>;
+
+	void accept()
+	{
+		m_acceptor.async_accept(
+		    [this](beast::error_code _error, tcp::socket _socket)
+		    {
+			    if (_error)
+			    {
+				    return;
+			    }
+			    ++connections;
+			    read(std::make_shared<session>(std::move(_socket)));
+			    accept();
+		    });
+	}
+	void read(const session_ptr& _session)
+	{
+		_session->request = {};
+		http::async_read(_session->socket, _session->buffer, _session->request,
+		    [this, _session](beast::error_code _error, std::size_t)
+		    {
+			    if (_error)
+			    {
+				    ++closed_by_peer;
+				    return;
+			    }
+			    std::ostringstream text;
+			    text << _session->request;
+			    requests.push_back(text.str());
+			    play(_session);
+		    });
+	}
+	void play(const session_ptr& _session)
+	{
+		step next{answer("fine"), false, false, false};
+		if (!script.empty())
+		{
+			next = script.front();
+			script.pop_front();
+		}
+		if (next.hold)
+		{
+			read(_session);
+			return;
+		}
+		const std::string id(_session->request["Larkrack-Request-Id"]);
+		std::string bytes = next.bytes;
+		for (std::size_t at = bytes.find("{id}"); std::string::npos != at; at = bytes.find("{id}"))
+		{
+			bytes.replace(at, 4, id);
+		}
+		const auto text = std::make_shared<std::string>(bytes);
+		asio::async_write(_session->socket, asio::buffer(*text),
+		    [this, _session, text, next](beast::error_code, std::size_t)
+		    {
+			    beast::error_code ignored;
+			    if (next.reset)
+			    {
+				    _session->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+			    }
+			    if (next.reset || next.close)
+			    {
+				    _session->socket.close(ignored);
+				    return;
+			    }
+			    read(_session);
+		    });
+	}
+
+	asio::io_context& m_context;
+	tcp::acceptor m_acceptor;
+};
+
+/// Caller that sends raw bytes and reads one answer at a time.
+class raw_caller
+{
+public:
+	raw_caller(asio::io_context& _context, const tcp::endpoint& _address)
+	    : m_context(_context), m_socket(_context)
+	{
+		m_socket.connect(_address);
+	}
+	void send(const std::string& _bytes)
+	{
+		const auto bytes = std::make_shared<std::string>(_bytes);
+		asio::async_write(m_socket, asio::buffer(*bytes),
+		    [bytes](beast::error_code, std::size_t)
+		    {
+		    });
+	}
+	/// @returns The next answer; status 0 when the connection ended without one.
+	caller_response receive()
+	{
+		bool done = false;
+		http::response_parser<http::string_body> parser;
+		parser.body_limit(INT64_MAX);
+		beast::error_code failure;
+		http::async_read(m_socket, m_buffer, parser,
+		    [&](beast::error_code _error, std::size_t)
+		    {
+			    failure = _error;
+			    done = true;
+		    });
+		run_until(m_context,
+		    [&]
+		    {
+			    return done;
+		    });
+		if (failure)
+		{
+			caller_response none;
+			none.result(0);
+			return none;
+		}
+		return parser.release();
+	}
+	void close()
+	{
+		m_socket.close();
+	}
+
+private:
+	asio::io_context& m_context;
+	tcp::socket m_socket;
+	beast::flat_buffer m_buffer;
+};
+
+/// Fixture: one node with routes "/read/" (repeatable) and "/pay/" (at most once) to service "shop".
+class edge_fixture : public CppUnit::TestFixture
+{
+public:
+	void setUp() override
+	{
+		m_context = std::make_unique<asio::io_context>(1);
+		m_registry = std::make_unique<backend_registry>(
+		    std::unordered_map<std::string, std::string>{{"east-a", "east"}, {"west-a", "west"}});
+		m_log = std::make_unique<edge_log>("test", -1);
+		shared_bounds bounds;
+		bounds.retry_ratio = 0.2;
+		bounds.retry_slack = 50;
+		m_forwarder = std::make_unique<forwarder>(*m_context, m_clock, header_names(),
+		    placement{"n1", "east-a", "east"}, bounds, *m_registry, m_fleet, *m_log);
+		m_listener = std::make_unique<http_listener>(
+		    *m_context,
+		    [this](const std::shared_ptr<caller_session>& _session, caller_request&& _request)
+		    {
+			    m_forwarder->handle(_session, std::move(_request));
+		    },
+		    1000);
+		CPPUNIT_ASSERT(!m_listener->listen(tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)));
+	}
+
+	void tearDown() override
+	{
+		m_context->stop();
+		m_backends.clear();
+		m_listener.reset();
+		m_forwarder.reset();
+		m_registry.reset();
+		m_context.reset();
+	}
+
+protected:
+	void set_routes(std::uint64_t _version = 1)
+	{
+		m_forwarder->set_routes(routes(_version));
+	}
+
+	static std::shared_ptr<const routing_table> routes(std::uint64_t _version)
+	{
+		route read;
+		read.name = "read";
+		read.host = "shop.example";
+		read.path_prefix = "/read/";
+		read.repeat = repeat_rule::repeatable;
+		read.timeout = std::chrono::milliseconds(2000);
+		read.objective = std::chrono::milliseconds(400);
+		read.max_attempts = 3;
+		read.sticky = true;
+		read.targets = {{"shop", 1.0}};
+		route pay = read;
+		pay.name = "pay";
+		pay.path_prefix = "/pay/";
+		pay.repeat = repeat_rule::at_most_once;
+		caller_limits limits;
+		limits.header_bytes = 2048;
+		limits.body_bytes = 100000;
+		return std::make_shared<const routing_table>(_version, std::vector<route>{read, pay},
+		    std::vector<routed_service>{{"shop", "", 0, 0.0}}, limits);
+	}
+
+	scripted_backend& add_backend(const std::string& _id, int _slots = 3)
+	{
+		m_backends.push_back(std::make_unique<scripted_backend>(*m_context));
+		backend_record record;
+		record.id = _id;
+		record.service = "shop";
+		record.domain = "east-a";
+		record.slots = _slots;
+		record.address = m_backends.back()->address();
+		m_registry->put(record, m_clock.steady());
+		return *m_backends.back();
+	}
+
+	raw_caller call()
+	{
+		return {*m_context, m_listener->address()};
+	}
+
+	static std::string request(const std::string& _method, const std::string& _path, const std::string& _id,
+	    const std::string& _more = "", const std::string& _body = "")
+	{
+		return _method + " " + _path + " HTTP/1.1\r\nHost: shop.example\r\nLarkrack-Request-Id: " + _id +
+		       "\r\nLarkrack-Deadline-Ms: 1500\r\n" + _more +
+		       (_body.empty() ? "" : "Content-Length: " + std::to_string(_body.size()) + "\r\n") + "\r\n" +
+		       _body;
+	}
+
+	caller_response ask(const std::string& _bytes)
+	{
+		raw_caller caller = call();
+		caller.send(_bytes);
+		return caller.receive();
+	}
+
+	std::unique_ptr<asio::io_context> m_context;
+	clock_system m_clock;
+	fleet_view_alone m_fleet;
+	std::unique_ptr<backend_registry> m_registry;
+	std::unique_ptr<edge_log> m_log;
+	std::unique_ptr<forwarder> m_forwarder;
+	std::unique_ptr<http_listener> m_listener;
+	std::vector<std::unique_ptr<scripted_backend>> m_backends;
+};
+} // namespace larkrack
--- /dev/null
+++ b/tests/forwarder_test.cpp
@@ -0,0 +1,349 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "edge_fixture.h"
+
+namespace larkrack
+{
+class forwarder_test : public edge_fixture
+{
+	CPPUNIT_TEST_SUITE(forwarder_test);
+	CPPUNIT_TEST(request_plain_arrives_unchanged_and_its_answer_goes_back);
+	CPPUNIT_TEST(request_without_configuration_is_not_run);
+	CPPUNIT_TEST(request_without_route_is_not_found);
+	CPPUNIT_TEST(request_time_left_is_passed_on);
+	CPPUNIT_TEST(request_head_gets_no_body);
+	CPPUNIT_TEST(repeatable_lost_answer_is_tried_elsewhere);
+	CPPUNIT_TEST(payment_lost_answer_is_never_sent_again);
+	CPPUNIT_TEST(payment_shed_is_tried_elsewhere);
+	CPPUNIT_TEST(payment_shed_everywhere_is_refused_with_a_time_to_come_back);
+	CPPUNIT_TEST(payment_at_a_taken_address_is_tried_elsewhere);
+	CPPUNIT_TEST(answer_of_another_request_is_passed_over);
+	CPPUNIT_TEST(answer_with_surplus_ends_the_connection);
+	CPPUNIT_TEST(answer_without_length_closed_is_whole);
+	CPPUNIT_TEST(answer_without_length_reset_is_lost);
+	CPPUNIT_TEST(answer_cut_short_is_never_passed_on);
+	CPPUNIT_TEST(answer_that_is_no_http_is_never_passed_on);
+	CPPUNIT_TEST(answer_before_the_body_was_read_ends_the_connection);
+	CPPUNIT_TEST(caller_leaves_work_is_cancelled);
+	CPPUNIT_TEST(failure_of_a_backend_server_keeps_its_status_and_signature);
+	CPPUNIT_TEST(all_slots_taken_request_is_refused_early);
+	CPPUNIT_TEST(slot_freed_waiting_request_is_sent);
+	CPPUNIT_TEST(retry_budget_spent_no_more_retries);
+	CPPUNIT_TEST(older_configuration_is_not_taken);
+	CPPUNIT_TEST_SUITE_END();
+
+protected:
+	void request_plain_arrives_unchanged_and_its_answer_goes_back()
+	{
+		set_routes();
+		scripted_backend& backend = add_backend("b1");
+		const caller_response response = ask(request("POST", "/pay/a%20b?x=1", "r1",
+		    "X-Own: 7\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\n", "body"));
+		CPPUNIT_ASSERT_EQUAL(200U, response.result_int());
+		CPPUNIT_ASSERT_EQUAL(std::string("fine"), response.body());
+		CPPUNIT_ASSERT_EQUAL(std::string("s"), std::string(response["Larkrack-Signature"]));
+		const std::string& sent = backend.requests.at(0);
+		CPPUNIT_ASSERT_EQUAL(std::size_t(0), sent.find("POST /pay/a%20b?x=1 HTTP/1.1\r\n"));
+		CPPUNIT_ASSERT(std::string::npos != sent.find("X-Own: 7\r\n"));
+		CPPUNIT_ASSERT(std::string::npos != sent.find("Larkrack-Backend: b1\r\n"));
+		CPPUNIT_ASSERT(std::string::npos == sent.find("X-Hop"));
+		CPPUNIT_ASSERT(std::string::npos != sent.find("\r\n\r\nbody"));
+	}
+
+	void request_without_configuration_is_not_run()
+	{
+		CPPUNIT_ASSERT_EQUAL(503U, ask(request("GET", "/read/1", "r1")).result_int());
+	}
+
+	void request_without_route_is_not_found()
+	{
+		set_routes();
+		CPPUNIT_ASSERT_EQUAL(404U, ask(request("GET", "/other/1", "r1")).result_int());
+	}
+
+	void request_time_left_is_passed_on()
+	{
+		set_routes();
+		scripted_backend& backend = add_backend("b1");
+		ask(request("GET", "/read/1", "r1"));
+		const std::string& sent = backend.requests.at(0);
+		const std::size_t at = sent.find("Larkrack-Deadline-Ms: ");
+		const int left = std::stoi(sent.substr(at + 22));
+		CPPUNIT_ASSERT(left > 0 && left <= 1500);
+		CPPUNIT_ASSERT(std::string::npos == sent.find("Larkrack-Deadline-Ms: ", at + 1));
+	}
+
+	void request_head_gets_no_body()
+	{
+		set_routes();
+		add_backend("b1").script = {
+		    {scripted_backend::answer("fine").substr(0, scripted_backend::answer("fine").size() - 4)}};
+		raw_caller caller = call();
+		caller.send(request("HEAD", "/read/1", "r1") + request("GET", "/read/2", "r2"));
+		bool done = false;
+		(void)done;
+		// The parser would take the next answer for a body if one had been announced and sent.
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), count_after_requests(2));
+	}
+
+	std::size_t count_after_requests(std::size_t _requests)
+	{
+		run_until(*m_context,
+		    [&]
+		    {
+			    return m_backends.front()->requests.size() >= _requests;
+		    });
+		return m_backends.size();
+	}
+
+	void repeatable_lost_answer_is_tried_elsewhere()
+	{
+		set_routes();
+		add_backend("b1").script = {{"", true}};
+		add_backend("b2").script = {{"", true}};
+		m_backends[1]->script.clear();
+		const caller_response first = ask(request("GET", "/read/1", "r1"));
+		CPPUNIT_ASSERT_EQUAL(200U, first.result_int());
+	}
+
+	void payment_lost_answer_is_never_sent_again()
+	{
+		set_routes();
+		add_backend("b1").script = {{"", true}, {"", true}};
+		add_backend("b2").script = {{"", true}, {"", true}};
+		CPPUNIT_ASSERT_EQUAL(502U, ask(request("POST", "/pay/1", "r1", "", "x")).result_int());
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_backends[0]->requests.size() + m_backends[1]->requests.size());
+	}
+
+	static scripted_backend::step shed()
+	{
+		return {
+		    "HTTP/1.1 503 X\r\nLarkrack-Request-Id: {id}\r\nLarkrack-Shed: 1\r\nContent-Length: 0\r\n\r\n"};
+	}
+
+	void payment_shed_is_tried_elsewhere()
+	{
+		set_routes();
+		add_backend("b1").script = {shed()};
+		add_backend("b2");
+		m_backends[1]->script = {};
+		int served = 0;
+		for (int i = 0; i < 4; ++i)
+		{
+			served +=
+			    200 == ask(request("POST", "/pay/1", "r" + std::to_string(i), "", "x")).result_int() ? 1 : 0;
+		}
+		CPPUNIT_ASSERT_EQUAL(4, served);
+	}
+
+	void payment_shed_everywhere_is_refused_with_a_time_to_come_back()
+	{
+		set_routes();
+		add_backend("b1").script = {shed(), shed()};
+		add_backend("b2").script = {shed(), shed()};
+		const caller_response response = ask(request("POST", "/pay/1", "r1", "", "x"));
+		CPPUNIT_ASSERT_EQUAL(503U, response.result_int());
+		const double pause = std::stod(std::string(response[http::field::retry_after]));
+		CPPUNIT_ASSERT(pause > 0.0 && pause < 1.0);
+	}
+
+	void payment_at_a_taken_address_is_tried_elsewhere()
+	{
+		set_routes();
+		const scripted_backend::step wrong{
+		    "HTTP/1.1 421 X\r\nLarkrack-Request-Id: {id}\r\nContent-Length: 0\r\n\r\n"};
+		add_backend("b1").script = {wrong};
+		add_backend("b2").script = {wrong};
+		m_backends[1]->script.clear();
+		CPPUNIT_ASSERT_EQUAL(200U, ask(request("POST", "/pay/1", "r1", "", "x")).result_int());
+	}
+
+	void answer_of_another_request_is_passed_over()
+	{
+		set_routes();
+		add_backend("b1").script = {{"HTTP/1.1 200 X\r\nLarkrack-Request-Id: other\r\nLarkrack-Signature: "
+		                             "s\r\nContent-Length: 5\r\n\r\nwrong" +
+		                             scripted_backend::answer("right")}};
+		CPPUNIT_ASSERT_EQUAL(std::string("right"), ask(request("POST", "/pay/1", "r1", "", "x")).body());
+	}
+
+	void answer_with_surplus_ends_the_connection()
+	{
+		set_routes();
+		scripted_backend& backend = add_backend("b1");
+		backend.script = {{scripted_backend::answer("one") + scripted_backend::answer("surplus")}};
+		CPPUNIT_ASSERT_EQUAL(std::string("one"), ask(request("GET", "/read/1", "r1")).body());
+		CPPUNIT_ASSERT_EQUAL(std::string("fine"), ask(request("GET", "/read/1", "r2")).body());
+		CPPUNIT_ASSERT_EQUAL(2, backend.connections);
+	}
+
+	void answer_without_length_closed_is_whole()
+	{
+		set_routes();
+		add_backend("b1").script = {
+		    {"HTTP/1.1 200 X\r\nLarkrack-Request-Id: {id}\r\nLarkrack-Signature: s\r\n\r\nwhole", true}};
+		const caller_response response = ask(request("POST", "/pay/1", "r1", "", "x"));
+		CPPUNIT_ASSERT_EQUAL(std::string("whole"), response.body());
+		CPPUNIT_ASSERT_EQUAL(std::string("5"), std::string(response[http::field::content_length]));
+	}
+
+	void answer_without_length_reset_is_lost()
+	{
+		set_routes();
+		add_backend("b1").script = {
+		    {"HTTP/1.1 200 X\r\nLarkrack-Request-Id: {id}\r\nLarkrack-Signature: s\r\n\r\npart", false,
+		        true}};
+		CPPUNIT_ASSERT_EQUAL(502U, ask(request("POST", "/pay/1", "r1", "", "x")).result_int());
+	}
+
+	void answer_cut_short_is_never_passed_on()
+	{
+		set_routes();
+		const std::string whole = scripted_backend::answer("a long answer");
+		add_backend("b1").script = {{whole.substr(0, whole.size() - 4), true}};
+		CPPUNIT_ASSERT_EQUAL(502U, ask(request("POST", "/pay/1", "r1", "", "x")).result_int());
+	}
+
+	void answer_that_is_no_http_is_never_passed_on()
+	{
+		set_routes();
+		add_backend("b1").script = {{"garbage\r\n\r\nmore garbage"}};
+		CPPUNIT_ASSERT_EQUAL(502U, ask(request("POST", "/pay/1", "r1", "", "x")).result_int());
+	}
+
+	void answer_before_the_body_was_read_ends_the_connection()
+	{
+		set_routes();
+		// The request is larger than what loopback takes at once; the answer comes after its head.
+		asio::io_context& context = *m_context;
+		tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+		backend_record record;
+		record.id = "early";
+		record.service = "shop";
+		record.domain = "east-a";
+		record.slots = 3;
+		record.address = acceptor.local_endpoint();
+		m_registry->put(record, m_clock.steady());
+		tcp::socket peer(context);
+		std::string head(20000, '\0');
+		acceptor.async_accept(peer,
+		    [&](beast::error_code)
+		    {
+			    peer.set_option(asio::socket_base::receive_buffer_size(4096));
+			    peer.async_read_some(asio::buffer(head),
+			        [&](beast::error_code, std::size_t)
+			        {
+				        asio::write(peer, asio::buffer(std::string(
+				                              "HTTP/1.1 400 X\r\nLarkrack-Request-Id: "
+				                              "r1\r\nLarkrack-Signature: s\r\nContent-Length: 0\r\n\r\n")));
+			        });
+		    });
+		m_forwarder->set_routes(large_body_routes());
+		m_listener->set_limits(m_forwarder->routes()->limits());
+		const caller_response response =
+		    ask(request("POST", "/pay/1", "r1", "", std::string(16UL * 1024 * 1024, 'x')));
+		CPPUNIT_ASSERT_EQUAL(400U, response.result_int());
+		CPPUNIT_ASSERT(m_registry->find("early")->idle.empty());
+	}
+
+	static std::shared_ptr<const routing_table> large_body_routes()
+	{
+		caller_limits limits;
+		limits.body_bytes = 64UL * 1024 * 1024;
+		return std::make_shared<const routing_table>(
+		    2, routes(1)->routes(), std::vector<routed_service>{{"shop", "", 0, 0.0}}, limits);
+	}
+
+	void caller_leaves_work_is_cancelled()
+	{
+		set_routes();
+		scripted_backend& backend = add_backend("b1");
+		backend.script = {{"", false, false, true}};
+		raw_caller caller = call();
+		caller.send(request("GET", "/read/1", "r1"));
+		run_until(*m_context,
+		    [&]
+		    {
+			    return 1 == backend.requests.size();
+		    });
+		caller.close();
+		run_until(*m_context,
+		    [&]
+		    {
+			    return 1 == backend.closed_by_peer;
+		    });
+		CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_forwarder->in_flight());
+		CPPUNIT_ASSERT_EQUAL(0, m_registry->find("b1")->in_flight);
+	}
+
+	void failure_of_a_backend_server_keeps_its_status_and_signature()
+	{
+		set_routes();
+		add_backend("b1").script = {{scripted_backend::answer("bad", 500)}};
+		const caller_response response = ask(request("POST", "/pay/1", "r1", "", "x"));
+		CPPUNIT_ASSERT_EQUAL(500U, response.result_int());
+		CPPUNIT_ASSERT_EQUAL(std::string("s"), std::string(response["Larkrack-Signature"]));
+	}
+
+	void all_slots_taken_request_is_refused_early()
+	{
+		set_routes();
+		add_backend("b1", 1).script = {{"", false, false, true}};
+		raw_caller first = call();
+		first.send(request("GET", "/read/1", "r1"));
+		run_until(*m_context,
+		    [&]
+		    {
+			    return 1 == m_backends[0]->requests.size();
+		    });
+		const steady_time begin = m_clock.steady();
+		const caller_response response = ask(request("GET", "/read/1", "r2"));
+		CPPUNIT_ASSERT_EQUAL(503U, response.result_int());
+		// A quarter of the objective, and time for a busy machine.
+		CPPUNIT_ASSERT(m_clock.steady() - begin < std::chrono::milliseconds(1400));
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_backends[0]->requests.size());
+	}
+
+	void slot_freed_waiting_request_is_sent()
+	{
+		set_routes();
+		add_backend("b1", 1);
+		m_registry->find("b1")->in_flight = 1;
+		raw_caller waiting = call();
+		waiting.send(request("GET", "/read/1", "r2"));
+		run_until(*m_context,
+		    [&]
+		    {
+			    return 1 == m_forwarder->counters().queued;
+		    });
+		m_registry->find("b1")->in_flight = 0;
+		m_forwarder->pump();
+		CPPUNIT_ASSERT_EQUAL(200U, waiting.receive().result_int());
+	}
+
+	void retry_budget_spent_no_more_retries()
+	{
+		m_fleet.nodes = 1000; // No slack for this node.
+		set_routes();
+		add_backend("b1").script.assign(20, {"", true});
+		add_backend("b2").script.assign(20, {"", true});
+		for (int i = 0; i < 5; ++i)
+		{
+			ask(request("GET", "/read/1", "r" + std::to_string(i)));
+		}
+		const std::size_t arrivals = m_backends[0]->requests.size() + m_backends[1]->requests.size();
+		CPPUNIT_ASSERT(arrivals <= 6);
+		CPPUNIT_ASSERT(m_forwarder->counters().retries_denied > 0);
+	}
+
+	void older_configuration_is_not_taken()
+	{
+		set_routes(7);
+		m_forwarder->set_routes(routes(6));
+		CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), m_forwarder->routes()->version());
+	}
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(forwarder_test);
+} // namespace larkrack
