Keep a connection alive until the operations on it have ended

Cause: a cancelled exchange dropped its connection while the library's read and write operations still referred to its socket and buffer; their last steps then touched freed memory.

Ruled out: the stack of the coroutines (the failing operation runs on the main stack; address sanitizer).

--- a/src/edge/upstream.cpp
+++ b/src/edge/upstream.cpp
@@ -176,7 +176,8 @@
 	m_timer.cancel();
 	// The answer may come before the request has left whole; reading goes on meanwhile.
 	asio::async_write(m_connection->socket, asio::buffer(*m_request.bytes),
-	    [self = shared_from_this(), bytes = m_request.bytes](beast::error_code _error, std::size_t)
+	    [self = shared_from_this(), connection = m_connection, bytes = m_request.bytes](
+	        beast::error_code _error, std::size_t)
 	    {
 		    self->m_written = !_error;
 	    });
@@ -188,8 +189,9 @@
 	m_parser.emplace();
 	m_parser->body_limit(k_any_length);
 	m_parser->skip(m_request.head);
+	// The operation uses the connection until its handler runs, also after a cancellation.
 	http::async_read(m_connection->socket, m_connection->buffer, *m_parser,
-	    [self = shared_from_this()](beast::error_code _error, std::size_t)
+	    [self = shared_from_this(), connection = m_connection](beast::error_code _error, std::size_t)
 	    {
 		    if (self->m_done)
 		    {
--- a/tests/edge_fixture.h
+++ b/tests/edge_fixture.h
@@ -156,15 +156,15 @@
 {
 public:
 	raw_caller(asio::io_context& _context, const tcp::endpoint& _address)
-	    : m_context(_context), m_socket(_context)
+	    : m_context(_context), m_socket(std::make_shared<tcp::socket>(_context))
 	{
-		m_socket.connect(_address);
+		m_socket->connect(_address);
 	}
 	void send(const std::string& _bytes)
 	{
 		const auto bytes = std::make_shared<std::string>(_bytes);
-		asio::async_write(m_socket, asio::buffer(*bytes),
-		    [bytes](beast::error_code, std::size_t)
+		asio::async_write(*m_socket, asio::buffer(*bytes),
+		    [bytes, socket = m_socket](beast::error_code, std::size_t)
 		    {
 		    });
 	}
@@ -175,7 +175,7 @@
 		http::response_parser<http::string_body> parser;
 		parser.body_limit(INT64_MAX);
 		beast::error_code failure;
-		http::async_read(m_socket, m_buffer, parser,
+		http::async_read(*m_socket, m_buffer, parser,
 		    [&](beast::error_code _error, std::size_t)
 		    {
 			    failure = _error;
@@ -196,12 +196,12 @@
 	}
 	void close()
 	{
-		m_socket.close();
+		m_socket->close();
 	}
 
 private:
 	asio::io_context& m_context;
-	tcp::socket m_socket;
+	std::shared_ptr<tcp::socket> m_socket;
 	beast::flat_buffer m_buffer;
 };
 
