--- a/src/edge/backend_selector.cpp
+++ b/src/edge/backend_selector.cpp
@@ -38,8 +38,8 @@
 	return _backend.connections < std::max(1.0, _bounds.max_connections / _sharing.nodes);
 }
 
-bool grant_cold(
-    backend_server& _backend, const selection& _selection, double _per_s, double _nodes, steady_time _now)
+bool grant_cold(backend_server& _backend, const selection& _selection, double _per_s,
+    const warmup_sharing_base& _warmup, steady_time _now)
 {
 	if (!_backend.cold(_now) || _per_s <= 0.0)
 	{
@@ -50,7 +50,8 @@
 	{
 		return false;
 	}
-	return _backend.warmup.take(k_warmup_part * _per_s / _nodes, 1.0, _now);
+	const double part = _warmup.warmup_part(_backend);
+	return part > 0.0 && _backend.warmup.take(k_warmup_part * _per_s * part, 1.0, _now);
 }
 
 /// Lower is better.
@@ -79,7 +80,7 @@
 }
 
 backend_ptr backend_selector::select(const selection& _selection, const service_bounds& _bounds,
-    const sharing& _sharing, steady_time _now) const
+    const sharing& _sharing, const warmup_sharing_base& _warmup, steady_time _now) const
 {
 	struct ranked
 	{
@@ -117,7 +118,7 @@
 		{
 			continue;
 		}
-		if (grant_cold(backend, _selection, _bounds.warmup_requests_per_s, _sharing.nodes_in_region, _now))
+		if (grant_cold(backend, _selection, _bounds.warmup_requests_per_s, _warmup, _now))
 		{
 			return *order[i].backend;
 		}
--- a/src/edge/backend_selector_p.h
+++ b/src/edge/backend_selector_p.h
@@ -42,8 +42,17 @@
 /// How many nodes draw from the budgets of a backend server.
 struct sharing
 {
-	double nodes_in_region = 1.0;
-	double nodes = 1.0;
+	double nodes = 1.0; ///< All nodes.
+};
+
+/// Tells which nodes send to cold backend servers.
+class warmup_sharing_base
+{
+public:
+	virtual ~warmup_sharing_base() = default;
+	/// @returns This node's part, 0 to 1, of what a cold backend server of its region bears. The parts of all
+	/// nodes never sum up to much more than 1, whatever each of them sees.
+	virtual double warmup_part(const backend_server& _backend) const = 0;
 };
 
 /// Bounds of a service that hold over all nodes.
@@ -65,6 +74,6 @@
 public:
 	/// @returns Null when none may take the request now.
 	backend_ptr select(const selection& _selection, const service_bounds& _bounds, const sharing& _sharing,
-	    steady_time _now) const;
+	    const warmup_sharing_base& _warmup, steady_time _now) const;
 };
 } // namespace larkrack
--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -3,6 +3,8 @@
 
 #include "edge_node_p.h"
 
+#include "store_changes_codec_p.h"
+
 #include "larkrack/config.h"
 
 #include <csignal>
@@ -19,8 +21,13 @@
 /// Part of the descriptors that connections of callers may take; the rest is for backend servers.
 constexpr double k_caller_descriptors = 0.6;
 constexpr std::size_t k_other_connections = 256;
-/// A node whose configuration is older than that of another one for so long asks that one.
-constexpr std::chrono::milliseconds k_behind{400};
+/// Nodes of a region that read the store: enough that trouble of some does not leave the others without news.
+constexpr std::size_t k_region_readers = 4;
+/// Readers that tell the others by datagrams; one alone could lose one.
+constexpr std::size_t k_tellers = 2;
+/// A node that knows less than another one asks it after so long: news may be on the way.
+constexpr std::chrono::milliseconds k_behind{60};
+constexpr std::chrono::milliseconds k_behind_reader{400};
 constexpr std::chrono::milliseconds k_learn_timeout{1000};
 /// Steps of a planned stop, from its beginning.
 constexpr std::chrono::milliseconds k_stop_step{100};
@@ -60,35 +67,6 @@
 	const int free = std::max(64, _settings.max_descriptors - k_reserved_descriptors);
 	return static_cast<std::size_t>(k_caller_descriptors * free);
 }
-
-std::vector<std::uint8_t> encode_state(const state_replica& _replica)
-{
-	nlohmann::json values = nlohmann::json::array();
-	for (const auto& [key, value] : _replica.values())
-	{
-		values.push_back({key, value.value, value.mod_revision});
-	}
-	return nlohmann::json::to_cbor({{"revision", _replica.revision()}, {"values", values}});
-}
-
-bool decode_state(const std::string& _bytes, std::int64_t& _revision, std::vector<store_value>& _values)
-{
-	const nlohmann::json document = nlohmann::json::from_cbor(_bytes, true, false);
-	if (!document.is_object() || !document.contains("revision") || !document.contains("values"))
-	{
-		return false;
-	}
-	_revision = document["revision"];
-	for (const nlohmann::json& row : document["values"])
-	{
-		store_value value;
-		value.key = row.at(0);
-		value.value = row.at(1);
-		value.mod_revision = row.at(2);
-		_values.push_back(std::move(value));
-	}
-	return true;
-}
 } // namespace
 
 edge_node::edge_node(
@@ -110,7 +88,7 @@
 	          m_fleet.add_address(_ip);
           }),
       m_store(_dialect.make_store(m_context, _settings.store)),
-      m_sync(m_context, m_clock, *m_store, m_replica, _dialect.codec(), m_log, _settings.place.node,
+      m_sync(m_context, m_clock, *m_store, m_replica, _dialect.codec(), *this, m_log, _settings.place.node,
           _settings.ip),
       m_callers(
           m_context,
@@ -136,9 +114,9 @@
           k_other_connections),
       m_peers(
           m_context,
-          [this](const std::shared_ptr<caller_session>& _session, caller_request&&)
+          [this](const std::shared_ptr<caller_session>& _session, caller_request&& _request)
           {
-	          answer_peer(_session);
+	          answer_peer(_session, _request);
           },
           k_other_connections),
       m_metrics(
@@ -149,7 +127,7 @@
           },
           k_other_connections),
       m_heartbeats(m_context), m_signals(m_context, SIGTERM, SIGINT, SIGHUP), m_tick_timer(m_context),
-      m_stop_timer(m_context), m_peer_caller(m_context.get_executor())
+      m_stop_timer(m_context), m_learn_timer(m_context), m_peer_caller(m_context.get_executor())
 {
 }
 
@@ -342,16 +320,65 @@
 		    }
 		    if (!_error)
 		    {
-			    result<edge_heartbeat> decoded = decode_heartbeat(m_heartbeat_buffer.data(), _size);
-			    if (const edge_heartbeat* one = value_of(decoded))
-			    {
-				    m_fleet.hear(*one);
-			    }
+			    take_datagram(_size);
 		    }
 		    receive_heartbeats();
 	    });
 }
 
+void edge_node::take_datagram(std::size_t _size)
+{
+	result<edge_heartbeat> decoded = decode_heartbeat(m_heartbeat_buffer.data(), _size);
+	if (const edge_heartbeat* one = value_of(decoded))
+	{
+		m_fleet.hear(*one);
+		learn_from_peers();
+		return;
+	}
+	result<store_changes> changes = decode_store_changes(m_heartbeat_buffer.data(), _size);
+	if (const store_changes* some = value_of(changes))
+	{
+		m_replica.apply(*some);
+	}
+}
+
+void edge_node::send_datagram(const std::vector<std::uint8_t>& _bytes, const std::string& _ip)
+{
+	beast::error_code ignored;
+	const auto address = asio::ip::make_address(_ip, ignored);
+	if (!ignored)
+	{
+		m_heartbeats.send_to(asio::buffer(_bytes), {address, m_settings.heartbeat_port}, 0, ignored);
+	}
+}
+
+bool edge_node::is_reader() const
+{
+	return m_fleet.reader_rank() < k_region_readers;
+}
+
+void edge_node::on_read(const store_changes& _changes)
+{
+	const std::vector<std::string> others = m_fleet.region_addresses();
+	if (others.size() < k_region_readers || m_fleet.reader_rank() >= k_tellers)
+	{
+		return; // All of them read for themselves, or others tell them.
+	}
+	const std::vector<store_changes> parts = split_for_datagrams(_changes);
+	for (const store_changes& part : parts)
+	{
+		const std::vector<std::uint8_t> bytes = encode(part);
+		for (const std::string& ip : others)
+		{
+			send_datagram(bytes, ip);
+		}
+	}
+	if (parts.empty())
+	{
+		send_heartbeats(); // Too large for a datagram: the new revision makes them ask.
+	}
+}
+
 void edge_node::send_heartbeats()
 {
 	edge_heartbeat& self = m_fleet.self();
@@ -362,64 +389,64 @@
 	{
 		self.requests_per_s[service] = demand.requests_per_s;
 	}
+	self.store_reached = m_sync.health().reached || !is_reader();
 	self.sent_per_s = m_forwarder.sent_per_s();
 	self.loads = m_backends.own_loads();
 	const std::vector<std::uint8_t> bytes = encode(m_fleet.next());
 	for (const std::string& ip : m_fleet.targets())
 	{
-		beast::error_code ignored;
-		const auto address = asio::ip::make_address(ip, ignored);
-		if (!ignored)
-		{
-			m_heartbeats.send_to(asio::buffer(bytes), {address, m_settings.heartbeat_port}, 0, ignored);
-		}
+		send_datagram(bytes, ip);
 	}
 }
 
 void edge_node::learn_from_peers()
 {
-	const std::uint64_t version = m_forwarder.routes() ? m_forwarder.routes()->version() : 0;
-	const fleet_member* newer = m_fleet.newer(version);
-	if (nullptr == newer)
-	{
-		m_behind_since = {};
-		return;
-	}
-	if (steady_time{} == m_behind_since)
-	{
-		m_behind_since = m_clock.steady();
-	}
-	if (m_learning || m_clock.steady() - m_behind_since < k_behind || !m_settings.peers)
+	if (m_learning || nullptr == m_fleet.newer(m_replica.revision()) || !m_settings.peers)
 	{
 		return;
 	}
 	m_learning = true;
-	start(m_context,
-	    [this, ip = newer->last.ip](const yield_context& _yield)
+	m_learn_timer.expires_after(is_reader() ? k_behind_reader : k_behind);
+	m_learn_timer.async_wait(
+	    [this](beast::error_code)
 	    {
-		    fetch_state(ip, _yield);
-		    m_learning = false;
+		    const fleet_member* newer = m_fleet.newer(m_replica.revision());
+		    if (nullptr == newer)
+		    {
+			    m_learning = false;
+			    return;
+		    }
+		    start(m_context,
+		        [this, ip = newer->last.ip](const yield_context& _yield)
+		        {
+			        fetch_state(ip, _yield);
+			        m_learning = false;
+		        });
 	    });
 }
 
 void edge_node::fetch_state(const std::string& _ip, const yield_context& _yield)
 {
 	const endpoint where{_ip, m_settings.peers->port};
+	const std::string target = "/changes?after=" + std::to_string(m_replica.revision());
 	result<http_response> reply =
-	    m_peer_caller.call(where, make_request(http::verb::get, "/state", where), k_learn_timeout, _yield);
+	    m_peer_caller.call(where, make_request(http::verb::get, target, where), k_learn_timeout, _yield);
 	const http_response* response = value_of(reply);
-	std::int64_t revision = 0;
-	std::vector<store_value> values;
-	if (nullptr == response || http::status::ok != response->result() ||
-	    !decode_state(response->body(), revision, values))
+	if (nullptr == response || http::status::ok != response->result())
 	{
 		return;
 	}
-	if (revision > m_replica.revision())
+	const auto* bytes = reinterpret_cast<const std::uint8_t*>(response->body().data());
+	result<store_changes> decoded = decode_store_changes(bytes, response->body().size());
+	const store_changes* changes = value_of(decoded);
+	if (nullptr == changes || !m_replica.apply(*changes))
 	{
-		m_replica.replace("", values, revision);
+		return;
 	}
-	m_log.write(log_line(event::state_learned).text("from", _ip).number("revision", revision));
+	m_log.write(log_line(event::state_learned)
+	                .text("from", _ip)
+	                .number("whole", changes->whole ? 1 : 0)
+	                .number("revision", changes->batch.store_revision));
 	m_forwarder.pump();
 }
 
@@ -451,9 +478,11 @@
 	_session->respond(std::move(response));
 }
 
-void edge_node::answer_peer(const std::shared_ptr<caller_session>& _session)
+void edge_node::answer_peer(const std::shared_ptr<caller_session>& _session, const caller_request& _request)
 {
-	const std::vector<std::uint8_t> bytes = encode_state(m_replica);
+	const std::string after = query_value(std::string(_request.target()), "after");
+	const std::vector<std::uint8_t> bytes =
+	    encode(m_replica.changes_after(std::strtoll(after.c_str(), nullptr, 10)));
 	caller_response response(http::status::ok, 11);
 	response.set(http::field::content_type, "application/cbor");
 	response.body().assign(bytes.begin(), bytes.end());
--- a/src/edge/edge_node_p.h
+++ b/src/edge/edge_node_p.h
@@ -40,11 +40,13 @@
 
 /// All parts of a node, on one thread: an entry VM has a fraction of one core, and a second thread would only
 /// add memory and wake-ups (docs/DESIGN.md).
-class edge_node
+class edge_node : private store_sharing_base
 {
 public:
 	edge_node(const edge_settings& _settings, std::string _settings_path, const edge_dialect_base& _dialect);
-	~edge_node();
+	~edge_node() override;
+	edge_node(const edge_node&) = delete;
+	edge_node& operator=(const edge_node&) = delete;
 
 	/// Listens on all addresses.
 	/// @returns An error when one can not be had.
@@ -61,12 +63,17 @@
 	void receive_heartbeats();
 	void send_heartbeats();
 	void add_seeds(const std::vector<std::string>& _seeds);
+	bool is_reader() const override;
+	void on_read(const store_changes& _changes) override;
+	void send_datagram(const std::vector<std::uint8_t>& _bytes, const std::string& _ip);
+	void take_datagram(std::size_t _size);
+	/// Fetches changes when another node knows a newer revision and they do not come by themselves.
 	void learn_from_peers();
 	void fetch_state(const std::string& _ip, const yield_context& _yield);
 
 	void answer_readiness(const std::shared_ptr<caller_session>& _session);
 	void answer_lookup(const std::shared_ptr<caller_session>& _session, const caller_request& _request);
-	void answer_peer(const std::shared_ptr<caller_session>& _session);
+	void answer_peer(const std::shared_ptr<caller_session>& _session, const caller_request& _request);
 	void answer_metrics(const std::shared_ptr<caller_session>& _session);
 	std::string metrics_text() const;
 
@@ -93,12 +100,12 @@
 	asio::signal_set m_signals;
 	asio::steady_timer m_tick_timer;
 	asio::steady_timer m_stop_timer;
+	asio::steady_timer m_learn_timer;
 	http_caller m_peer_caller;
 	steady_time m_stopping_since{};
 	steady_time m_last_busy{};
-	steady_time m_behind_since{};
 	bool m_stopping = false;
-	bool m_learning = false;
+	bool m_learning = false; ///< Changes are awaited or being fetched.
 	std::uint64_t m_lookups_answered = 0;
 	unsigned m_ticks = 0;
 };
--- a/src/edge/fleet.cpp
+++ b/src/edge/fleet.cpp
@@ -5,6 +5,9 @@
 
 #include <algorithm>
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 namespace larkrack
 {
 namespace
@@ -12,6 +15,10 @@
 /// Time between two heartbeats in a small fleet, and for each node of a large one.
 constexpr std::chrono::milliseconds k_interval{100};
 constexpr std::chrono::milliseconds k_interval_per_node{8};
+/// From so many other nodes on, those of other regions get one heartbeat of so many: bytes between regions
+/// are few, and far news is old anyway.
+constexpr std::size_t k_large_fleet = 24;
+constexpr int k_far_rounds = 4;
 /// A node that was silent for so many heartbeats, and so long, is not named to callers.
 constexpr int k_silent_heartbeats = 5;
 constexpr std::chrono::milliseconds k_silent{900};
@@ -21,6 +28,12 @@
 constexpr std::size_t k_told_addresses = 64;
 /// Addresses in one answer to a look-up.
 constexpr std::size_t k_named_addresses = 64;
+
+/// @returns Weight of a node for rendezvous hashing.
+std::uint64_t weight_of(const std::string& _node, std::uint64_t _what)
+{
+	return XXH64(_node.data(), _node.size(), _what);
+}
 } // namespace
 
 fleet::fleet(const clock_base& _clock, edge_heartbeat _self, backend_registry& _backends)
@@ -35,8 +48,9 @@
 
 bool fleet::alive(const fleet_member& _member) const
 {
+	const auto between = interval() * (is_far(_member) ? k_far_rounds : 1);
 	return m_clock.steady() - _member.heard_at <=
-	       std::max<std::chrono::milliseconds>(k_silent, k_silent_heartbeats * interval());
+	       std::max<std::chrono::milliseconds>(k_silent, k_silent_heartbeats * between);
 }
 
 void fleet::hear(const edge_heartbeat& _heartbeat)
@@ -82,9 +96,23 @@
 	}
 }
 
+bool fleet::is_far(const fleet_member& _member) const
+{
+	return m_members.size() >= k_large_fleet && _member.last.region != m_self.region;
+}
+
 std::vector<std::string> fleet::targets() const
 {
-	return {m_addresses.begin(), m_addresses.end()};
+	std::set<std::string> targets = m_addresses;
+	for (const auto& [name, member] : m_members)
+	{
+		const bool turn = 0 == (weight_of(name, 0) + m_self.sequence) % k_far_rounds;
+		if (is_far(member) && !turn && alive(member))
+		{
+			targets.erase(member.last.ip);
+		}
+	}
+	return {targets.begin(), targets.end()};
 }
 
 edge_heartbeat fleet::next()
@@ -147,13 +175,17 @@
 	return addresses;
 }
 
-const fleet_member* fleet::newer(std::uint64_t _config_version) const
+const fleet_member* fleet::newer(std::int64_t _store_revision) const
 {
+	const auto order = [this](const fleet_member& _member)
+	{
+		return std::make_pair(_member.last.region == m_self.region, _member.last.store_revision);
+	};
 	const fleet_member* best = nullptr;
 	for (const auto& [name, member] : m_members)
 	{
-		const bool better = nullptr == best || member.last.config_version > best->last.config_version;
-		if (member.last.config_version > _config_version && alive(member) && better)
+		const bool newer = alive(member) && member.last.store_revision > _store_revision;
+		if (newer && (nullptr == best || order(member) > order(*best)))
 		{
 			best = &member;
 		}
@@ -161,6 +193,64 @@
 	return best;
 }
 
+std::vector<std::string> fleet::region_nodes() const
+{
+	std::vector<std::string> nodes{m_self.node};
+	for (const auto& [name, member] : m_members)
+	{
+		if (member.last.region == m_self.region && alive(member))
+		{
+			nodes.push_back(name);
+		}
+	}
+	return nodes;
+}
+
+std::vector<std::string> fleet::region_addresses() const
+{
+	std::vector<std::string> addresses;
+	for (const auto& [name, member] : m_members)
+	{
+		if (member.last.region == m_self.region && alive(member))
+		{
+			addresses.push_back(member.last.ip);
+		}
+	}
+	return addresses;
+}
+
+std::size_t fleet::reader_rank() const
+{
+	const std::uint64_t own = weight_of(m_self.node, 0);
+	std::size_t rank = 0;
+	for (const auto& [name, member] : m_members)
+	{
+		const bool may_read = member.last.region == m_self.region && alive(member) &&
+		                      member.last.store_reached && node_state::stopping != member.last.state;
+		rank += may_read && weight_of(name, 0) > own ? 1 : 0;
+	}
+	return rank;
+}
+
+double fleet::warmup_part(const backend_server& _backend) const
+{
+	const std::vector<std::string> nodes = region_nodes();
+	if (2 * nodes.size() < m_most_in_region)
+	{
+		// Most of the region is out of sight: it may be this node that is cut off.
+		return 1.0 / static_cast<double>(m_most_in_region);
+	}
+	const std::uint64_t own = weight_of(m_self.node, _backend.key);
+	for (const std::string& node : nodes)
+	{
+		if (weight_of(node, _backend.key) > own)
+		{
+			return 0.0;
+		}
+	}
+	return 1.0;
+}
+
 void fleet::tick()
 {
 	for (auto it = m_members.begin(); it != m_members.end();)
@@ -176,7 +266,7 @@
 
 sharing fleet::sharers() const
 {
-	return {static_cast<double>(m_most_in_region), static_cast<double>(m_most_nodes)};
+	return {static_cast<double>(m_most_nodes)};
 }
 
 slot_portion fleet::portion(const std::string& _service, const std::string& _region) const
--- a/src/edge/fleet_p.h
+++ b/src/edge/fleet_p.h
@@ -38,14 +38,20 @@
 	/// @returns Addresses of nodes that callers of a region should use; never empty once this node is ready.
 	std::vector<std::string> addresses_for(
 	    const std::string& _region, const std::vector<std::string>& _homes) const;
-	/// @returns A node that has a newer configuration than the given one, or null.
-	const fleet_member* newer(std::uint64_t _config_version) const;
+	/// @returns This node's place among those of its region that read the platform's store; the first few do.
+	std::size_t reader_rank() const;
+	/// @returns Addresses of the other nodes of this region that answer.
+	std::vector<std::string> region_addresses() const;
+	/// @returns A node that knows a newer revision of the store's keys than the given one, or null. Nodes of
+	/// this region come first.
+	const fleet_member* newer(std::int64_t _store_revision) const;
 	/// Forgets nodes that have been silent for long.
 	void tick();
 	/// @returns Time between two heartbeats. It grows with the fleet, so that a node's cost does not.
 	std::chrono::milliseconds interval() const;
 
 	sharing sharers() const override;
+	double warmup_part(const backend_server& _backend) const override;
 	std::map<std::string, double> demand_of_others(const std::string& _service) const override;
 	slot_portion portion(const std::string& _service, const std::string& _region) const override;
 
@@ -60,6 +66,10 @@
 
 private:
 	bool alive(const fleet_member& _member) const;
+	/// @returns Whether heartbeats to the node are sent more rarely.
+	bool is_far(const fleet_member& _member) const;
+	/// @returns Names of the nodes of this region that answer, this one among them.
+	std::vector<std::string> region_nodes() const;
 	std::vector<std::string> ready_in(const std::string& _region) const;
 
 	const clock_base& m_clock;
--- a/src/edge/forwarded_request.cpp
+++ b/src/edge/forwarded_request.cpp
@@ -199,7 +199,7 @@
 		bounds.max_connections = spec->max_connections;
 	}
 	return m_forwarder.m_selector.select(
-	    wanted, bounds, m_forwarder.m_fleet.sharers(), m_forwarder.m_clock.steady());
+	    wanted, bounds, m_forwarder.m_fleet.sharers(), m_forwarder.m_fleet, m_forwarder.m_clock.steady());
 }
 
 bool forwarded_request::try_send()
--- a/src/edge/forwarder_p.h
+++ b/src/edge/forwarder_p.h
@@ -50,12 +50,10 @@
 using rate_by_region = std::map<std::string, double>;
 
 /// What the forwarder asks of the fleet of nodes.
-class fleet_view_base
+class fleet_view_base : public warmup_sharing_base
 {
 public:
-	virtual ~fleet_view_base() = default;
-	/// @returns Nodes that draw from the budgets of backend servers in this node's region, and in all
-	/// regions.
+	/// @returns Nodes that draw from shared budgets.
 	virtual sharing sharers() const = 0;
 	/// @returns Requests a second for a service, by region of the nodes that took them; this node left out.
 	virtual std::map<std::string, double> demand_of_others(const std::string& _service) const = 0;
--- a/src/edge/heartbeat.cpp
+++ b/src/edge/heartbeat.cpp
@@ -10,8 +10,8 @@
 namespace
 {
 /// Layout of the datagram; another one is not understood.
-constexpr int k_layout = 2;
-constexpr std::size_t k_fields = 15;
+constexpr int k_layout = 3;
+constexpr std::size_t k_fields = 16;
 } // namespace
 
 std::vector<std::uint8_t> encode(const edge_heartbeat& _heartbeat)
@@ -26,7 +26,7 @@
 	    _heartbeat.domain, _heartbeat.region, _heartbeat.ip, _heartbeat.callers,
 	    static_cast<int>(_heartbeat.state), _heartbeat.config_version, _heartbeat.store_revision,
 	    nlohmann::json(_heartbeat.requests_per_s), nlohmann::json(_heartbeat.known_ips),
-	    nlohmann::json(_heartbeat.sent_per_s), std::move(loads)};
+	    nlohmann::json(_heartbeat.sent_per_s), std::move(loads), _heartbeat.store_reached};
 	return nlohmann::json::to_cbor(document);
 }
 
@@ -53,6 +53,7 @@
 		one.requests_per_s = document.at(11).get<std::map<std::string, double>>();
 		one.known_ips = document.at(12).get<std::vector<std::string>>();
 		one.sent_per_s = document.at(13).get<std::map<std::string, std::map<std::string, double>>>();
+		one.store_reached = document.at(15).get<bool>();
 		const nlohmann::json& loads = document.at(14);
 		for (std::size_t i = 0; i + 1 < loads.size(); i += 2)
 		{
--- a/src/edge/rate_limits.cpp
+++ b/src/edge/rate_limits.cpp
@@ -15,11 +15,8 @@
 
 bool token_bucket::take(double _per_s, double _burst, steady_time _now)
 {
-	if (steady_time{} == m_filled_at)
-	{
-		m_tokens = _burst;
-	}
-	else
+	// A new bucket is empty: many nodes that begin at once must not spend a token each.
+	if (steady_time{} != m_filled_at)
 	{
 		const double passed = std::chrono::duration<double>(_now - m_filled_at).count();
 		m_tokens = std::min(_burst, m_tokens + passed * _per_s);
--- a/src/edge/state_replica.cpp
+++ b/src/edge/state_replica.cpp
@@ -4,6 +4,7 @@
 #include "state_replica_p.h"
 
 #include <algorithm>
+#include <set>
 
 namespace larkrack
 {
@@ -15,11 +16,8 @@
 constexpr std::chrono::milliseconds k_removal_delay_distrusted{6000};
 /// Time after trouble for which entries may still vanish without reason.
 constexpr std::chrono::milliseconds k_distrust{3500};
-
-bool starts_with(const std::string& _text, const std::string& _prefix)
-{
-	return 0 == _text.compare(0, _prefix.size(), _prefix);
-}
+/// Deletes that are remembered for other nodes.
+constexpr std::size_t k_known_deletes = 256;
 } // namespace
 
 state_replica::state_replica(const clock_base& _clock, const record_codec_base& _codec,
@@ -34,26 +32,29 @@
 	m_distrusted_until = m_clock.steady() + k_distrust;
 }
 
-void state_replica::replace(
-    const std::string& _prefix, const std::vector<store_value>& _values, std::int64_t _revision)
+void state_replica::replace(const std::vector<store_value>& _values, std::int64_t _revision)
 {
-	std::map<std::string, bool> present;
+	std::set<std::string> present;
 	for (const store_value& value : _values)
 	{
-		present[value.key] = true;
+		present.insert(value.key);
 		put(value);
 	}
 	std::vector<std::string> absent;
 	for (const auto& [key, value] : m_values)
 	{
-		if (starts_with(key, _prefix) && 0 == present.count(key) && value.mod_revision <= _revision)
+		if (0 == present.count(key) && value.mod_revision <= _revision)
 		{
 			absent.push_back(key);
 		}
 	}
 	for (const std::string& key : absent)
 	{
-		remove(key);
+		remove(key, _revision);
+	}
+	if (0 == m_revision)
+	{
+		m_deletes_after = _revision;
 	}
 	m_revision = std::max(m_revision, _revision);
 }
@@ -69,12 +70,54 @@
 		const auto it = m_values.find(key);
 		if (m_values.end() != it && it->second.mod_revision <= _batch.store_revision)
 		{
-			remove(key);
+			remove(key, _batch.store_revision);
 		}
 	}
 	m_revision = std::max(m_revision, _batch.store_revision);
 }
 
+bool state_replica::apply(const store_changes& _changes)
+{
+	if (_changes.batch.store_revision <= m_revision)
+	{
+		return true;
+	}
+	if (_changes.whole)
+	{
+		replace(_changes.batch.puts, _changes.batch.store_revision);
+		return true;
+	}
+	if (_changes.after > m_revision)
+	{
+		return false;
+	}
+	apply(_changes.batch);
+	return true;
+}
+
+store_changes state_replica::changes_after(std::int64_t _revision) const
+{
+	store_changes changes;
+	changes.after = _revision;
+	changes.whole = 0 == _revision || _revision < m_deletes_after;
+	changes.batch.store_revision = m_revision;
+	for (const auto& [key, value] : m_values)
+	{
+		if (changes.whole || value.mod_revision > _revision)
+		{
+			changes.batch.puts.push_back(value);
+		}
+	}
+	for (const auto& [revision, key] : m_deletes)
+	{
+		if (!changes.whole && revision > _revision)
+		{
+			changes.batch.deletes.push_back(key);
+		}
+	}
+	return changes;
+}
+
 void state_replica::put(const store_value& _value)
 {
 	const auto it = m_values.find(_value.key);
@@ -144,9 +187,15 @@
 	m_backends.put(*record, m_clock.steady());
 }
 
-void state_replica::remove(const std::string& _key)
+void state_replica::remove(const std::string& _key, std::int64_t _revision)
 {
 	m_values.erase(_key);
+	m_deletes.emplace_back(_revision, _key);
+	if (m_deletes.size() > k_known_deletes)
+	{
+		m_deletes_after = m_deletes.front().first;
+		m_deletes.pop_front();
+	}
 	switch (m_codec.kind_of(_key))
 	{
 	case record_kind::backend:
--- a/src/edge/state_replica_p.h
+++ b/src/edge/state_replica_p.h
@@ -11,6 +11,7 @@
 
 #include "../store_p.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 
@@ -31,8 +32,8 @@
 {
 public:
 	virtual ~record_codec_base() = default;
-	/// @returns Prefixes of all keys that are of interest.
-	virtual std::vector<std::string> prefixes() const = 0;
+	/// @returns Prefix of all keys that are of interest.
+	virtual std::string prefix() const = 0;
 	virtual record_kind kind_of(const std::string& _key) const = 0;
 	/// @returns What the key names: id of the backend server, failure domain, node.
 	virtual std::string name_of(const std::string& _key) const = 0;
@@ -43,6 +44,14 @@
 	virtual std::string node_key(const std::string& _node) const = 0;
 };
 
+/// Changes of the store's keys between two revisions.
+struct store_changes
+{
+	std::int64_t after = 0; ///< Revision that they begin behind; whole: any.
+	bool whole = false;     ///< All keys as they are, instead of changes.
+	watch_batch batch;
+};
+
 /// Applies changes of the platform's keys to the routing table and the registry of backend servers. A key
 /// goes back to an older revision only when the whole copy is replaced; the configuration never goes back.
 class state_replica
@@ -54,10 +63,15 @@
 	state_replica(const clock_base& _clock, const record_codec_base& _codec, backend_registry& _backends,
 	    edge_log& _log, routes_handler _on_routes, node_handler _on_node);
 
-	/// Takes all keys with a prefix as they are at a revision.
-	void replace(const std::string& _prefix, const std::vector<store_value>& _values, std::int64_t _revision);
-	/// Takes changes.
+	/// Takes all keys as they are at a revision.
+	void replace(const std::vector<store_value>& _values, std::int64_t _revision);
+	/// Takes changes from the store.
 	void apply(const watch_batch& _batch);
+	/// Takes changes from another node.
+	/// @returns False when changes before them are missing here; nothing was taken then.
+	bool apply(const store_changes& _changes);
+	/// @returns Changes behind a revision, or all keys when these are not known any more.
+	store_changes changes_after(std::int64_t _revision) const;
 	/// Removes what has been gone for long enough; call it at a steady interval.
 	void tick();
 	/// Says that the platform's answers can not be relied on now: entries vanish while it is down.
@@ -67,15 +81,10 @@
 	{
 		return m_revision;
 	}
-	/// @returns All keys, for another node.
-	const std::map<std::string, store_value>& values() const
-	{
-		return m_values;
-	}
 
 private:
 	void put(const store_value& _value);
-	void remove(const std::string& _key);
+	void remove(const std::string& _key, std::int64_t _revision);
 	void put_routes(const store_value& _value);
 	void put_backend(const store_value& _value);
 	void update_evacuations();
@@ -87,7 +96,9 @@
 	routes_handler m_on_routes;
 	node_handler m_on_node;
 	std::map<std::string, store_value> m_values;
-	std::map<std::string, steady_time> m_removals; ///< Backend servers to be removed, by id.
+	std::map<std::string, steady_time> m_removals;              ///< Backend servers to be removed, by id.
+	std::deque<std::pair<std::int64_t, std::string>> m_deletes; ///< The latest ones, by revision.
+	std::int64_t m_deletes_after = 0; ///< Deletes behind this revision are all known.
 	std::int64_t m_revision = 0;
 	steady_time m_distrusted_until{};
 };
--- /dev/null
+++ b/src/edge/store_changes_codec_p.h
@@ -0,0 +1,22 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// CBOR codec for changes of the store's keys, as nodes tell them to each other.
+#pragma once
+
+#include "state_replica_p.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace larkrack
+{
+/// @returns The changes as CBOR.
+std::vector<std::uint8_t> encode(const store_changes& _changes);
+/// @returns The changes, or an error when the bytes are none.
+result<store_changes> decode_store_changes(const std::uint8_t* _data, std::size_t _size);
+/// Divides changes into parts that fit a datagram each.
+/// @returns Parts in order; empty when one value alone is too large.
+std::vector<store_changes> split_for_datagrams(const store_changes& _changes);
+} // namespace larkrack
--- a/src/edge/store_sync.cpp
+++ b/src/edge/store_sync.cpp
@@ -14,30 +14,29 @@
 /// First and last pause between two tries at the platform.
 constexpr std::chrono::milliseconds k_pause_first{100};
 constexpr std::chrono::milliseconds k_pause_last{800};
+/// Time between two looks whether this node has become a reader.
+constexpr std::chrono::milliseconds k_reader_check{200};
 /// Time to live of a node's registration.
 constexpr std::chrono::seconds k_registration_ttl{10};
 constexpr std::chrono::milliseconds k_registration_renewal{3500};
 } // namespace
 
 store_sync::store_sync(asio::io_context& _context, const clock_base& _clock, store_base& _store,
-    state_replica& _replica, const record_codec_base& _codec, edge_log& _log, std::string _node,
-    std::string _node_value)
+    state_replica& _replica, const record_codec_base& _codec, store_sharing_base& _sharing, edge_log& _log,
+    std::string _node, std::string _node_value)
     : m_context(_context), m_clock(_clock), m_store(_store), m_replica(_replica), m_codec(_codec),
-      m_log(_log), m_node(std::move(_node)), m_node_value(std::move(_node_value)),
+      m_sharing(_sharing), m_log(_log), m_node(std::move(_node)), m_node_value(std::move(_node_value)),
       m_random(static_cast<unsigned>(std::hash<std::string>()(m_node)))
 {
 }
 
 void store_sync::begin()
 {
-	for (const std::string& prefix : m_codec.prefixes())
-	{
-		start(m_context,
-		    [this, prefix](const yield_context& _yield)
-		    {
-			    follow(prefix, _yield);
-		    });
-	}
+	start(m_context,
+	    [this](const yield_context& _yield)
+	    {
+		    follow(_yield);
+	    });
 	start(m_context,
 	    [this](const yield_context& _yield)
 	    {
@@ -73,55 +72,69 @@
 	sleep_for(m_context.get_executor(), std::chrono::milliseconds(pause(m_random)), _yield);
 }
 
-bool store_sync::read_all(const std::string& _prefix, std::int64_t& _revision, const yield_context& _yield)
+bool store_sync::read_all(const yield_context& _yield)
 {
-	const range_reply reply = m_store.range("read", _prefix, true, _yield);
+	const range_reply reply = m_store.range("read", m_codec.prefix(), true, _yield);
 	note(call_status::done == reply.status);
 	if (call_status::done != reply.status)
 	{
 		return false;
 	}
-	m_replica.replace(_prefix, reply.values, reply.store_revision);
+	m_replica.replace(reply.values, reply.store_revision);
 	m_log.write(log_line(event::store_resynced)
-	                .text("prefix", _prefix)
 	                .number("keys", static_cast<std::int64_t>(reply.values.size()))
 	                .number("revision", reply.store_revision));
-	_revision = reply.store_revision;
 	return true;
 }
 
-void store_sync::follow(const std::string& _prefix, const yield_context& _yield)
+watch_end store_sync::watch(const yield_context& _yield)
+{
+	return m_store.watch(
+	    "watch", m_codec.prefix(), m_replica.revision() + 1,
+	    [this](const watch_batch& _batch)
+	    {
+		    note(true);
+		    store_changes changes;
+		    changes.after = m_replica.revision();
+		    changes.batch = _batch;
+		    m_replica.apply(_batch);
+		    if (!_batch.puts.empty() || !_batch.deletes.empty())
+		    {
+			    m_sharing.on_read(changes);
+		    }
+		    return !m_stopping && m_sharing.is_reader();
+	    },
+	    _yield);
+}
+
+void store_sync::follow(const yield_context& _yield)
 {
-	std::int64_t revision = 0;
 	bool synced = false;
 	int tries = 0;
 	while (!m_stopping)
 	{
+		if (!m_sharing.is_reader() && (synced || m_replica.revision() > 0))
+		{
+			synced = true;
+			sleep_for(m_context.get_executor(), k_reader_check, _yield);
+			continue;
+		}
 		if (!synced)
 		{
-			synced = read_all(_prefix, revision, _yield);
+			synced = read_all(_yield);
 			if (!synced)
 			{
 				back_off(tries++, _yield);
 				continue;
 			}
 		}
-		const watch_end end = m_store.watch(
-		    "watch", _prefix, revision + 1,
-		    [&](const watch_batch& _batch)
-		    {
-			    note(true);
-			    tries = 0;
-			    m_replica.apply(_batch);
-			    revision = std::max(revision, _batch.store_revision);
-			    return !m_stopping;
-		    },
-		    _yield);
+		const std::int64_t before = m_replica.revision();
+		const watch_end end = watch(_yield);
+		tries = m_replica.revision() > before ? 0 : tries;
 		if (watch_end::history_lost == end)
 		{
 			synced = false;
 			m_replica.distrust();
-			continue;
 		}
 		if (watch_end::broken == end)
 		{
--- a/src/edge/store_sync_p.h
+++ b/src/edge/store_sync_p.h
@@ -19,14 +19,25 @@
 	int failures = 0; ///< In a row.
 };
 
-/// Reads and watches each prefix of the codec; registers this node under a lease.
+/// What the reading of the store has to do with other nodes.
+class store_sharing_base
+{
+public:
+	virtual ~store_sharing_base() = default;
+	/// @returns Whether this node is one of those that read the store. Others hear from them.
+	virtual bool is_reader() const = 0;
+	/// Takes changes that were read from the store, to be told to others.
+	virtual void on_read(const store_changes& _changes) = 0;
+};
+
+/// Reads all keys once, and watches them while this node is a reader; registers it under a lease.
 class store_sync
 {
 public:
 	/// @param[in] _node_value What is registered for this node.
 	store_sync(asio::io_context& _context, const clock_base& _clock, store_base& _store,
-	    state_replica& _replica, const record_codec_base& _codec, edge_log& _log, std::string _node,
-	    std::string _node_value);
+	    state_replica& _replica, const record_codec_base& _codec, store_sharing_base& _sharing,
+	    edge_log& _log, std::string _node, std::string _node_value);
 
 	/// Starts reading, watching and registering.
 	void begin();
@@ -41,9 +52,11 @@
 	}
 
 private:
-	void follow(const std::string& _prefix, const yield_context& _yield);
-	/// @returns Whether all keys were read; _revision is set then.
-	bool read_all(const std::string& _prefix, std::int64_t& _revision, const yield_context& _yield);
+	void follow(const yield_context& _yield);
+	/// @returns Whether all keys were read.
+	bool read_all(const yield_context& _yield);
+	/// Watches from the replica's revision on, until this node is no reader any more or the watch ends.
+	watch_end watch(const yield_context& _yield);
 	void keep_registered(const yield_context& _yield);
 	/// @returns Lease of the registration, or 0.
 	std::int64_t register_node(const yield_context& _yield);
@@ -55,6 +68,7 @@
 	store_base& m_store;
 	state_replica& m_replica;
 	const record_codec_base& m_codec;
+	store_sharing_base& m_sharing;
 	edge_log& m_log;
 	std::string m_node;
 	std::string m_node_value;
--- /dev/null
+++ b/tests/fleet_test.cpp
@@ -0,0 +1,228 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "fixtures.h"
+
+#include "edge/fleet_p.h"
+
+namespace larkrack
+{
+class fleet_test : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(fleet_test);
+	CPPUNIT_TEST(heartbeat_encoded_and_decoded_is_the_same);
+	CPPUNIT_TEST(heartbeat_cut_short_is_refused);
+	CPPUNIT_TEST(lookup_names_only_ready_nodes_of_the_region);
+	CPPUNIT_TEST(lookup_silent_node_is_left_out);
+	CPPUNIT_TEST(lookup_region_without_nodes_names_homes_first);
+	CPPUNIT_TEST(lookup_nobody_ready_names_this_node);
+	CPPUNIT_TEST(restart_with_an_older_clock_is_heard_once_the_former_life_is_silent);
+	CPPUNIT_TEST(warmup_one_node_of_the_region_sends);
+	CPPUNIT_TEST(warmup_node_that_sees_nobody_takes_its_part_only);
+	CPPUNIT_TEST(readers_are_the_same_few_in_every_view);
+	CPPUNIT_TEST(readers_one_without_the_store_is_replaced);
+	CPPUNIT_TEST(interval_large_fleet_grows);
+	CPPUNIT_TEST(targets_large_fleet_far_nodes_get_one_heartbeat_of_four);
+	CPPUNIT_TEST_SUITE_END();
+
+public:
+	void setUp() override
+	{
+		m_registry = std::make_unique<backend_registry>(std::unordered_map<std::string, std::string>{});
+	}
+
+protected:
+	static edge_heartbeat node(const std::string& _name, const std::string& _region = "east")
+	{
+		edge_heartbeat one;
+		one.node = _name;
+		one.incarnation = 1000;
+		one.sequence = 1;
+		one.region = _region;
+		one.domain = _region + "-a";
+		one.ip = "10.0.0." + _name.substr(1);
+		one.callers = one.ip + ":80";
+		one.state = node_state::ready;
+		return one;
+	}
+
+	fleet view_of(const std::string& _name, int _nodes, const std::string& _region = "east")
+	{
+		fleet view(m_clock, node(_name, _region), *m_registry);
+		for (int i = 1; i <= _nodes; ++i)
+		{
+			view.hear(node("n" + std::to_string(i)));
+		}
+		return view;
+	}
+
+	void heartbeat_encoded_and_decoded_is_the_same()
+	{
+		edge_heartbeat one = node("n1");
+		one.store_revision = 77;
+		one.store_reached = false;
+		one.requests_per_s = {{"shop", 12.5}};
+		one.sent_per_s = {{"shop", {{"west", 3.25}}}};
+		one.loads = {{4000000000U, 3}};
+		one.known_ips = {"10.0.0.2"};
+		const std::vector<std::uint8_t> bytes = encode(one);
+		result<edge_heartbeat> decoded = decode_heartbeat(bytes.data(), bytes.size());
+		const edge_heartbeat* same = value_of(decoded);
+		CPPUNIT_ASSERT(nullptr != same);
+		CPPUNIT_ASSERT(bytes == encode(*same));
+		CPPUNIT_ASSERT_EQUAL(std::int64_t(77), same->store_revision);
+		CPPUNIT_ASSERT(!same->store_reached);
+		CPPUNIT_ASSERT_EQUAL(3, same->loads.at(0).in_flight);
+	}
+
+	void heartbeat_cut_short_is_refused()
+	{
+		const std::vector<std::uint8_t> bytes = encode(node("n1"));
+		for (std::size_t size = 0; size < bytes.size(); ++size)
+		{
+			result<edge_heartbeat> decoded = decode_heartbeat(bytes.data(), size);
+			CPPUNIT_ASSERT(nullptr == value_of(decoded));
+		}
+	}
+
+	void lookup_names_only_ready_nodes_of_the_region()
+	{
+		fleet view = view_of("n1", 2);
+		edge_heartbeat stopping = node("n3");
+		stopping.state = node_state::stopping;
+		view.hear(stopping);
+		view.hear(node("n4", "west"));
+		const std::vector<std::string> expected{"10.0.0.2:80", "10.0.0.1:80"};
+		CPPUNIT_ASSERT(expected == view.addresses_for("east", {}));
+	}
+
+	void lookup_silent_node_is_left_out()
+	{
+		fleet view = view_of("n1", 2);
+		m_clock.advance(std::chrono::seconds(2));
+		CPPUNIT_ASSERT(std::vector<std::string>{"10.0.0.1:80"} == view.addresses_for("east", {}));
+	}
+
+	void lookup_region_without_nodes_names_homes_first()
+	{
+		fleet view = view_of("n1", 2);
+		view.hear(node("n7", "west"));
+		view.hear(node("n8", "north"));
+		CPPUNIT_ASSERT(
+		    std::vector<std::string>{"10.0.0.7:80"} == view.addresses_for("south", {"south", "west"}));
+	}
+
+	void lookup_nobody_ready_names_this_node()
+	{
+		fleet view = view_of("n1", 0);
+		view.self().state = node_state::stopping;
+		CPPUNIT_ASSERT(std::vector<std::string>{"10.0.0.1:80"} == view.addresses_for("east", {}));
+	}
+
+	void restart_with_an_older_clock_is_heard_once_the_former_life_is_silent()
+	{
+		fleet view = view_of("n1", 2);
+		edge_heartbeat reborn = node("n2");
+		reborn.incarnation = 10; // The wall clock went back.
+		view.hear(reborn);
+		CPPUNIT_ASSERT_EQUAL(std::uint64_t(1000), view.members().at("n2").last.incarnation);
+		m_clock.advance(std::chrono::seconds(2));
+		view.hear(reborn);
+		CPPUNIT_ASSERT_EQUAL(std::uint64_t(10), view.members().at("n2").last.incarnation);
+	}
+
+	void warmup_one_node_of_the_region_sends()
+	{
+		backend_server backend;
+		for (std::uint32_t key = 0; key < 50; ++key)
+		{
+			backend.key = key;
+			double sum = 0.0;
+			for (int i = 1; i <= 9; ++i)
+			{
+				sum += view_of("n" + std::to_string(i), 9).warmup_part(backend);
+			}
+			CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, sum, 1e-9);
+		}
+	}
+
+	void warmup_node_that_sees_nobody_takes_its_part_only()
+	{
+		backend_server backend;
+		double sum = 0.0;
+		for (int i = 1; i <= 9; ++i)
+		{
+			fleet view = view_of("n" + std::to_string(i), 9);
+			m_clock.advance(std::chrono::seconds(5)); // Cut off: nothing was heard since.
+			sum += view.warmup_part(backend);
+		}
+		CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, sum, 1e-9);
+	}
+
+	void readers_are_the_same_few_in_every_view()
+	{
+		int readers = 0;
+		for (int i = 1; i <= 20; ++i)
+		{
+			readers += view_of("n" + std::to_string(i), 20).reader_rank() < 4 ? 1 : 0;
+		}
+		CPPUNIT_ASSERT_EQUAL(4, readers);
+	}
+
+	void readers_one_without_the_store_is_replaced()
+	{
+		const auto first_of = [this](const std::string& _troubled)
+		{
+			for (int i = 1; i <= 9; ++i)
+			{
+				fleet view = view_of("n" + std::to_string(i), 9);
+				if (!_troubled.empty() && view.self().node != _troubled)
+				{
+					edge_heartbeat troubled = node(_troubled);
+					troubled.sequence = 2;
+					troubled.store_reached = false;
+					view.hear(troubled);
+				}
+				if (view.self().node != _troubled && 0 == view.reader_rank())
+				{
+					return view.self().node;
+				}
+			}
+			return std::string();
+		};
+		const std::string first = first_of("");
+		const std::string next = first_of(first);
+		CPPUNIT_ASSERT(!first.empty() && !next.empty() && first != next);
+	}
+
+	void interval_large_fleet_grows()
+	{
+		CPPUNIT_ASSERT(view_of("n1", 9).interval() == std::chrono::milliseconds(100));
+		CPPUNIT_ASSERT(view_of("n1", 101).interval() == std::chrono::milliseconds(800));
+	}
+
+	void targets_large_fleet_far_nodes_get_one_heartbeat_of_four()
+	{
+		fleet view = view_of("n1", 30, "west"); // All others are in the east.
+		std::map<std::string, int> sent;
+		for (int round = 0; round < 8; ++round)
+		{
+			view.next();
+			for (const std::string& ip : view.targets())
+			{
+				++sent[ip];
+			}
+		}
+		CPPUNIT_ASSERT_EQUAL(std::size_t(29), sent.size());
+		for (const auto& [ip, count] : sent)
+		{
+			CPPUNIT_ASSERT_EQUAL(2, count);
+		}
+	}
+
+	clock_virtual m_clock;
+	std::unique_ptr<backend_registry> m_registry;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(fleet_test);
+} // namespace larkrack
--- /dev/null
+++ b/tests/state_replica_test.cpp
@@ -0,0 +1,273 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "fixtures.h"
+
+#include "edge/store_changes_codec_p.h"
+
+namespace larkrack
+{
+/// Keys "routes", "backend/ID", "evacuate/DOMAIN"; the value of a backend server is its state.
+class plain_codec : public record_codec_base
+{
+public:
+	std::string prefix() const override
+	{
+		return "";
+	}
+	record_kind kind_of(const std::string& _key) const override
+	{
+		if ("routes" == _key)
+		{
+			return record_kind::routes;
+		}
+		if (0 == _key.rfind("backend/", 0))
+		{
+			return record_kind::backend;
+		}
+		return 0 == _key.rfind("evacuate/", 0) ? record_kind::evacuation : record_kind::other;
+	}
+	std::string name_of(const std::string& _key) const override
+	{
+		return _key.substr(_key.rfind('/') + 1);
+	}
+	result<std::shared_ptr<const routing_table>> decode_routes(const std::string& _value) const override
+	{
+		if ("bad" == _value)
+		{
+			return error{"bad_routes", "route r1 has no service"};
+		}
+		return std::make_shared<const routing_table>(
+		    std::stoull(_value), std::vector<route>(), std::vector<routed_service>(), caller_limits());
+	}
+	result<backend_record> decode_backend(const std::string& _key, const std::string& _value) const override
+	{
+		backend_record record;
+		record.id = name_of(_key);
+		record.service = "shop";
+		record.domain = "east-a";
+		record.draining = "draining" == _value;
+		return record;
+	}
+	std::string node_key(const std::string& _node) const override
+	{
+		return "node/" + _node;
+	}
+};
+
+class state_replica_test : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(state_replica_test);
+	CPPUNIT_TEST(routes_invalid_keeps_the_last_good_ones);
+	CPPUNIT_TEST(backend_draining_is_seen_at_once);
+	CPPUNIT_TEST(backend_vanished_is_removed_after_a_moment);
+	CPPUNIT_TEST(backend_vanished_while_the_store_is_in_trouble_stays_longer);
+	CPPUNIT_TEST(backend_that_comes_back_is_not_removed);
+	CPPUNIT_TEST(evacuation_set_and_taken_back);
+	CPPUNIT_TEST(older_change_is_passed_over);
+	CPPUNIT_TEST(changes_of_another_node_bring_the_same_state);
+	CPPUNIT_TEST(changes_with_a_gap_are_not_taken);
+	CPPUNIT_TEST(changes_too_old_are_told_whole);
+	CPPUNIT_TEST(changes_split_and_joined_are_the_same);
+	CPPUNIT_TEST(changes_with_a_large_value_are_not_split);
+	CPPUNIT_TEST_SUITE_END();
+
+public:
+	void setUp() override
+	{
+		m_versions.clear();
+		m_registry = make_registry();
+		m_replica = make_replica(*m_registry);
+	}
+
+protected:
+	static std::unique_ptr<backend_registry> make_registry()
+	{
+		return std::make_unique<backend_registry>(
+		    std::unordered_map<std::string, std::string>{{"east-a", "east"}});
+	}
+
+	std::unique_ptr<state_replica> make_replica(backend_registry& _registry)
+	{
+		return std::make_unique<state_replica>(
+		    m_clock, m_codec, _registry, m_log,
+		    [this](const std::shared_ptr<const routing_table>& _routes)
+		    {
+			    m_versions.push_back(_routes->version());
+		    },
+		    [](const std::string&)
+		    {
+		    });
+	}
+
+	static store_value item(const std::string& _key, const std::string& _value, std::int64_t _revision)
+	{
+		return {_key, _value, _revision, 0};
+	}
+
+	void put(const std::string& _key, const std::string& _value, std::int64_t _revision)
+	{
+		m_replica->apply(watch_batch{{item(_key, _value, _revision)}, {}, _revision});
+	}
+
+	void remove(const std::string& _key, std::int64_t _revision)
+	{
+		m_replica->apply(watch_batch{{}, {_key}, _revision});
+	}
+
+	void wait(int _ms)
+	{
+		m_clock.advance(std::chrono::milliseconds(_ms));
+		m_replica->tick();
+	}
+
+	void routes_invalid_keeps_the_last_good_ones()
+	{
+		put("routes", "3", 1);
+		put("routes", "bad", 2);
+		CPPUNIT_ASSERT(std::vector<std::uint64_t>{3} == m_versions);
+	}
+
+	void backend_draining_is_seen_at_once()
+	{
+		put("backend/b1", "ready", 1);
+		CPPUNIT_ASSERT(m_registry->find("b1")->usable(m_clock.steady()));
+		put("backend/b1", "draining", 2);
+		CPPUNIT_ASSERT(!m_registry->find("b1")->usable(m_clock.steady()));
+	}
+
+	void backend_vanished_is_removed_after_a_moment()
+	{
+		put("backend/b1", "ready", 1);
+		remove("backend/b1", 2);
+		CPPUNIT_ASSERT(m_registry->find("b1")->usable(m_clock.steady()));
+		wait(1100);
+		CPPUNIT_ASSERT(nullptr == m_registry->find("b1"));
+	}
+
+	void backend_vanished_while_the_store_is_in_trouble_stays_longer()
+	{
+		put("backend/b1", "ready", 1);
+		m_replica->distrust();
+		remove("backend/b1", 2);
+		wait(3000);
+		CPPUNIT_ASSERT(nullptr != m_registry->find("b1"));
+		wait(4000);
+		CPPUNIT_ASSERT(nullptr == m_registry->find("b1"));
+	}
+
+	void backend_that_comes_back_is_not_removed()
+	{
+		put("backend/b1", "ready", 1);
+		remove("backend/b1", 2);
+		put("backend/b1", "ready", 3);
+		wait(2000);
+		CPPUNIT_ASSERT(nullptr != m_registry->find("b1"));
+	}
+
+	void evacuation_set_and_taken_back()
+	{
+		put("backend/b1", "ready", 1);
+		put("evacuate/east-a", "", 2);
+		CPPUNIT_ASSERT(!m_registry->find("b1")->usable(m_clock.steady()));
+		remove("evacuate/east-a", 3);
+		CPPUNIT_ASSERT(m_registry->find("b1")->usable(m_clock.steady()));
+	}
+
+	void older_change_is_passed_over()
+	{
+		put("backend/b1", "draining", 5);
+		put("backend/b1", "ready", 4);
+		CPPUNIT_ASSERT(!m_registry->find("b1")->usable(m_clock.steady()));
+		remove("backend/b1", 3);
+		wait(2000);
+		CPPUNIT_ASSERT(nullptr != m_registry->find("b1"));
+	}
+
+	void changes_of_another_node_bring_the_same_state()
+	{
+		put("routes", "3", 1);
+		put("backend/b1", "ready", 2);
+		put("backend/b2", "ready", 3);
+		const auto registry = make_registry();
+		const auto other = make_replica(*registry);
+		CPPUNIT_ASSERT(other->apply(m_replica->changes_after(0)));
+		put("backend/b1", "draining", 4);
+		remove("backend/b2", 5);
+		CPPUNIT_ASSERT(other->apply(m_replica->changes_after(3)));
+		CPPUNIT_ASSERT_EQUAL(std::int64_t(5), other->revision());
+		CPPUNIT_ASSERT(registry->find("b1")->record.draining);
+		m_clock.advance(std::chrono::milliseconds(1100));
+		other->tick();
+		CPPUNIT_ASSERT(nullptr == registry->find("b2"));
+	}
+
+	void changes_with_a_gap_are_not_taken()
+	{
+		put("backend/b1", "ready", 2);
+		store_changes changes;
+		changes.after = 3;
+		changes.batch = {{item("backend/b2", "ready", 4)}, {}, 4};
+		CPPUNIT_ASSERT(!m_replica->apply(changes));
+		CPPUNIT_ASSERT(nullptr == m_registry->find("b2"));
+		CPPUNIT_ASSERT_EQUAL(std::int64_t(2), m_replica->revision());
+	}
+
+	void changes_too_old_are_told_whole()
+	{
+		std::int64_t revision = 0;
+		for (int i = 0; i < 600; ++i)
+		{
+			put("backend/b1", "ready", ++revision);
+			remove("backend/b1", ++revision);
+		}
+		CPPUNIT_ASSERT(m_replica->changes_after(10).whole);
+		CPPUNIT_ASSERT(!m_replica->changes_after(revision - 20).whole);
+	}
+
+	void changes_split_and_joined_are_the_same()
+	{
+		store_changes changes;
+		changes.after = 10;
+		for (int i = 0; i < 40; ++i)
+		{
+			changes.batch.puts.push_back(
+			    item("backend/b" + std::to_string(i), std::string(150, 'x'), 50 - i));
+		}
+		changes.batch.deletes = {"backend/old"};
+		changes.batch.store_revision = 51;
+		const std::vector<store_changes> parts = split_for_datagrams(changes);
+		CPPUNIT_ASSERT(parts.size() > 4);
+		std::int64_t after = 10;
+		std::size_t puts = 0;
+		for (const store_changes& part : parts)
+		{
+			const std::vector<std::uint8_t> bytes = encode(part);
+			CPPUNIT_ASSERT(bytes.size() < 1500);
+			result<store_changes> decoded = decode_store_changes(bytes.data(), bytes.size());
+			CPPUNIT_ASSERT_EQUAL(after, value_of(decoded)->after);
+			after = value_of(decoded)->batch.store_revision;
+			puts += value_of(decoded)->batch.puts.size();
+		}
+		CPPUNIT_ASSERT_EQUAL(std::int64_t(51), after);
+		CPPUNIT_ASSERT_EQUAL(std::size_t(40), puts);
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), parts.back().batch.deletes.size());
+	}
+
+	void changes_with_a_large_value_are_not_split()
+	{
+		store_changes changes;
+		changes.batch.puts.push_back(item("routes", std::string(5000, 'x'), 1));
+		CPPUNIT_ASSERT(split_for_datagrams(changes).empty());
+	}
+
+	clock_virtual m_clock;
+	plain_codec m_codec;
+	edge_log m_log{"test", -1};
+	std::vector<std::uint64_t> m_versions;
+	std::unique_ptr<backend_registry> m_registry;
+	std::unique_ptr<state_replica> m_replica;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(state_replica_test);
+} // namespace larkrack
