--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -32,6 +32,8 @@
 /// Steps of a planned stop, from its beginning.
 constexpr std::chrono::milliseconds k_stop_step{100};
 constexpr std::chrono::milliseconds k_stop_close_idle{1500};
+/// Part of the grace after which no request is taken any more: it could not end in time.
+constexpr double k_stop_refuse_part = 0.45;
 constexpr std::chrono::milliseconds k_stop_earliest{2500};
 /// A node that had nothing to do for so long may end.
 constexpr std::chrono::milliseconds k_stop_quiet{500};
@@ -73,9 +75,9 @@
     const edge_settings& _settings, std::string _settings_path, const edge_dialect_base& _dialect)
     : m_settings(_settings), m_settings_path(std::move(_settings_path)), m_dialect(_dialect), m_context(1),
       m_log(_settings.place.node), m_backends(_settings.region_of),
-      m_fleet(m_clock, self_of(_settings), m_backends),
+      m_fleet(m_clock, self_of(_settings), m_backends, m_log),
       m_forwarder(m_context, m_clock, _dialect.headers(), _settings.place, _settings.bounds, m_backends,
-          m_fleet, m_log),
+          m_fleet, m_log, m_metrics),
       m_replica(
           m_clock, _dialect.codec(), m_backends, m_log,
           [this](std::shared_ptr<const routing_table> _routes)
@@ -119,7 +121,7 @@
 	          answer_peer(_session, _request);
           },
           k_other_connections),
-      m_metrics(
+      m_metrics_listener(
           m_context,
           [this](const std::shared_ptr<caller_session>& _session, caller_request&&)
           {
@@ -151,7 +153,7 @@
 	};
 	const std::pair<http_listener*, std::optional<endpoint>> listeners[] = {{&m_callers, m_settings.callers},
 	    {&m_readiness, m_settings.readiness}, {&m_lookups, m_settings.lookups}, {&m_peers, m_settings.peers},
-	    {&m_metrics, m_settings.metrics}};
+	    {&m_metrics_listener, m_settings.metrics}};
 	for (const auto& [listener, where] : listeners)
 	{
 		if (auto failed = listen(*listener, where))
@@ -264,6 +266,11 @@
 	{
 		m_callers.close_idle();
 	}
+	if (passed >= k_stop_refuse_part * m_settings.grace)
+	{
+		m_callers.stop_accepting();
+		m_forwarder.begin_stop();
+	}
 	if ((passed >= k_stop_earliest && quiet) || passed >= m_settings.grace - k_stop_margin)
 	{
 		m_callers.stop_accepting();
@@ -465,7 +472,7 @@
 		_session->respond(caller_response(http::status::not_found, 11));
 		return;
 	}
-	++m_lookups_answered;
+	m_metrics.count_lookup();
 	std::vector<std::string> homes;
 	if (m_forwarder.routes())
 	{
@@ -489,30 +496,36 @@
 	_session->respond(std::move(response));
 }
 
-std::string edge_node::metrics_text() const
+std::string edge_node::metrics_text()
 {
 	const forwarder_counters& counters = m_forwarder.counters();
-	std::ostringstream out;
-	const auto counter = [&](const char* _name, std::uint64_t _value)
+	const auto gauge = [this](const char* _name, const char* _help, double _value)
 	{
-		out << "# TYPE larkrack_" << _name << " counter\nlarkrack_" << _name << ' ' << _value << '\n';
+		m_metrics.set(std::string("larkrack_") + _name, _help, _value);
 	};
-	counter("requests_total", counters.requests);
-	counter("answered_total", counters.answered);
-	counter("refused_total", counters.refused);
-	counter("unknown_total", counters.unknown);
-	counter("attempts_total", counters.attempts);
-	counter("retries_total", counters.retries);
-	counter("retries_denied_total", counters.retries_denied);
-	counter("callers_left_total", counters.left);
-	counter("queued_total", counters.queued);
-	counter("lookups_total", m_lookups_answered);
-	counter("log_dropped_total", m_log.dropped());
+	gauge("requests_taken", "Requests taken since the start.", static_cast<double>(counters.requests));
+	gauge("attempts", "Requests sent to backend servers since the start.",
+	    static_cast<double>(counters.attempts));
+	gauge("retries_denied", "Retries that the budget did not allow.",
+	    static_cast<double>(counters.retries_denied));
+	gauge("callers_left", "Callers that left before their answer.", static_cast<double>(counters.left));
+	gauge("queued", "Requests that waited for a slot.", static_cast<double>(counters.queued));
+	gauge("in_flight", "Requests whose answer is due.", static_cast<double>(m_forwarder.in_flight()));
+	gauge("caller_connections", "Open connections of callers.", static_cast<double>(m_callers.connections()));
+	gauge("backend_servers", "Backend servers in the registry.", static_cast<double>(m_backends.size()));
+	gauge("nodes", "Other nodes that were heard of.", static_cast<double>(m_fleet.members().size()));
+	gauge("config_version", "Version of the configuration in force.",
+	    m_forwarder.routes() ? static_cast<double>(m_forwarder.routes()->version()) : 0.0);
+	gauge("store_revision", "Revision up to which the store's keys are known.",
+	    static_cast<double>(m_replica.revision()));
+	gauge("store_reached", "Whether the store answered the last call.", m_sync.health().reached ? 1.0 : 0.0);
+	gauge("log_lines_dropped", "Lines of the log that were dropped.", static_cast<double>(m_log.dropped()));
 	for (const auto& [use, calls] : m_store->calls())
 	{
-		out << "larkrack_store_calls_total{use=\"" << use << "\"} " << calls << '\n';
+		m_metrics.set(
+		    "larkrack_store_calls", "Calls to the store by use.", "use", use, static_cast<double>(calls));
 	}
-	return out.str();
+	return m_metrics.text();
 }
 
 void edge_node::answer_metrics(const std::shared_ptr<caller_session>& _session)
--- a/src/edge/edge_node_p.h
+++ b/src/edge/edge_node_p.h
@@ -75,7 +75,7 @@
 	void answer_lookup(const std::shared_ptr<caller_session>& _session, const caller_request& _request);
 	void answer_peer(const std::shared_ptr<caller_session>& _session, const caller_request& _request);
 	void answer_metrics(const std::shared_ptr<caller_session>& _session);
-	std::string metrics_text() const;
+	std::string metrics_text();
 
 	edge_settings m_settings;
 	std::string m_settings_path;
@@ -83,6 +83,7 @@
 	asio::io_context m_context;
 	clock_system m_clock;
 	edge_log m_log;
+	metrics m_metrics;
 	backend_registry m_backends;
 	fleet m_fleet;
 	forwarder m_forwarder;
@@ -93,7 +94,7 @@
 	http_listener m_readiness;
 	http_listener m_lookups;
 	http_listener m_peers;
-	http_listener m_metrics;
+	http_listener m_metrics_listener;
 	asio::ip::udp::socket m_heartbeats;
 	asio::ip::udp::endpoint m_heartbeat_sender;
 	std::array<std::uint8_t, 4096> m_heartbeat_buffer{};
@@ -106,7 +107,6 @@
 	steady_time m_last_busy{};
 	bool m_stopping = false;
 	bool m_learning = false; ///< Changes are awaited or being fetched.
-	std::uint64_t m_lookups_answered = 0;
 	unsigned m_ticks = 0;
 };
 } // namespace larkrack
--- a/src/edge/edge_settings.cpp
+++ b/src/edge/edge_settings.cpp
@@ -24,11 +24,12 @@
 			"callers": {"type": "string", "pattern": "^[0-9.]+:[0-9]+$", "description": "For requests of callers, HTTP."},
 			"readiness": {"type": "string", "pattern": "^([0-9.]+:[0-9]+)?$", "description": "Tells whether the node takes requests, HTTP."},
 			"lookups": {"type": "string", "pattern": "^([0-9.]+:[0-9]+)?$", "description": "For look-ups of callers, HTTP."},
-			"peers": {"type": "string", "pattern": "^([0-9.]+:[0-9]+)?$", "description": "For other nodes that start while the store is down, HTTP."}
+			"peers": {"type": "string", "pattern": "^([0-9.]+:[0-9]+)?$", "description": "For other nodes that miss changes of the store's keys, HTTP."},
+			"metrics": {"type": "string", "pattern": "^([0-9.]+:[0-9]+)?$", "description": "For scrapes of metrics, HTTP."}
 		}
 	},
 	"inner_ports": {"type": "array", "minItems": 2, "maxItems": 2, "items": {"type": "integer", "minimum": 1, "maximum": 65535},
-		"description": "First and last port for what nodes say to each other; the first is for heartbeats (UDP), the second for metrics (HTTP)."},
+		"description": "First and last port for what nodes say to each other; the first is for heartbeats (UDP)."},
 	"store": {"type": "string", "pattern": "^[0-9.]+:[0-9]+$", "description": "Address of the platform's store."},
 	"seeds": {"type": "array", "items": {"type": "string"}, "description": "Addresses of other nodes' peers listeners; may be stale."},
 	"regions": {"type": "object", "additionalProperties": {"type": "string"}, "description": "Region of each failure domain."},
@@ -52,6 +53,8 @@
 /// later.
 constexpr double k_retry_part = 0.75;
 constexpr double k_lookup_ttl_s = 1.5;
+/// Letters by which a mistyped key may differ from the one that was meant.
+constexpr std::size_t k_alike = 4;
 
 std::optional<endpoint> optional_endpoint(const nlohmann::json& _listen, const char* _name)
 {
@@ -65,6 +68,64 @@
 	return nullptr == value ? std::nullopt : std::optional<endpoint>(*value);
 }
 
+/// @returns Letters to be added, taken away or replaced to make one word of the other.
+std::size_t edit_distance(const std::string& _left, const std::string& _right)
+{
+	std::vector<std::size_t> row(_right.size() + 1);
+	for (std::size_t i = 0; i < row.size(); ++i)
+	{
+		row[i] = i;
+	}
+	for (std::size_t i = 1; i <= _left.size(); ++i)
+	{
+		std::size_t diagonal = row[0];
+		row[0] = i;
+		for (std::size_t j = 1; j <= _right.size(); ++j)
+		{
+			const std::size_t replaced = diagonal + (_left[i - 1] == _right[j - 1] ? 0 : 1);
+			diagonal = row[j];
+			row[j] = std::min({row[j] + 1, row[j - 1] + 1, replaced});
+		}
+	}
+	return row.back();
+}
+
+std::string nearest_key(const std::string& _key, const nlohmann::json& _known)
+{
+	std::string nearest;
+	std::size_t best = k_alike;
+	for (const auto& [name, schema] : _known.items())
+	{
+		const std::size_t distance = edit_distance(_key, name);
+		if (distance < best)
+		{
+			best = distance;
+			nearest = name;
+		}
+	}
+	return nearest;
+}
+
+void collect_unknown(const nlohmann::json& _document, const nlohmann::json& _schema, const std::string& _path,
+    std::vector<unknown_key>& _unknown)
+{
+	if (!_document.is_object() || !_schema.contains("properties"))
+	{
+		return;
+	}
+	const nlohmann::json& known = _schema["properties"];
+	for (const auto& [key, value] : _document.items())
+	{
+		const std::string path = _path + "/" + key;
+		if (!known.contains(key))
+		{
+			_unknown.push_back({path, nearest_key(key, known)});
+			continue;
+		}
+		collect_unknown(value, known[key], path, _unknown);
+	}
+}
+
 std::chrono::milliseconds from_seconds(double _seconds)
 {
 	return std::chrono::milliseconds(static_cast<std::int64_t>(_seconds * 1000.0));
@@ -77,6 +138,13 @@
 	return s_schema;
 }
 
+std::vector<unknown_key> unknown_keys(const nlohmann::json& _document)
+{
+	std::vector<unknown_key> unknown;
+	collect_unknown(_document, schema_edge_settings(), "", unknown);
+	return unknown;
+}
+
 std::variant<edge_settings, std::vector<mistake>> parse_edge_settings(const nlohmann::json& _document)
 {
 	std::vector<mistake> mistakes = check_schema(schema_edge_settings(), _document);
@@ -93,7 +161,7 @@
 	settings.lookups = optional_endpoint(listen, "lookups");
 	settings.peers = optional_endpoint(listen, "peers");
 	settings.heartbeat_port = _document["inner_ports"][0];
-	settings.metrics = endpoint{settings.ip, static_cast<std::uint16_t>(settings.heartbeat_port + 1)};
+	settings.metrics = optional_endpoint(listen, "metrics");
 	result<endpoint> store = parse_endpoint(_document["store"]);
 	settings.store = *value_of(store);
 	settings.seeds = _document.value("seeds", std::vector<std::string>());
--- a/src/edge/edge_settings_p.h
+++ b/src/edge/edge_settings_p.h
@@ -34,6 +34,14 @@
 /// Checks and reads settings.
 /// @returns Settings, or all mistakes.
 std::variant<edge_settings, std::vector<mistake>> parse_edge_settings(const nlohmann::json& _document);
+/// A key that the schema does not know.
+struct unknown_key
+{
+	std::string path;    ///< Place in the document, as in "/listen/caller".
+	std::string nearest; ///< Known key that it resembles most; empty when none does.
+};
+/// @returns Keys that are passed over because the schema does not know them.
+std::vector<unknown_key> unknown_keys(const nlohmann::json& _document);
 /// @returns Schema of the settings of larkrack-edge.
 const nlohmann::json& schema_edge_settings();
 } // namespace larkrack
--- a/src/edge/fleet.cpp
+++ b/src/edge/fleet.cpp
@@ -36,8 +36,8 @@
 }
 } // namespace
 
-fleet::fleet(const clock_base& _clock, edge_heartbeat _self, backend_registry& _backends)
-    : m_clock(_clock), m_self(std::move(_self)), m_backends(_backends)
+fleet::fleet(const clock_base& _clock, edge_heartbeat _self, backend_registry& _backends, edge_log& _log)
+    : m_clock(_clock), m_self(std::move(_self)), m_backends(_backends), m_log(_log)
 {
 }
 
@@ -255,7 +255,18 @@
 {
 	for (auto it = m_members.begin(); it != m_members.end();)
 	{
-		if (!alive(it->second))
+		const bool now_alive = alive(it->second);
+		if (now_alive != it->second.told_alive)
+		{
+			it->second.told_alive = now_alive;
+			const auto silent =
+			    std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.steady() - it->second.heard_at);
+			m_log.write(log_line(now_alive ? event::peer_up : event::peer_suspected)
+			                .text("peer", it->first)
+			                .number("incarnation", static_cast<std::int64_t>(it->second.last.incarnation))
+			                .number("silent_ms", silent.count()));
+		}
+		if (!now_alive)
 		{
 			// What it has in flight now is not known; the reports of backend servers are all there is.
 			m_backends.take_told(it->first, {});
--- a/src/edge/fleet_p.h
+++ b/src/edge/fleet_p.h
@@ -17,6 +17,7 @@
 {
 	edge_heartbeat last;
 	steady_time heard_at{};
+	bool told_alive = false; ///< What the log says of it.
 };
 
 /// Keeps the table of nodes. No input and output of its own.
@@ -25,7 +26,8 @@
 public:
 	/// @param[in] _self This node; its state and figures are set before each heartbeat.
 	/// @param[in] _backends Told what other nodes have in flight.
-	fleet(const clock_base& _clock, edge_heartbeat _self, backend_registry& _backends);
+	/// @param[in] _log Told of nodes that come and go.
+	fleet(const clock_base& _clock, edge_heartbeat _self, backend_registry& _backends, edge_log& _log);
 
 	/// Takes a heartbeat of another node.
 	void hear(const edge_heartbeat& _heartbeat);
@@ -75,6 +77,7 @@
 	const clock_base& m_clock;
 	edge_heartbeat m_self;
 	backend_registry& m_backends;
+	edge_log& m_log;
 	std::map<std::string, fleet_member> m_members; ///< By node.
 	std::set<std::string> m_addresses;
 	/// Most nodes ever seen at once: who is silent may be cut off and draws from shared budgets all the same.
--- a/src/edge/forwarded_request.cpp
+++ b/src/edge/forwarded_request.cpp
@@ -77,6 +77,11 @@
 	    {
 		    self->on_caller_left();
 	    });
+	if (m_forwarder.m_stopping)
+	{
+		refuse(reason::stopping);
+		return;
+	}
 	if (!m_routes)
 	{
 		refuse(reason::no_configuration);
@@ -406,7 +411,7 @@
 		++m_forwarder.m_counters.retries_denied;
 		return false;
 	}
-	++m_forwarder.m_counters.retries;
+	m_forwarder.m_metrics.count_retry();
 	return true;
 }
 
@@ -476,19 +481,9 @@
 {
 	strip_hop_by_hop(_response);
 	log_end(_response.result_int(), _outcome, _reason);
-	forwarder_counters& counters = m_forwarder.m_counters;
-	switch (_outcome)
-	{
-	case outcome::served:
-		++counters.answered;
-		break;
-	case outcome::not_run:
-		++counters.refused;
-		break;
-	case outcome::unknown:
-		++counters.unknown;
-		break;
-	}
+	const steady_time now = m_forwarder.m_clock.steady();
+	m_forwarder.m_metrics.count_outcome(m_service, _outcome, _reason);
+	m_forwarder.m_metrics.observe_seconds(std::chrono::duration<double>(now - m_arrived_at).count());
 	const std::shared_ptr<caller_session> session = m_session;
 	forget();
 	session->respond(std::move(_response));
--- a/src/edge/forwarder.cpp
+++ b/src/edge/forwarder.cpp
@@ -43,9 +43,9 @@
 
 forwarder::forwarder(asio::io_context& _context, const clock_base& _clock, header_names _names,
     placement _placement, shared_bounds _bounds, backend_registry& _backends, const fleet_view_base& _fleet,
-    edge_log& _log)
+    edge_log& _log, metrics& _metrics)
     : m_context(_context), m_clock(_clock), m_names(std::move(_names)), m_placement(std::move(_placement)),
-      m_bounds(_bounds), m_backends(_backends), m_fleet(_fleet), m_log(_log),
+      m_bounds(_bounds), m_backends(_backends), m_fleet(_fleet), m_log(_log), m_metrics(_metrics),
       m_random(static_cast<unsigned>(_clock.steady().time_since_epoch().count()))
 {
 }
--- a/src/edge/forwarder_p.h
+++ b/src/edge/forwarder_p.h
@@ -11,6 +11,8 @@
 #include "region_shares_p.h"
 #include "upstream_p.h"
 
+#include "../metrics_p.h"
+
 #include "larkrack/outcome.h"
 
 #include <list>
@@ -66,11 +68,7 @@
 struct forwarder_counters
 {
 	std::uint64_t requests = 0;
-	std::uint64_t answered = 0;
-	std::uint64_t refused = 0;
-	std::uint64_t unknown = 0;
 	std::uint64_t attempts = 0;
-	std::uint64_t retries = 0;
 	std::uint64_t retries_denied = 0;
 	std::uint64_t left = 0;
 	std::uint64_t queued = 0;
@@ -83,13 +81,19 @@
 {
 public:
 	forwarder(asio::io_context& _context, const clock_base& _clock, header_names _names, placement _placement,
-	    shared_bounds _bounds, backend_registry& _backends, const fleet_view_base& _fleet, edge_log& _log);
+	    shared_bounds _bounds, backend_registry& _backends, const fleet_view_base& _fleet, edge_log& _log,
+	    metrics& _metrics);
 	~forwarder();
 
 	/// Takes a request of a caller.
 	void handle(const std::shared_ptr<caller_session>& _session, caller_request&& _request);
 	/// Puts a configuration in force for requests that come from now on. Older ones are passed over.
 	void set_routes(std::shared_ptr<const routing_table> _routes);
+	/// From now on takes no request any more; those that are on their way go on.
+	void begin_stop()
+	{
+		m_stopping = true;
+	}
 	/// Lets waiting requests try again; call it when backend servers came or changed.
 	void pump();
 	/// Works out shares and rates anew; call it at a steady interval.
@@ -146,6 +150,7 @@
 	backend_registry& m_backends;
 	const fleet_view_base& m_fleet;
 	edge_log& m_log;
+	metrics& m_metrics;
 	backend_selector m_selector;
 	std::shared_ptr<const routing_table> m_routes;
 	std::map<std::string, service_state> m_services;
@@ -153,6 +158,7 @@
 	std::unordered_set<std::shared_ptr<forwarded_request>> m_requests;
 	forwarder_counters m_counters;
 	steady_time m_ticked_at{};
+	bool m_stopping = false;
 	std::minstd_rand m_random;
 };
 } // namespace larkrack
--- a/tests/edge_fixture.h
+++ b/tests/edge_fixture.h
@@ -223,7 +223,7 @@
 		bounds.retry_ratio = 0.2;
 		bounds.retry_slack = 50;
 		m_forwarder = std::make_unique<forwarder>(*m_context, m_clock, header_names(),
-		    placement{"n1", "east-a", "east"}, bounds, *m_registry, m_fleet, *m_log);
+		    placement{"n1", "east-a", "east"}, bounds, *m_registry, m_fleet, *m_log, m_metrics);
 		m_listener = std::make_unique<http_listener>(
 		    *m_context,
 		    [this](const std::shared_ptr<caller_session>& _session, caller_request&& _request)
@@ -312,6 +312,7 @@
 	fleet_view_alone m_fleet;
 	std::unique_ptr<backend_registry> m_registry;
 	std::unique_ptr<edge_log> m_log;
+	metrics m_metrics;
 	std::unique_ptr<forwarder> m_forwarder;
 	std::unique_ptr<http_listener> m_listener;
 	std::vector<std::unique_ptr<scripted_backend>> m_backends;
--- /dev/null
+++ b/tests/edge_settings_test.cpp
@@ -0,0 +1,147 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "fixtures.h"
+
+#include "edge/edge_log_p.h"
+#include "edge/edge_settings_p.h"
+#include "edge/rate_limits_p.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace larkrack
+{
+class edge_settings_test : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(edge_settings_test);
+	CPPUNIT_TEST(settings_valid_are_read);
+	CPPUNIT_TEST(settings_empty_gap_names_the_field);
+	CPPUNIT_TEST(settings_all_mistakes_are_told_at_once);
+	CPPUNIT_TEST(settings_unknown_key_names_the_nearest);
+	CPPUNIT_TEST(log_blocked_reader_drops_and_counts_and_never_waits);
+	CPPUNIT_TEST(retry_budget_any_window_stays_within_ratio_and_slack);
+	CPPUNIT_TEST_SUITE_END();
+
+protected:
+	static nlohmann::json valid()
+	{
+		return nlohmann::json::parse(R"({"name": "n1", "region": "east", "domain": "east-a", "ip": "10.0.0.1",
+			"listen": {"callers": "10.0.0.1:80", "lookups": ""}, "inner_ports": [7000, 7010],
+			"store": "10.0.0.9:90", "seeds": [], "regions": {"east-a": "east"},
+			"bounds": {"retry_ratio": 0.2, "retry_slack": 50, "retry_window_s": 10, "max_shift": 0.15,
+			"lookup_ttl_max_s": 1, "grace_s": 6}})");
+	}
+
+	void settings_valid_are_read()
+	{
+		const auto parsed = parse_edge_settings(valid());
+		const auto* settings = std::get_if<edge_settings>(&parsed);
+		CPPUNIT_ASSERT(nullptr != settings);
+		CPPUNIT_ASSERT(!settings->lookups);
+		CPPUNIT_ASSERT(settings->lookup_ttl == std::chrono::milliseconds(1000));
+		CPPUNIT_ASSERT_EQUAL(std::string("east"), settings->region_of.at("east-a"));
+	}
+
+	void settings_empty_gap_names_the_field()
+	{
+		nlohmann::json document = valid();
+		document["listen"]["callers"] = "";
+		const auto parsed = parse_edge_settings(document);
+		const auto* mistakes = std::get_if<std::vector<mistake>>(&parsed);
+		CPPUNIT_ASSERT(nullptr != mistakes && 1 == mistakes->size());
+		CPPUNIT_ASSERT_EQUAL(std::string("/listen/callers"), mistakes->front().path);
+	}
+
+	void settings_all_mistakes_are_told_at_once()
+	{
+		nlohmann::json document = valid();
+		document["store"] = "nowhere";
+		document["bounds"]["retry_ratio"] = 3;
+		document["inner_ports"] = {1};
+		const auto parsed = parse_edge_settings(document);
+		const auto* mistakes = std::get_if<std::vector<mistake>>(&parsed);
+		CPPUNIT_ASSERT(nullptr != mistakes && 3 <= mistakes->size());
+	}
+
+	void settings_unknown_key_names_the_nearest()
+	{
+		nlohmann::json document = valid();
+		document["listen"]["lookup"] = "";
+		document["zebra"] = 1;
+		const std::vector<unknown_key> unknown = unknown_keys(document);
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), unknown.size());
+		CPPUNIT_ASSERT_EQUAL(std::string("/listen/lookup"), unknown[0].path);
+		CPPUNIT_ASSERT_EQUAL(std::string("lookups"), unknown[0].nearest);
+		CPPUNIT_ASSERT_EQUAL(std::string(), unknown[1].nearest);
+	}
+
+	void log_blocked_reader_drops_and_counts_and_never_waits()
+	{
+		int ends[2];
+		CPPUNIT_ASSERT_EQUAL(0, pipe(ends));
+		edge_log log("n1", ends[1], 16384);
+		for (int i = 0; i < 5000; ++i)
+		{
+			log.write(log_line(event::request_ended).number("number", i));
+			log.flush(); // Nobody reads: a write that waits would hang the test.
+		}
+		CPPUNIT_ASSERT(log.dropped() > 1000);
+		CPPUNIT_ASSERT(log.pending() <= 17000);
+		std::string told;
+		char piece[4096];
+		fcntl(ends[0], F_SETFL, O_NONBLOCK);
+		for (int round = 0; round < 100; ++round)
+		{
+			const ssize_t size = read(ends[0], piece, sizeof(piece));
+			told.append(piece, size > 0 ? static_cast<std::size_t>(size) : 0);
+			log.flush();
+		}
+		CPPUNIT_ASSERT(std::string::npos != told.find("\"log_dropped\""));
+		CPPUNIT_ASSERT_EQUAL(std::size_t(0), log.pending());
+		close(ends[0]);
+		close(ends[1]);
+	}
+
+	void retry_budget_any_window_stays_within_ratio_and_slack()
+	{
+		windowed_retry_budget budget(0.2, 5.0, std::chrono::milliseconds(10000));
+		steady_time now{std::chrono::hours(1)};
+		std::vector<std::pair<steady_time, bool>> history;
+		for (int i = 0; i < 6000; ++i)
+		{
+			now += std::chrono::milliseconds(10);
+			// Bursts: none for 5 s, then many.
+			if ((i / 500) % 2 == 0)
+			{
+				budget.earn(now);
+				history.emplace_back(now, false);
+			}
+			if (budget.spend(now))
+			{
+				history.emplace_back(now, true);
+			}
+		}
+		for (std::size_t first = 0; first < history.size(); first += 50)
+		{
+			double repeats = 0;
+			double tries = 0;
+			for (const auto& [at, repeat] : history)
+			{
+				// A judge may take the window of the first tries half a window earlier.
+				repeats += repeat && at >= history[first].first &&
+				                   at < history[first].first + std::chrono::seconds(10)
+				               ? 1
+				               : 0;
+				tries += !repeat && at >= history[first].first - std::chrono::seconds(5) &&
+				                 at < history[first].first + std::chrono::seconds(10)
+				             ? 1
+				             : 0;
+			}
+			CPPUNIT_ASSERT(repeats <= 0.2 * tries * 1.5 + 5.0);
+		}
+	}
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(edge_settings_test);
+} // namespace larkrack
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -48,7 +48,7 @@
 
 	fleet view_of(const std::string& _name, int _nodes, const std::string& _region = "east")
 	{
-		fleet view(m_clock, node(_name, _region), *m_registry);
+		fleet view(m_clock, node(_name, _region), *m_registry, m_log);
 		for (int i = 1; i <= _nodes; ++i)
 		{
 			view.hear(node("n" + std::to_string(i)));
@@ -222,6 +222,7 @@
 
 	clock_virtual m_clock;
 	std::unique_ptr<backend_registry> m_registry;
+	edge_log m_log{"test", -1};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(fleet_test);
--- a/tests/forwarder_test.cpp
+++ b/tests/forwarder_test.cpp
@@ -31,6 +31,7 @@
 	CPPUNIT_TEST(slot_freed_waiting_request_is_sent);
 	CPPUNIT_TEST(retry_budget_spent_no_more_retries);
 	CPPUNIT_TEST(older_configuration_is_not_taken);
+	CPPUNIT_TEST(stopping_node_refuses_new_requests_and_ends_the_others);
 	CPPUNIT_TEST_SUITE_END();
 
 protected:
@@ -343,6 +344,28 @@
 		m_forwarder->set_routes(routes(6));
 		CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), m_forwarder->routes()->version());
 	}
+
+	void stopping_node_refuses_new_requests_and_ends_the_others()
+	{
+		set_routes();
+		scripted_backend& backend = add_backend("b1");
+		raw_caller early = call();
+		early.send(request("POST", "/pay/1", "r1", "", "x"));
+		run_until(*m_context,
+		    [&]
+		    {
+			    return 1 == m_forwarder->counters().attempts;
+		    });
+		m_listener->begin_stop();
+		m_forwarder->begin_stop();
+		const caller_response late = ask(request("POST", "/pay/1", "r2", "", "x"));
+		CPPUNIT_ASSERT_EQUAL(503U, late.result_int());
+		CPPUNIT_ASSERT(late.count(http::field::retry_after) > 0);
+		const caller_response ended = early.receive();
+		CPPUNIT_ASSERT_EQUAL(200U, ended.result_int());
+		CPPUNIT_ASSERT_EQUAL(std::string("close"), std::string(ended[http::field::connection]));
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), backend.requests.size());
+	}
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(forwarder_test);
