Read a large configuration from the store, and let gaps hold up no other news

Ruled out: trouble of the store (it answered; the readers had the change within a second).

Now: a node that hears of a newer configuration reads that key from the store; changes behind a gap are taken at once, by the revision of each key; who has the configuration is not sent it again; the node that is asked is drawn by lot.

--- a/src/edge/edge_node.cpp
+++ b/src/edge/edge_node.cpp
@@ -23,8 +23,8 @@
 constexpr std::size_t k_other_connections = 256;
 /// Nodes of a region that read the store: enough that trouble of some does not leave the others without news.
 constexpr std::size_t k_region_readers = 4;
-/// Readers that tell the others by datagrams; one alone could lose one.
-constexpr std::size_t k_tellers = 2;
+/// Readers that tell the others by datagrams: one may lose some, or be slow.
+constexpr std::size_t k_tellers = 3;
 /// A node that knows less than another one asks it after so long: news may be on the way.
 constexpr std::chrono::milliseconds k_behind{60};
 constexpr std::chrono::milliseconds k_behind_reader{400};
@@ -417,25 +417,39 @@
 	m_learn_timer.async_wait(
 	    [this](beast::error_code)
 	    {
-		    const fleet_member* newer = m_fleet.newer(m_replica.revision());
-		    if (nullptr == newer)
+		    if (nullptr == m_fleet.newer(m_replica.revision()))
 		    {
 			    m_learning = false;
 			    return;
 		    }
 		    start(m_context,
-		        [this, ip = newer->last.ip](const yield_context& _yield)
+		        [this](const yield_context& _yield)
 		        {
-			        fetch_state(ip, _yield);
+			        catch_up(_yield);
 			        m_learning = false;
 		        });
 	    });
 }
 
+void edge_node::catch_up(const yield_context& _yield)
+{
+	// A configuration may be large, and the links of nodes slow: it comes from the store, if that answers.
+	const std::uint64_t version = m_forwarder.routes() ? m_forwarder.routes()->version() : 0;
+	if (m_sync.health().reached && m_fleet.newest_config() > version)
+	{
+		m_sync.read_routes(_yield);
+	}
+	if (const fleet_member* newer = m_fleet.newer(m_replica.revision()))
+	{
+		fetch_state(std::string(newer->last.ip), _yield);
+	}
+}
+
 void edge_node::fetch_state(const std::string& _ip, const yield_context& _yield)
 {
 	const endpoint where{_ip, m_settings.peers->port};
-	const std::string target = "/changes?after=" + std::to_string(m_replica.revision());
+	const std::string target = "/changes?after=" + std::to_string(m_replica.revision()) +
+	                           "&routes=" + std::to_string(m_replica.routes_revision());
 	result<http_response> reply =
 	    m_peer_caller.call(where, make_request(http::verb::get, target, where), k_learn_timeout, _yield);
 	const http_response* response = value_of(reply);
@@ -487,9 +501,11 @@
 
 void edge_node::answer_peer(const std::shared_ptr<caller_session>& _session, const caller_request& _request)
 {
-	const std::string after = query_value(std::string(_request.target()), "after");
-	const std::vector<std::uint8_t> bytes =
-	    encode(m_replica.changes_after(std::strtoll(after.c_str(), nullptr, 10)));
+	const std::string target(_request.target());
+	const std::string after = query_value(target, "after");
+	const std::string routes = query_value(target, "routes");
+	const std::vector<std::uint8_t> bytes = encode(m_replica.changes_after(
+	    std::strtoll(after.c_str(), nullptr, 10), std::strtoll(routes.c_str(), nullptr, 10)));
 	caller_response response(http::status::ok, 11);
 	response.set(http::field::content_type, "application/cbor");
 	response.body().assign(bytes.begin(), bytes.end());
--- a/src/edge/edge_node_p.h
+++ b/src/edge/edge_node_p.h
@@ -69,6 +69,7 @@
 	void take_datagram(std::size_t _size);
 	/// Fetches changes when another node knows a newer revision and they do not come by themselves.
 	void learn_from_peers();
+	void catch_up(const yield_context& _yield);
 	void fetch_state(const std::string& _ip, const yield_context& _yield);
 
 	void answer_readiness(const std::shared_ptr<caller_session>& _session);
--- a/src/edge/fleet.cpp
+++ b/src/edge/fleet.cpp
@@ -177,9 +177,10 @@
 
 const fleet_member* fleet::newer(std::int64_t _store_revision) const
 {
-	const auto order = [this](const fleet_member& _member)
+	const std::uint64_t chance = weight_of(m_self.node, m_self.sequence);
+	const auto order = [&](const fleet_member& _member)
 	{
-		return std::make_pair(_member.last.region == m_self.region, _member.last.store_revision);
+		return std::make_pair(_member.last.region == m_self.region, weight_of(_member.last.node, chance));
 	};
 	const fleet_member* best = nullptr;
 	for (const auto& [name, member] : m_members)
@@ -193,6 +194,16 @@
 	return best;
 }
 
+std::uint64_t fleet::newest_config() const
+{
+	std::uint64_t newest = 0;
+	for (const auto& [name, member] : m_members)
+	{
+		newest = std::max(newest, alive(member) ? member.last.config_version : 0);
+	}
+	return newest;
+}
+
 std::vector<std::string> fleet::region_nodes() const
 {
 	std::vector<std::string> nodes{m_self.node};
--- a/src/edge/fleet_p.h
+++ b/src/edge/fleet_p.h
@@ -44,9 +44,11 @@
 	std::size_t reader_rank() const;
 	/// @returns Addresses of the other nodes of this region that answer.
 	std::vector<std::string> region_addresses() const;
-	/// @returns A node that knows a newer revision of the store's keys than the given one, or null. Nodes of
-	/// this region come first.
+	/// @returns Any node that knows a newer revision of the store's keys than the given one, or null. Nodes
+	/// of this region come first; among them chance decides, so that a few are not asked by all.
 	const fleet_member* newer(std::int64_t _store_revision) const;
+	/// @returns Newest version of the configuration that any node has.
+	std::uint64_t newest_config() const;
 	/// Forgets nodes that have been silent for long.
 	void tick();
 	/// @returns Time between two heartbeats. It grows with the fleet, so that a node's cost does not.
--- a/src/edge/state_replica.cpp
+++ b/src/edge/state_replica.cpp
@@ -43,7 +43,9 @@
 	std::vector<std::string> absent;
 	for (const auto& [key, value] : m_values)
 	{
-		if (0 == present.count(key) && value.mod_revision <= _revision)
+		// The configuration is never taken away; another node may have left it out because it is known here.
+		const bool removable = key != m_codec.routes_key() && value.mod_revision <= _revision;
+		if (0 == present.count(key) && removable)
 		{
 			absent.push_back(key);
 		}
@@ -59,7 +61,7 @@
 	m_revision = std::max(m_revision, _revision);
 }
 
-void state_replica::apply(const watch_batch& _batch)
+void state_replica::put_and_remove(const watch_batch& _batch)
 {
 	for (const store_value& value : _batch.puts)
 	{
@@ -73,6 +75,11 @@
 			remove(key, _batch.store_revision);
 		}
 	}
+}
+
+void state_replica::apply(const watch_batch& _batch)
+{
+	put_and_remove(_batch);
 	m_revision = std::max(m_revision, _batch.store_revision);
 }
 
@@ -89,13 +96,20 @@
 	}
 	if (_changes.after > m_revision)
 	{
+		put_and_remove(_changes.batch);
 		return false;
 	}
 	apply(_changes.batch);
 	return true;
 }
 
-store_changes state_replica::changes_after(std::int64_t _revision) const
+std::int64_t state_replica::routes_revision() const
+{
+	const auto it = m_values.find(m_codec.routes_key());
+	return m_values.end() == it ? 0 : it->second.mod_revision;
+}
+
+store_changes state_replica::changes_after(std::int64_t _revision, std::int64_t _routes_revision) const
 {
 	store_changes changes;
 	changes.after = _revision;
@@ -103,7 +117,8 @@
 	changes.batch.store_revision = m_revision;
 	for (const auto& [key, value] : m_values)
 	{
-		if (changes.whole || value.mod_revision > _revision)
+		const bool known = key == m_codec.routes_key() && value.mod_revision <= _routes_revision;
+		if (!known && (changes.whole || value.mod_revision > _revision))
 		{
 			changes.batch.puts.push_back(value);
 		}
--- a/src/edge/state_replica_p.h
+++ b/src/edge/state_replica_p.h
@@ -34,6 +34,8 @@
 	virtual ~record_codec_base() = default;
 	/// @returns Prefix of all keys that are of interest.
 	virtual std::string prefix() const = 0;
+	/// @returns Key of the whole configuration.
+	virtual std::string routes_key() const = 0;
 	virtual record_kind kind_of(const std::string& _key) const = 0;
 	/// @returns What the key names: id of the backend server, failure domain, node.
 	virtual std::string name_of(const std::string& _key) const = 0;
@@ -68,10 +70,20 @@
 	/// Takes changes from the store.
 	void apply(const watch_batch& _batch);
 	/// Takes changes from another node.
-	/// @returns False when changes before them are missing here; nothing was taken then.
+	/// @returns False when changes before them are missing here. They are taken all the same, since each key
+	/// has a revision of its own, but the revision up to which all is known stays.
 	bool apply(const store_changes& _changes);
+	/// Takes one key as it is, read by itself.
+	void apply(const store_value& _value)
+	{
+		put(_value);
+	}
+	/// @param[in] _routes_revision Revision of the configuration that the asking node has; it is large, and
+	/// is left out when that node has it.
 	/// @returns Changes behind a revision, or all keys when these are not known any more.
-	store_changes changes_after(std::int64_t _revision) const;
+	store_changes changes_after(std::int64_t _revision, std::int64_t _routes_revision = 0) const;
+	/// @returns Revision of the configuration's key; 0 when there is none.
+	std::int64_t routes_revision() const;
 	/// Removes what has been gone for long enough; call it at a steady interval.
 	void tick();
 	/// Says that the platform's answers can not be relied on now: entries vanish while it is down.
@@ -84,6 +96,7 @@
 
 private:
 	void put(const store_value& _value);
+	void put_and_remove(const watch_batch& _batch);
 	void remove(const std::string& _key, std::int64_t _revision);
 	void put_routes(const store_value& _value);
 	void put_backend(const store_value& _value);
--- a/src/edge/store_sync.cpp
+++ b/src/edge/store_sync.cpp
@@ -87,6 +87,15 @@
 	return true;
 }
 
+void store_sync::read_routes(const yield_context& _yield)
+{
+	const range_reply reply = m_store.range("read_routes", m_codec.routes_key(), false, _yield);
+	if (call_status::done == reply.status && !reply.values.empty())
+	{
+		m_replica.apply(reply.values.front());
+	}
+}
+
 watch_end store_sync::watch(const yield_context& _yield)
 {
 	return m_store.watch(
--- a/src/edge/store_sync_p.h
+++ b/src/edge/store_sync_p.h
@@ -46,6 +46,8 @@
 	{
 		m_stopping = true;
 	}
+	/// Reads the configuration alone, for a node that is told that there is a newer one.
+	void read_routes(const yield_context& _yield);
 	const store_health& health() const
 	{
 		return m_health;
