--- a/src/edge/http_listener.cpp
+++ b/src/edge/http_listener.cpp
@@ -320,7 +320,7 @@
 
 http_listener::http_listener(
     asio::io_context& _context, request_handler _handler, std::size_t _max_connections)
-    : m_context(_context), m_acceptor(_context), m_accept_pause(_context), m_handler(std::move(_handler)),
+    : m_acceptor(_context), m_accept_pause(_context), m_handler(std::move(_handler)),
       m_max_connections(_max_connections)
 {
 }
--- a/src/edge/http_listener_p.h
+++ b/src/edge/http_listener_p.h
@@ -137,7 +137,6 @@
 	friend class caller_session;
 	void accept();
 
-	asio::io_context& m_context;
 	tcp::acceptor m_acceptor;
 	asio::steady_timer m_accept_pause;
 	request_handler m_handler;
--- a/tests/edge_fixture.h
+++ b/tests/edge_fixture.h
@@ -50,7 +50,7 @@
 	};
 
 	explicit scripted_backend(asio::io_context& _context)
-	    : m_context(_context), m_acceptor(_context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+	    : m_acceptor(_context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
 	{
 		accept();
 	}
@@ -151,7 +151,6 @@
 		    });
 	}
 
-	asio::io_context& m_context;
 	tcp::acceptor m_acceptor;
 };
 
