--- a/src/edge/forwarder.cpp
+++ b/src/edge/forwarder.cpp
@@ -25,6 +25,8 @@
 constexpr double k_planned_part = 0.85;
 /// Before anything was measured, regions are taken to ask alike for this part of all slots.
 constexpr double k_first_load = 0.8;
+/// A home share that moved by so much is told in the log.
+constexpr double k_told_share = 0.05;
 /// Requests a second below which nothing was measured.
 constexpr double k_no_demand = 0.5;
 
@@ -126,6 +128,26 @@
 	const bool failed = home_capacity < (1.0 - k_capacity_loss) * _state.last_capacity;
 	_state.last_capacity = home_capacity;
 	_state.shares.follow(plan_shares(m_placement.region, figures), failed, _now);
+	log_shares(_service, _state, figures);
+}
+
+void forwarder::log_shares(
+    const std::string& _service, service_state& _state, const figures_by_region& _figures)
+{
+	const auto home = _state.shares.shares().find(m_placement.region);
+	const double share = _state.shares.shares().end() == home ? 0.0 : home->second;
+	if (std::abs(share - _state.told_home_share) < k_told_share)
+	{
+		return;
+	}
+	_state.told_home_share = share;
+	log_line line(event::shares_changed);
+	line.text("service", _service).decimal("home_share", share);
+	for (const auto& [region, figures] : _figures)
+	{
+		line.decimal("demand:" + region, figures.demand).decimal("slots:" + region, figures.capacity);
+	}
+	m_log.write(line);
 }
 
 void forwarder::tick()
@@ -188,13 +210,12 @@
 {
 	for (auto& [name, state] : m_services)
 	{
-		pump_service(name, state);
+		pump_service(state);
 	}
 }
 
-void forwarder::pump_service(const std::string& _service, service_state& _state)
+void forwarder::pump_service(service_state& _state)
 {
-	(void)_service;
 	for (auto& [priority, requests] : _state.waiting)
 	{
 		while (!requests.empty())
--- a/src/edge/forwarder_p.h
+++ b/src/edge/forwarder_p.h
@@ -131,16 +131,18 @@
 		int arrivals = 0;      ///< Since the last tick.
 		double requests_per_s = 0.0;
 		double service_time_s = 0.0;
-		double last_capacity = 0.0;
+		double last_capacity = 0.0;   ///< Of this region, in slots.
+		double told_home_share = 1.0; ///< What the log says of the part that stays in this region.
 	};
 	service_state& state_of(const std::string& _service);
 	/// @returns Demand and capacity of each region, in slots.
 	figures_by_region figures_of(
 	    const std::string& _service, const service_state& _state, steady_time _now) const;
 	void update_shares(const std::string& _service, service_state& _state, steady_time _now);
+	void log_shares(const std::string& _service, service_state& _state, const figures_by_region& _figures);
 	/// @returns Whether one more request may leave its planned region; it is then counted.
 	bool may_overflow(service_state& _state);
-	void pump_service(const std::string& _service, service_state& _state);
+	void pump_service(service_state& _state);
 
 	asio::io_context& m_context;
 	const clock_base& m_clock;
--- a/tests/edge_fixture.h
+++ b/tests/edge_fixture.h
@@ -171,12 +171,14 @@
 		    {
 		    });
 	}
+	/// @param[in] _head Whether the request was HEAD: its answer has no body.
 	/// @returns The next answer; status 0 when the connection ended without one.
-	caller_response receive()
+	caller_response receive(bool _head = false)
 	{
 		bool done = false;
 		http::response_parser<http::string_body> parser;
 		parser.body_limit(INT64_MAX);
+		parser.skip(_head);
 		beast::error_code failure;
 		http::async_read(*m_socket, m_buffer, parser,
 		    [&](beast::error_code _error, std::size_t)
--- a/tests/forwarder_test.cpp
+++ b/tests/forwarder_test.cpp
@@ -78,24 +78,15 @@
 	void request_head_gets_no_body()
 	{
 		set_routes();
-		add_backend("b1").script = {
-		    {scripted_backend::answer("fine").substr(0, scripted_backend::answer("fine").size() - 4)}};
+		const std::string whole = scripted_backend::answer("fine");
+		add_backend("b1").script = {{whole.substr(0, whole.size() - 4)}};
 		raw_caller caller = call();
-		caller.send(request("HEAD", "/read/1", "r1") + request("GET", "/read/2", "r2"));
-		bool done = false;
-		(void)done;
-		// The parser would take the next answer for a body if one had been announced and sent.
-		CPPUNIT_ASSERT_EQUAL(std::size_t(1), count_after_requests(2));
-	}
-
-	std::size_t count_after_requests(std::size_t _requests)
-	{
-		run_until(*m_context,
-		    [&]
-		    {
-			    return m_backends.front()->requests.size() >= _requests;
-		    });
-		return m_backends.size();
+		caller.send(request("HEAD", "/read/1", "r1"));
+		const caller_response head = caller.receive(true);
+		CPPUNIT_ASSERT_EQUAL(std::string("4"), std::string(head[http::field::content_length]));
+		// A body of the first answer would be taken for the beginning of this one.
+		caller.send(request("GET", "/read/2", "r2"));
+		CPPUNIT_ASSERT_EQUAL(std::string("fine"), caller.receive().body());
 	}
 
 	void repeatable_lost_answer_is_tried_elsewhere()
