--- a/src/steering/region_shares_p.h
+++ b/src/steering/region_shares_p.h
@@ -40,7 +40,7 @@
 /// follows demand sooner, less shifts requests back and forth. Set together with the overflow of
 /// region_choice_p.h (commit 45cbb18: no more shifts above the bound); not measured alone.
 constexpr double k_shift_part_away = 0.7;
-constexpr double k_shift_part_back = 0.2;
+constexpr double k_shift_part_back = 0.5;
 /// Requests that a region may have had above its share before any key is moved away from it. More keeps keys
 /// at their place, fewer keeps to the shares closer. Not measured.
 constexpr double k_most_overdraft = 5.0;
