Tell the addresses of other nodes in four heartbeats of sixteen

Cause: a heartbeat of 12 nodes is a third addresses, one of 65 nodes a half; they only serve nodes that do not know each other yet. Change: addresses are told at sequence numbers 0 to 3 of each 16, so that a new node tells them at once and a node of another region hears them whenever its turn is. Rates rounded to sixteenths to save 4 bytes each: left out, a test holds the bytes of a heartbeat.

--- a/src/entry_node/fleet.cpp
+++ b/src/entry_node/fleet.cpp
@@ -91,6 +91,10 @@
 {
 	++m_self.sequence;
 	m_self.known_ips.clear();
+	if (!node_liveness::tells_addresses(m_self.sequence))
+	{
+		return m_self;
+	}
 	for (const auto& [name, member] : m_members)
 	{
 		if (alive(member) && m_self.known_ips.size() < k_told_addresses)
--- a/src/steering/node_liveness_p.h
+++ b/src/steering/node_liveness_p.h
@@ -41,6 +41,8 @@
 	std::chrono::milliseconds longest_silence(bool _far) const;
 	/// @returns Whether a far node gets the heartbeat with this sequence number.
 	static bool is_turn_of_far(const node_name& _node, std::uint64_t _sequence);
+	/// @returns Whether the heartbeat with this sequence number tells the addresses of other nodes.
+	static bool tells_addresses(std::uint64_t _sequence);
 	/// @returns Whether the node is to be forgotten.
 	static bool forgotten(steady_time::duration _silence);
 	/// @param[in] _last Newest heartbeat of the node so far.
--- a/tests/steering_nodes_test.cpp
+++ b/tests/steering_nodes_test.cpp
@@ -144,6 +144,7 @@
 	CPPUNIT_TEST(silence_large_fleet_is_five_heartbeats_and_four_times_that_for_far_nodes);
 	CPPUNIT_TEST(far_is_another_region_in_any_fleet);
 	CPPUNIT_TEST(turn_of_far_node_comes_once_in_four);
+	CPPUNIT_TEST(addresses_first_heartbeats_tell_them_then_each_node_hears_them_once_in_sixteen);
 	CPPUNIT_TEST(forgotten_after_a_minute);
 	CPPUNIT_TEST(outdated_lower_sequence_or_life_unless_the_former_one_is_silent);
 	CPPUNIT_TEST_SUITE_END();
@@ -191,6 +192,24 @@
 		}
 	}
 
+	void addresses_first_heartbeats_tell_them_then_each_node_hears_them_once_in_sixteen()
+	{
+		CPPUNIT_ASSERT(node_liveness::tells_addresses(1) && node_liveness::tells_addresses(2));
+		for (int node = 0; node < 20; ++node)
+		{
+			int heard = 0;
+			for (std::uint64_t sequence = 16; sequence < 32; ++sequence)
+			{
+				const node_name name("n" + std::to_string(node));
+				heard += node_liveness::is_turn_of_far(name, sequence) &&
+				                 node_liveness::tells_addresses(sequence)
+				             ? 1
+				             : 0;
+			}
+			CPPUNIT_ASSERT_EQUAL(1, heard);
+		}
+	}
+
 	void forgotten_after_a_minute()
 	{
 		CPPUNIT_ASSERT(!node_liveness::forgotten(std::chrono::seconds(60)));
