--- a/src/steering/region_plan.cpp
+++ b/src/steering/region_plan.cpp
@@ -22,7 +22,7 @@
 			capacity += slots;
 		}
 	}
-	figures[_home].demand += 0.0; // The home region is there also when nothing is known of it.
+	figures.try_emplace(_home); // It counts as a region that asks, also when nothing is known of it.
 	for (const auto& [region, per_s] : _rates.per_s)
 	{
 		figures[region].demand += per_s * _rates.service_time_s;
