Refuse a heartbeat with an absurd rate

Cause: peaks of demand are remembered for half a minute, so one negative, endless or huge rate in a datagram could move the keys of a region for that long; the decoder took any number. Change: rates must lie between 0 and a million a second; the heartbeat is refused as one of another layout is. Measured: fleet_test heartbeat_with_an_absurd_rate_is_refused (without the check the decoder takes all of them: not run as a failing test); 457 passed, 0 failed. Datagrams that are refused are neither counted nor logged yet; that needs a metric.

--- a/src/entry_node/heartbeat.cpp
+++ b/src/entry_node/heartbeat.cpp
@@ -105,6 +105,35 @@
 	}
 	return one;
 }
+/// Whether a node may ask for or send this many requests a second. The bound is far above what any node
+/// serves; a rate beyond it would move the keys of a whole region for as long as its peak is remembered.
+bool is_rate(double _per_s)
+{
+	constexpr double k_most_per_s = 1e6;
+	return _per_s >= 0.0 && _per_s <= k_most_per_s;
+}
+
+bool has_sound_rates(const node_heartbeat& _heartbeat)
+{
+	for (const auto& [service, per_s] : _heartbeat.requests_per_s)
+	{
+		if (!is_rate(per_s))
+		{
+			return false;
+		}
+	}
+	for (const auto& [service, rates] : _heartbeat.sent_per_s)
+	{
+		for (const auto& [region, per_s] : rates)
+		{
+			if (!is_rate(per_s))
+			{
+				return false;
+			}
+		}
+	}
+	return true;
+}
 } // namespace
 
 std::vector<std::uint8_t> encode(const node_heartbeat& _heartbeat)
@@ -128,7 +157,12 @@
 		{
 			return error{"bad_heartbeat", "another layout"};
 		}
-		return heartbeat_of_json(document);
+		node_heartbeat one = heartbeat_of_json(document);
+		if (!has_sound_rates(one))
+		{
+			return error{"bad_heartbeat", "a rate that no node can have"};
+		}
+		return one;
 	}
 	catch (const nlohmann::json::exception& exception)
 	{
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -5,6 +5,8 @@
 
 #include "entry_node/fleet_p.h"
 
+#include <cmath>
+
 namespace larkrack
 {
 class fleet_test : public CppUnit::TestFixture
@@ -12,6 +14,7 @@
 	CPPUNIT_TEST_SUITE(fleet_test);
 	CPPUNIT_TEST(heartbeat_encoded_and_decoded_is_the_same);
 	CPPUNIT_TEST(heartbeat_cut_short_is_refused);
+	CPPUNIT_TEST(heartbeat_with_an_absurd_rate_is_refused);
 	CPPUNIT_TEST(lookup_names_only_ready_nodes_of_the_region);
 	CPPUNIT_TEST(lookup_silent_node_is_left_out);
 	CPPUNIT_TEST(lookup_region_without_nodes_names_homes_first);
@@ -89,6 +92,23 @@
 		}
 	}
 
+	void heartbeat_with_an_absurd_rate_is_refused()
+	{
+		for (const double rate : {-1.0, 1e9, std::nan(""), HUGE_VAL})
+		{
+			node_heartbeat asked = node("n1");
+			asked.requests_per_s = {{service_name("shop"), rate}};
+			node_heartbeat sent = node("n1");
+			sent.sent_per_s = {{service_name("shop"), {{region_name("west"), rate}}}};
+			for (const node_heartbeat& one : {asked, sent})
+			{
+				const std::vector<std::uint8_t> bytes = encode(one);
+				result<node_heartbeat> decoded = decode_heartbeat(bytes.data(), bytes.size());
+				CPPUNIT_ASSERT(nullptr == value_of(decoded));
+			}
+		}
+	}
+
 	void lookup_names_only_ready_nodes_of_the_region()
 	{
 		fleet view = view_of("n1", 2);
