Few calls to the store at a start: by failure domain, not by node

It ranks itself among the readers after 0.8 s; two nodes of a failure domain register. A configuration up to 16 KiB comes from a node that has it. Whole copies are given at a bounded rate.

--- a/src/entry_node/entry_node_answers.cpp
+++ b/src/entry_node/entry_node_answers.cpp
@@ -7,6 +7,8 @@
 
 #include "larkrack/config.h"
 
+#include <limits>
+
 namespace larkrack
 {
 void entry_node::answer_readiness(const std::shared_ptr<caller_session>& _session)
@@ -44,10 +46,24 @@
 void entry_node::answer_peer(const std::shared_ptr<caller_session>& _session, const caller_request& _request)
 {
 	const std::string target(_request.target());
-	const std::string after = query_value(target, "after");
-	const std::string routes = query_value(target, "routes");
-	const std::vector<std::uint8_t> bytes = encode(m_replica.changes_after(
-	    std::strtoll(after.c_str(), nullptr, 10), std::strtoll(routes.c_str(), nullptr, 10)));
+	const auto number = [&target](const char* _name, std::int64_t _absent)
+	{
+		const std::string text = query_value(target, _name);
+		return text.empty() ? _absent : std::strtoll(text.c_str(), nullptr, 10);
+	};
+	std::int64_t routes_revision = number("routes", 0);
+	const std::int64_t most_routes = number("most_routes", std::numeric_limits<std::int64_t>::max());
+	if (static_cast<std::int64_t>(m_replica.routes_bytes()) > most_routes)
+	{
+		routes_revision = m_replica.routes_revision(); // As if it were known there.
+	}
+	const store_changes changes = m_replica.changes_after(number("after", 0), routes_revision);
+	if (changes.whole && !m_copies.take(m_clock.steady()))
+	{
+		_session->respond(caller_response(http::status::service_unavailable, 11));
+		return;
+	}
+	const std::vector<std::uint8_t> bytes = encode(changes);
 	caller_response response(http::status::ok, 11);
 	response.set(http::field::content_type, "application/cbor");
 	response.body().assign(bytes.begin(), bytes.end());
--- a/src/entry_node/entry_node_p.h
+++ b/src/entry_node/entry_node_p.h
@@ -8,6 +8,7 @@
 #include "entry_node/entry_settings_p.h"
 #include "entry_node/fleet_p.h"
 #include "entry_node/store_sync_p.h"
+#include "steering/store_start_p.h"
 
 #include <array>
 
@@ -65,8 +66,12 @@
 	void send_heartbeats();
 	void add_seeds(const std::vector<std::string>& _seeds);
 	bool is_reader() const override;
+	bool others_know_keys() const override;
+	bool is_registered_one() const override;
 	std::optional<steady_time> others_answered_at() const override;
 	void on_read(const store_changes& _changes) override;
+	/// @returns This node's next heartbeat, encoded, with its state as it is now.
+	std::vector<std::uint8_t> next_heartbeat(bool _introduction);
 	void send_datagram(const std::vector<std::uint8_t>& _bytes, const std::string& _ip);
 	void take_datagram(std::size_t _size);
 	/// Fetches what other nodes know and does not come by itself. The configuration, which may be large, and
@@ -77,8 +82,11 @@
 	void learn_changes();
 	void learn_routes();
 	void fetch_routes(const yield_context& _yield);
+	void fetch_routes_from_peer(std::size_t _most_bytes, const yield_context& _yield);
 	/// @param[in] _routes_revision Revision of the configuration that is known here.
-	void fetch_state(const std::string& _ip, std::int64_t _routes_revision, const yield_context& _yield);
+	/// @param[in] _most_routes Bytes up to which the configuration is wanted from that node.
+	void fetch_state(const std::string& _ip, std::int64_t _routes_revision, std::size_t _most_routes,
+	    const yield_context& _yield);
 	/// @returns Version of the configuration in force; 0 when there is none.
 	std::uint64_t routes_version() const;
 
@@ -115,6 +123,7 @@
 	asio::steady_timer m_learn_timer;
 	asio::steady_timer m_learn_routes_timer;
 	http_caller m_peer_caller;
+	copy_limit m_copies;
 	steady_time m_stopping_since{};
 	steady_time m_last_busy{};
 	bool m_stopping = false;
--- a/src/entry_node/entry_node_peers.cpp
+++ b/src/entry_node/entry_node_peers.cpp
@@ -16,6 +16,10 @@
 /// Milliseconds for which another node may take to tell changes. Longer: a dead one holds up the others'
 /// turn. Shorter: the whole state over a slow link is never had. Not measured.
 constexpr std::chrono::milliseconds k_learn_timeout{1000};
+/// Bytes of a configuration up to which it is had from another node. More: a reader gives it to a third of
+/// its region over a link of 20 Mbit/s, 0.2 s for 33 nodes and 16 KiB. Fewer: a call to the store by each
+/// node. A configuration of 20 routes has 5 KB.
+constexpr std::size_t k_routes_of_peers = 16384;
 /// Revision of a configuration that is newer than any: the answer then leaves the configuration out.
 constexpr std::int64_t k_leave_routes_out = std::numeric_limits<std::int64_t>::max();
 } // namespace
@@ -42,7 +46,10 @@
 	result<node_heartbeat> decoded = decode_heartbeat(m_heartbeat_buffer.data(), _size);
 	if (const node_heartbeat* one = value_of(decoded))
 	{
-		m_fleet.hear(*one);
+		if (m_fleet.hear(*one))
+		{
+			send_datagram(next_heartbeat(true), one->ip);
+		}
 		m_replica.tick(); // In a large fleet this node's own ticks are rare.
 		learn_from_peers();
 		return;
@@ -74,6 +81,16 @@
 	return m_fleet.reader().reads;
 }
 
+bool entry_node::others_know_keys() const
+{
+	return nullptr != m_fleet.newer(0);
+}
+
+bool entry_node::is_registered_one() const
+{
+	return m_fleet.registers();
+}
+
 void entry_node::on_read(const store_changes& _changes)
 {
 	const std::vector<std::string> others = m_fleet.region_addresses();
@@ -98,7 +115,7 @@
 	}
 }
 
-void entry_node::send_heartbeats()
+std::vector<std::uint8_t> entry_node::next_heartbeat(bool _introduction)
 {
 	node_heartbeat& self = m_fleet.self();
 	self.config_version = routes_version();
@@ -113,7 +130,12 @@
 	}
 	self.sent_per_s = m_forwarder.sent_per_s();
 	self.in_flight = m_backends.own_in_flight();
-	const std::vector<std::uint8_t> bytes = encode(m_fleet.next());
+	return encode(_introduction ? m_fleet.introduction() : m_fleet.next());
+}
+
+void entry_node::send_heartbeats()
+{
+	const std::vector<std::uint8_t> bytes = next_heartbeat(false);
 	for (const std::string& ip : m_fleet.targets())
 	{
 		send_datagram(bytes, ip);
@@ -137,7 +159,8 @@
 		return;
 	}
 	m_learning = true;
-	m_learn_timer.expires_after(wait_before_asking(is_reader()));
+	const bool starts = 0 == m_replica.revision();
+	m_learn_timer.expires_after(starts ? std::chrono::milliseconds(0) : wait_before_asking(is_reader()));
 	m_learn_timer.async_wait(
 	    [this](beast::error_code)
 	    {
@@ -150,7 +173,7 @@
 		    start(m_context,
 		        [this, ip = newer->ip](const yield_context& _yield)
 		        {
-			        fetch_state(ip, k_leave_routes_out, _yield);
+			        fetch_state(ip, k_leave_routes_out, 0, _yield);
 			        m_learning = false;
 		        });
 	    });
@@ -180,15 +203,20 @@
 
 void entry_node::fetch_routes(const yield_context& _yield)
 {
-	const std::uint64_t version = routes_version();
-	// The configuration may be large, and the links of nodes slow: it comes from the store, if that answers.
-	if (m_sync.health().reached && nullptr != m_fleet.newer_routes(version))
+	fetch_routes_from_peer(k_routes_of_peers, _yield);
+	// A large one comes from the store, if that answers: the links of nodes are narrow.
+	if (0 == m_sync.health().failures && nullptr != m_fleet.newer_routes(routes_version()))
 	{
 		m_sync.read_routes(_yield);
 	}
+	fetch_routes_from_peer(std::numeric_limits<std::size_t>::max(), _yield);
+}
+
+void entry_node::fetch_routes_from_peer(std::size_t _most_bytes, const yield_context& _yield)
+{
 	if (const node_heartbeat* newer = m_fleet.newer_routes(routes_version()))
 	{
-		fetch_state(std::string(newer->ip), m_replica.routes_revision(), _yield);
+		fetch_state(std::string(newer->ip), m_replica.routes_revision(), _most_bytes, _yield);
 	}
 }
 
@@ -197,12 +225,13 @@
 	return m_forwarder.routes() ? m_forwarder.routes()->version() : 0;
 }
 
-void entry_node::fetch_state(
-    const std::string& _ip, std::int64_t _routes_revision, const yield_context& _yield)
+void entry_node::fetch_state(const std::string& _ip, std::int64_t _routes_revision, std::size_t _most_routes,
+    const yield_context& _yield)
 {
 	const endpoint where{_ip, m_settings.peers->port};
 	const std::string target = "/changes?after=" + std::to_string(m_replica.revision()) +
-	                           "&routes=" + std::to_string(_routes_revision);
+	                           "&routes=" + std::to_string(_routes_revision) +
+	                           "&most_routes=" + std::to_string(_most_routes);
 	result<http_response> reply =
 	    m_peer_caller.call(where, make_request(http::verb::get, target, where), k_learn_timeout, _yield);
 	const http_response* response = value_of(reply);
--- a/src/entry_node/fleet.cpp
+++ b/src/entry_node/fleet.cpp
@@ -3,6 +3,9 @@
 
 #include "entry_node/fleet_p.h"
 
+#include "steering/rendezvous_p.h"
+#include "steering/store_start_p.h"
+
 #include <algorithm>
 
 namespace larkrack
@@ -13,6 +16,11 @@
 /// find it with its first heartbeat. Not measured.
 constexpr std::size_t k_told_addresses = 64;
 
+std::size_t told_addresses(std::size_t _known)
+{
+	return std::min(_known, k_told_addresses);
+}
+
 double rate_of(const node_heartbeat& _node, const service_name& _service, const region_name& _region)
 {
 	const auto service = _node.sent_per_s.find(_service);
@@ -35,17 +43,18 @@
 	return m_clock.steady() - _member.heard_at <= liveness().longest_silence(is_far(_member));
 }
 
-void fleet::hear(const node_heartbeat& _heartbeat)
+bool fleet::hear(const node_heartbeat& _heartbeat)
 {
 	if (_heartbeat.node == m_self.node)
 	{
-		return;
+		return false;
 	}
 	fleet_member& member = m_members[_heartbeat.node];
+	const bool is_new = member.last.incarnation != _heartbeat.incarnation;
 	// Whether the sender is live is asked only where it matters: that reads the clock.
 	if (node_liveness::outdated(_heartbeat, member.last, true) && alive(member))
 	{
-		return;
+		return false;
 	}
 	member.last = _heartbeat;
 	member.heard_at = m_clock.steady();
@@ -63,6 +72,8 @@
 		in_region += one.last.region == m_self.region ? 1 : 0;
 	}
 	m_census.on_seen(nodes, in_region);
+	return is_new &&
+	       node_liveness::wants_introduction(_heartbeat.known_ips.size(), told_addresses(nodes - 2));
 }
 
 void fleet::add_address(const std::string& _ip)
@@ -87,24 +98,54 @@
 	return {targets.begin(), targets.end()};
 }
 
+std::vector<std::string> fleet::some_addresses() const
+{
+	// A window over the names that begins elsewhere in each node and goes on with each telling.
+	const std::size_t nodes = m_members.size();
+	const std::size_t told = told_addresses(nodes);
+	const std::size_t first =
+	    0 == nodes ? 0 : (rendezvous_weight(m_self.node.text, 0) + m_self.sequence * told) % nodes;
+	std::vector<std::string> addresses;
+	auto member = std::next(m_members.begin(), static_cast<std::ptrdiff_t>(first));
+	for (std::size_t seen = 0; seen < nodes && addresses.size() < told; ++seen)
+	{
+		if (alive(member->second))
+		{
+			addresses.push_back(member->second.last.ip);
+		}
+		++member;
+		member = m_members.end() == member ? m_members.begin() : member;
+	}
+	return addresses;
+}
+
+node_heartbeat fleet::introduction()
+{
+	++m_self.sequence;
+	m_self.known_ips = some_addresses();
+	return m_self;
+}
+
 node_heartbeat fleet::next()
 {
 	++m_self.sequence;
 	m_self.known_ips.clear();
-	if (!node_liveness::tells_addresses(m_self.sequence))
+	if (node_liveness::tells_addresses(m_self.sequence))
 	{
-		return m_self;
-	}
-	for (const auto& [name, member] : m_members)
-	{
-		if (alive(member) && m_self.known_ips.size() < k_told_addresses)
-		{
-			m_self.known_ips.push_back(member.last.ip);
-		}
+		m_self.known_ips = some_addresses();
 	}
 	return m_self;
 }
 
+bool fleet::registers() const
+{
+	return larkrack::registers(m_self, live_with(
+	                                       [this](const node_heartbeat& _node)
+	                                       {
+		                                       return _node.domain == m_self.domain;
+	                                       }));
+}
+
 lookup_decision fleet::look_up(const region_name& _region, const std::vector<region_name>& _homes) const
 {
 	std::vector<const node_heartbeat*> ready;
--- a/src/entry_node/fleet_p.h
+++ b/src/entry_node/fleet_p.h
@@ -31,13 +31,18 @@
 	fleet(const clock_base& _clock, node_heartbeat _self, backend_registry& _backends, entry_log& _log);
 
 	/// Takes a heartbeat of another node.
-	void hear(const node_heartbeat& _heartbeat);
+	/// @returns Whether it is new here and knows few others: an introduction() is due to it.
+	bool hear(const node_heartbeat& _heartbeat);
 	/// Names an address at which a node may be.
 	void add_address(const std::string& _ip);
 	/// @returns Addresses that the next heartbeat goes to.
 	std::vector<std::string> targets() const;
 	/// @returns This node's next heartbeat.
 	node_heartbeat next();
+	/// @returns This node's next heartbeat for one node that is new, with addresses of others.
+	node_heartbeat introduction();
+	/// @returns Whether this node keeps itself registered in the store.
+	bool registers() const;
 	/// @returns Nodes that callers of a region should use.
 	lookup_decision look_up(const region_name& _region, const std::vector<region_name>& _homes) const;
 	/// @returns Whether this node is one of those of its region that read the store.
@@ -76,6 +81,8 @@
 	}
 
 private:
+	/// @returns Addresses of some live nodes, others each time.
+	std::vector<std::string> some_addresses() const;
 	node_liveness liveness() const
 	{
 		return node_liveness(m_members.size());
--- a/src/entry_node/state_replica.cpp
+++ b/src/entry_node/state_replica.cpp
@@ -107,6 +107,12 @@
 	return m_values.end() == it ? 0 : it->second.mod_revision;
 }
 
+std::size_t state_replica::routes_bytes() const
+{
+	const auto it = m_values.find(m_codec.routes_key());
+	return m_values.end() == it ? 0 : it->second.value.size();
+}
+
 store_changes state_replica::changes_after(std::int64_t _revision, std::int64_t _routes_revision) const
 {
 	store_changes changes;
--- a/src/entry_node/state_replica_p.h
+++ b/src/entry_node/state_replica_p.h
@@ -91,6 +91,8 @@
 	store_changes changes_after(std::int64_t _revision, std::int64_t _routes_revision = 0) const;
 	/// @returns Revision of the configuration's key; 0 when there is none.
 	std::int64_t routes_revision() const;
+	/// @returns Size of the configuration as it stands in the store; 0 when there is none.
+	std::size_t routes_bytes() const;
 	/// Removes what has been gone for long enough; call it at a steady interval.
 	void tick();
 	/// Says that the store does not answer: until it does, entries may lapse although their owners live.
--- a/src/entry_node/store_sync.cpp
+++ b/src/entry_node/store_sync.cpp
@@ -4,6 +4,7 @@
 #include "entry_node/store_sync_p.h"
 
 #include "steering/store_pacing_p.h"
+#include "steering/store_start_p.h"
 
 #include "larkrack/config.h"
 
@@ -20,6 +21,7 @@
 
 void store_sync::begin()
 {
+	m_began = m_clock.steady();
 	start(m_context,
 	    [this](const yield_context& _yield)
 	    {
@@ -67,12 +69,36 @@
 
 void store_sync::back_off(int _tries, const yield_context& _yield)
 {
-	sleep_for(m_context.get_executor(), draw_backoff(_tries, m_random), _yield);
+	pause(draw_backoff(_tries, m_random), _yield);
 }
 
-bool store_sync::read_all(const yield_context& _yield)
+void store_sync::pause(std::chrono::milliseconds _time, const yield_context& _yield)
 {
-	const range_reply reply = m_store.range("read", m_codec.prefix(), true, _yield);
+	sleep_for(m_context.get_executor(), _time, _yield);
+}
+
+void store_sync::obtain_keys(const yield_context& _yield)
+{
+	int tries = 0;
+	while (!m_stopping && 0 == m_replica.revision())
+	{
+		const first_read next = plan_first_read(m_clock.steady() - m_began, m_sharing.others_know_keys());
+		if (first_read::from_store != next)
+		{
+			pause(k_first_read_step, _yield);
+			continue;
+		}
+		if (!read_all(true, _yield))
+		{
+			back_off(tries++, _yield);
+		}
+	}
+}
+
+bool store_sync::read_all(bool _old, const yield_context& _yield)
+{
+	const range_reply reply = _old ? m_store.range_old("read_old", m_codec.prefix(), true, _yield)
+	                               : m_store.range("read", m_codec.prefix(), true, _yield);
 	note(call_status::done == reply.status);
 	if (call_status::done != reply.status)
 	{
@@ -108,7 +134,7 @@
 		    if (!_batch.puts.empty() || !_batch.deletes.empty())
 		    {
 			    m_sharing.on_read(changes);
-			    sleep_for(m_context.get_executor(), k_batch_pause, _yield);
+			    pause(k_batch_pause, _yield);
 		    }
 		    return !m_stopping && m_sharing.is_reader();
 	    },
@@ -117,20 +143,23 @@
 
 void store_sync::follow(const yield_context& _yield)
 {
-	bool synced = false;
+	obtain_keys(_yield);
+	// Rounded up, so that the wait is over when it ends.
+	pause(std::chrono::ceil<std::chrono::milliseconds>(m_began + k_rank_wait - m_clock.steady()), _yield);
+	bool synced = true;
 	int tries = 0;
 	while (!m_stopping)
 	{
-		if (!m_sharing.is_reader() && (synced || m_replica.revision() > 0))
+		if (!m_sharing.is_reader())
 		{
 			synced = true;
 			learn_health();
-			sleep_for(m_context.get_executor(), k_reader_check, _yield);
+			pause(k_reader_check, _yield);
 			continue;
 		}
 		if (!synced)
 		{
-			synced = read_all(_yield);
+			synced = read_all(false, _yield);
 			if (!synced)
 			{
 				back_off(tries++, _yield);
@@ -172,8 +201,15 @@
 {
 	std::int64_t lease = 0;
 	int tries = 0;
+	pause(k_register_wait, _yield);
 	while (!m_stopping)
 	{
+		if (!m_sharing.is_registered_one())
+		{
+			lease = 0; // It lapses by itself.
+			pause(k_register_check, _yield);
+			continue;
+		}
 		if (0 == lease)
 		{
 			lease = register_node(_yield);
@@ -184,7 +220,7 @@
 			}
 			tries = 0;
 		}
-		sleep_for(m_context.get_executor(), k_registration_renewal, _yield);
+		pause(k_registration_renewal, _yield);
 		const lease_reply kept = m_store.lease_keep_alive("register_renew", lease, _yield);
 		if (call_status::done == kept.status && !m_health.reached)
 		{
--- a/src/entry_node/store_sync_p.h
+++ b/src/entry_node/store_sync_p.h
@@ -5,7 +5,8 @@
 /// Keeps the replica of the platform's keys up to date, and this node registered there.
 ///
 /// Owns the calls to the store and what is known of its health. Which nodes read is decided in
-/// steering/store_readers, the pauses in steering/store_pacing. Relies on entry_node for what other nodes
+/// steering/store_readers, what a node does that starts and which nodes register in steering/store_start, the
+/// pauses in steering/store_pacing. Relies on entry_node for what other nodes
 /// tell.
 #pragma once
 
@@ -31,13 +32,18 @@
 	virtual ~store_sharing_base() = default;
 	/// @returns Whether this node is one of those that read the store. Others hear from them.
 	virtual bool is_reader() const = 0;
+	/// @returns Whether a live node that knows the store's keys was heard of.
+	virtual bool others_know_keys() const = 0;
+	/// @returns Whether this node is one of those that register.
+	virtual bool is_registered_one() const = 0;
 	/// @returns When the store last answered another node of this region, as far as they tell.
 	virtual std::optional<steady_time> others_answered_at() const = 0;
 	/// Takes changes that were read from the store, to be told to others.
 	virtual void on_read(const store_changes& _changes) = 0;
 };
 
-/// Reads all keys once, and watches them while this node is a reader; registers it under a lease.
+/// Sees to it that the keys are read, by this node or by another one, and watches them while this node is a
+/// reader; registers it under a lease while it is one of those that register.
 class store_sync
 {
 public:
@@ -62,8 +68,12 @@
 
 private:
 	void follow(const yield_context& _yield);
+	/// Waits for the keys from another node, or reads them; returns with them, or when the node stops.
+	void obtain_keys(const yield_context& _yield);
+	/// @param[in] _old Whether a copy of the store that may be old will do: what changed since is learned
+	/// later.
 	/// @returns Whether all keys were read.
-	bool read_all(const yield_context& _yield);
+	bool read_all(bool _old, const yield_context& _yield);
 	/// Watches from the replica's revision on, until this node is no reader any more or the watch ends.
 	watch_end watch(const yield_context& _yield);
 	void keep_registered(const yield_context& _yield);
@@ -73,6 +83,7 @@
 	/// Takes from other nodes that the store is back, while this node does not call it.
 	void learn_health();
 	void back_off(int _tries, const yield_context& _yield);
+	void pause(std::chrono::milliseconds _time, const yield_context& _yield);
 
 	asio::io_context& m_context;
 	const clock_base& m_clock;
@@ -84,6 +95,7 @@
 	std::string m_node;
 	std::string m_node_value;
 	store_health m_health;
+	steady_time m_began{};
 	bool m_stopping = false;
 	std::minstd_rand m_random;
 };
--- a/src/steering/node_liveness.cpp
+++ b/src/steering/node_liveness.cpp
@@ -25,6 +25,10 @@
 /// them, whenever its turn is. More: nodes find each other later. Fewer: more bytes (a third of a heartbeat
 /// of 12 nodes, a half of 65 nodes). A node's first heartbeats tell them always.
 constexpr int k_address_rounds = 16;
+/// A new node is introduced when it knows less than one of so many addresses that this node could tell.
+/// Higher: nodes that know few others are left alone. Lower: nodes that start together answer each other at
+/// length. Not measured.
+constexpr std::size_t k_introduction_part = 2;
 /// Intervals of silence after which a node counts as dead. More: look-ups name it longer. Fewer: a few lost
 /// datagrams take a live node out. Not measured.
 constexpr int k_silent_heartbeats = 5;
@@ -63,6 +67,11 @@
 	return _sequence % k_address_rounds < k_far_rounds;
 }
 
+bool node_liveness::wants_introduction(std::size_t _its, std::size_t _ours)
+{
+	return k_introduction_part * _its < _ours;
+}
+
 bool node_liveness::forgotten(steady_time::duration _silence)
 {
 	return _silence > k_forgotten;
--- a/src/steering/node_liveness_p.h
+++ b/src/steering/node_liveness_p.h
@@ -43,6 +43,11 @@
 	static bool is_turn_of_far(const node_name& _node, std::uint64_t _sequence);
 	/// @returns Whether the heartbeat with this sequence number tells the addresses of other nodes.
 	static bool tells_addresses(std::uint64_t _sequence);
+	/// @param[in] _its Addresses that the first heartbeat of a new node tells.
+	/// @param[in] _ours Addresses that this node could tell it, its own left out.
+	/// @returns Whether it is told at once who else is there: it finds the fleet in a round trip instead of
+	/// an interval, which grows with the fleet.
+	static bool wants_introduction(std::size_t _its, std::size_t _ours);
 	/// @returns Whether the node is to be forgotten.
 	static bool forgotten(steady_time::duration _silence);
 	/// @param[in] _last Newest heartbeat of the node so far.
--- a/src/store/store_p.h
+++ b/src/store/store_p.h
@@ -108,6 +108,13 @@
 	/// Reads one key, or all keys with a prefix.
 	virtual range_reply range(
 	    const char* _use, const std::string& _key, bool _prefix, const yield_context& _yield) = 0;
+	/// Reads like range() from a copy of the store that may be seconds old and costs it less. The revision is
+	/// that of the copy, so that a watch from there misses nothing.
+	virtual range_reply range_old(
+	    const char* _use, const std::string& _key, bool _prefix, const yield_context& _yield)
+	{
+		return range(_use, _key, _prefix, _yield);
+	}
 	/// Writes if all conditions hold.
 	virtual txn_reply txn(const char* _use, const std::vector<store_compare>& _conditions,
 	    const std::vector<store_write>& _writes, const yield_context& _yield) = 0;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -28,6 +28,8 @@
 	CPPUNIT_TEST(store_answer_told_by_another_node_of_the_region_is_known);
 	CPPUNIT_TEST(interval_large_fleet_grows);
 	CPPUNIT_TEST(targets_far_nodes_get_one_heartbeat_of_four);
+	CPPUNIT_TEST(new_node_that_knows_few_is_introduced_once);
+	CPPUNIT_TEST(addresses_told_in_a_large_fleet_change_until_all_were_told);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -266,6 +268,34 @@
 		expect_one_heartbeat_of_four(5);
 	}
 
+	void new_node_that_knows_few_is_introduced_once()
+	{
+		fleet view = view_of("n1", 200);
+		node_heartbeat fresh = node("n201");
+		CPPUNIT_ASSERT(view.hear(fresh));
+		++fresh.sequence;
+		CPPUNIT_ASSERT(!view.hear(fresh));
+		++fresh.incarnation;
+		CPPUNIT_ASSERT(view.hear(fresh));
+		node_heartbeat informed = node("n202");
+		informed.known_ips.assign(64, "10.0.0.9");
+		CPPUNIT_ASSERT(!view.hear(informed));
+		CPPUNIT_ASSERT(!view_of("n1", 0).hear(fresh)); // There is nobody to tell of.
+	}
+
+	void addresses_told_in_a_large_fleet_change_until_all_were_told()
+	{
+		fleet view = view_of("n1", 295);
+		std::set<std::string> told;
+		for (int i = 0; i < 5; ++i)
+		{
+			const std::vector<std::string> some = view.introduction().known_ips;
+			CPPUNIT_ASSERT_EQUAL(std::size_t(64), some.size());
+			told.insert(some.begin(), some.end());
+		}
+		CPPUNIT_ASSERT_EQUAL(std::size_t(294), told.size());
+	}
+
 	void expect_one_heartbeat_of_four(int _nodes)
 	{
 		fleet view = view_of("n1", _nodes, "west"); // All others are in the east.
--- a/tests/forms/store_kv_form_test.cpp
+++ b/tests/forms/store_kv_form_test.cpp
@@ -16,6 +16,7 @@
 	CPPUNIT_TEST(range_of_one_key_has_the_known_bytes_and_is_read);
 	CPPUNIT_TEST(range_of_a_key_that_is_not_there_is_empty);
 	CPPUNIT_TEST(range_of_a_prefix_asks_page_by_page);
+	CPPUNIT_TEST(range_old_asks_for_a_copy_and_has_the_revision_of_its_oldest_page);
 	CPPUNIT_TEST(txn_has_the_known_bytes_and_is_read);
 	CPPUNIT_TEST(txn_refused_tells_the_keys_as_they_are);
 	CPPUNIT_TEST(lease_calls_have_the_known_bytes_and_are_read);
@@ -110,6 +111,24 @@
 		CPPUNIT_ASSERT_EQUAL(std::int64_t{9}, reply.store_revision);
 	}
 
+	void range_old_asks_for_a_copy_and_has_the_revision_of_its_oldest_page()
+	{
+		m_server->script = {
+		    answer(200, R"({"items":[{"Key":"a/1","Value":"eA==","Revision":3}],"more":true,"at":8})"),
+		    answer(200, R"({"items":[{"Key":"a/2","Value":"eQ==","Revision":4}],"more":false,"at":6})")};
+		range_reply reply;
+		run(
+		    [&](const yield_context& _yield)
+		    {
+			    reply = m_store->range_old("u", "a/", true, _yield);
+		    });
+		CPPUNIT_ASSERT_EQUAL(std::string("GET /kv-range?PathPrefix=a/&stale=1 HTTP/1.1\r\n\r\n"), sent(0));
+		CPPUNIT_ASSERT_EQUAL(
+		    std::string("GET /kv-range?PathPrefix=a/&stale=1&after=a/1 HTTP/1.1\r\n\r\n"), sent(1));
+		CPPUNIT_ASSERT_EQUAL(std::int64_t{6}, reply.store_revision);
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), reply.values.size());
+	}
+
 	void range_of_a_prefix_asks_page_by_page()
 	{
 		m_server->script = {
--- /dev/null
+++ b/tests/steering_store_start_test.cpp
@@ -0,0 +1,108 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "fixtures.h"
+
+#include "steering/store_start_p.h"
+
+namespace larkrack
+{
+class store_start_test : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(store_start_test);
+	CPPUNIT_TEST(keys_known_by_others_are_waited_for_and_then_read);
+	CPPUNIT_TEST(keys_known_by_nobody_are_read_after_listening);
+	CPPUNIT_TEST(registered_nodes_of_295_are_two_of_each_failure_domain);
+	CPPUNIT_TEST(registered_node_that_stops_is_replaced);
+	CPPUNIT_TEST(registered_node_that_knows_nobody_registers);
+	CPPUNIT_TEST(copies_are_given_at_a_steady_rate_after_the_first_two);
+	CPPUNIT_TEST_SUITE_END();
+
+protected:
+	using ms = std::chrono::milliseconds;
+
+	static std::vector<node_heartbeat> fleet_of(int _nodes, int _domains)
+	{
+		std::vector<node_heartbeat> nodes(static_cast<std::size_t>(_nodes));
+		for (std::size_t i = 0; i < nodes.size(); ++i)
+		{
+			nodes[i].node = node_name("n" + std::to_string(i));
+			nodes[i].domain = domain_name("d" + std::to_string(i % static_cast<std::size_t>(_domains)));
+			nodes[i].state = node_state::ready;
+		}
+		return nodes;
+	}
+
+	static std::map<domain_name, int> registered_by_domain(const std::vector<node_heartbeat>& _nodes)
+	{
+		std::map<domain_name, int> registered;
+		for (const node_heartbeat& self : _nodes)
+		{
+			std::vector<const node_heartbeat*> others;
+			for (const node_heartbeat& node : _nodes)
+			{
+				if (&node != &self)
+				{
+					others.push_back(&node);
+				}
+			}
+			registered[self.domain] += registers(self, others) ? 1 : 0;
+		}
+		return registered;
+	}
+
+	void keys_known_by_others_are_waited_for_and_then_read()
+	{
+		CPPUNIT_ASSERT(first_read::from_peers == plan_first_read(ms(0), true));
+		CPPUNIT_ASSERT(first_read::from_peers == plan_first_read(ms(599), true));
+		CPPUNIT_ASSERT(first_read::from_store == plan_first_read(ms(600), true));
+	}
+
+	void keys_known_by_nobody_are_read_after_listening()
+	{
+		CPPUNIT_ASSERT(first_read::listen == plan_first_read(ms(49), false));
+		CPPUNIT_ASSERT(first_read::from_store == plan_first_read(ms(50), false));
+	}
+
+	void registered_nodes_of_295_are_two_of_each_failure_domain()
+	{
+		const std::map<domain_name, int> registered = registered_by_domain(fleet_of(295, 9));
+		CPPUNIT_ASSERT_EQUAL(std::size_t(9), registered.size());
+		for (const auto& [domain, nodes] : registered)
+		{
+			CPPUNIT_ASSERT_EQUAL(2, nodes);
+		}
+	}
+
+	void registered_node_that_stops_is_replaced()
+	{
+		std::vector<node_heartbeat> nodes = fleet_of(20, 1);
+		for (node_heartbeat& node : nodes)
+		{
+			node.state = node_state::stopping;
+			// The stopping one may keep its own registration, beside two others.
+			CPPUNIT_ASSERT(registered_by_domain(nodes).begin()->second >= 2);
+			node.state = node_state::ready;
+		}
+	}
+
+	void registered_node_that_knows_nobody_registers()
+	{
+		CPPUNIT_ASSERT(registers(fleet_of(1, 1).front(), {}));
+	}
+
+	void copies_are_given_at_a_steady_rate_after_the_first_two()
+	{
+		copy_limit limit;
+		const steady_time begin{std::chrono::seconds(100)};
+		int given = 0;
+		for (int passed = 0; passed < 10000; passed += 10)
+		{
+			given += limit.take(begin + ms(passed)) ? 1 : 0;
+		}
+		CPPUNIT_ASSERT_EQUAL(41, given); // Two at once, and one each 250 ms of 10 s after them.
+	}
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(store_start_test);
+} // namespace larkrack
