Draw the nodes that a look-up names, where more are ready than fit an answer

Cause: an answer names 64 nodes and a region has 98: the first 64 by name had all callers, the others none, and all answers were alike. Change: where more fit the question than the answer takes, the node that answers draws its own by rendezvous hashing. Test: large_region_nodes_are_named_alike_over_all_answering_nodes (each of 98 nodes within 20% of the mean). Answers in proportion to what a node can carry are left: heartbeats don't tell it.

--- a/src/steering/lookup_answer_p.h
+++ b/src/steering/lookup_answer_p.h
@@ -9,7 +9,9 @@
 ///
 /// Rule (failover by locality): all nodes of the caller's region; if there are none, those of the first
 /// home region that has any; if none has, those of all regions; if no node is ready, this one, which serves
-/// on while it stops. At most k_named_addresses.
+/// on while it stops. At most k_named_addresses; where there are more, each answering node draws its own ones
+/// (rendezvous hashing), so that the callers of a large region spread over all of it: of 98 nodes, the first
+/// 64 by name had all callers and the others none.
 ///
 /// Why not another way: naming the nodes of other regions beside those of the caller's region was not
 /// measured.
--- a/tests/steering_nodes_test.cpp
+++ b/tests/steering_nodes_test.cpp
@@ -58,11 +58,13 @@
 	CPPUNIT_TEST(none_ready_names_this_node);
 	CPPUNIT_TEST(caller_without_a_region_is_told_all);
 	CPPUNIT_TEST(large_region_names_64_nodes);
+	CPPUNIT_TEST(large_region_nodes_are_named_alike_over_all_answering_nodes);
 	CPPUNIT_TEST(dead_nodes_are_never_named);
 	CPPUNIT_TEST_SUITE_END();
 
 protected:
-	lookup_decision ask(const std::string& _region, const std::vector<region_name>& _homes = {})
+	lookup_decision ask(const std::string& _region, const std::vector<region_name>& _homes = {},
+	    const std::string& _answering = "self:80")
 	{
 		return plan_lookup(
 		    region_name(_region), _homes, all_but(),
@@ -70,7 +72,31 @@
 		    {
 			    return 0 == m_dead.count(_node.node.text);
 		    },
-		    "self:80");
+		    _answering);
+	}
+
+	void large_region_nodes_are_named_alike_over_all_answering_nodes()
+	{
+		for (int i = 0; i < 98; ++i)
+		{
+			add("n" + std::to_string(i));
+		}
+		std::map<std::string, int> named;
+		for (int i = 0; i < 98; ++i)
+		{
+			const std::string answering = "n" + std::to_string(i) + ":80";
+			const std::vector<std::string> addresses = ask("east", {}, answering).addresses;
+			CPPUNIT_ASSERT(addresses == ask("east", {}, answering).addresses);
+			for (const std::string& address : addresses)
+			{
+				++named[address];
+			}
+		}
+		CPPUNIT_ASSERT_EQUAL(std::size_t(98), named.size());
+		for (const auto& [address, times] : named)
+		{
+			CPPUNIT_ASSERT(times > 64 * 8 / 10 && times < 64 * 12 / 10);
+		}
 	}
 
 	void own_region_with_ready_nodes_names_all_of_them_and_no_others()
