Let a log reader that leaves not end the node, nor a reload before it listens

The form of the first reading of the store has its new parameter. Test: programs.py test_node_whose_log_reader_left_serves_on, red before, green after.

--- a/tests/forms/programs.py
+++ b/tests/forms/programs.py
@@ -376,6 +376,31 @@
             backend_server.close()
         return store, one, lookup, ready, metrics, changes
 
+    async def test_node_whose_log_reader_left_serves_on(self):
+        store = RecordedStore()
+        server = await store.serve(*STORE)
+        await store.put("op/config", configuration("v7"))
+        with tempfile.TemporaryDirectory() as folder:
+            node = Node(folder, 0)
+            node.write_settings()
+            reading, writing = os.pipe()
+            process = await asyncio.create_subprocess_exec(PROGRAM, node.path, stdout=writing)
+            os.close(writing)
+            os.close(reading)
+            try:
+                await asyncio.sleep(1.0)  # It has written its first lines, and more with each change.
+                await store.put("op/config", configuration("v8"))
+                await asyncio.sleep(1.0)
+                self.assertIsNone(process.returncode)
+                ready = await call((NODES[0], READINESS), "GET", "/")
+                self.assertEqual(200, ready.status)
+            finally:
+                if process.returncode is None:
+                    process.terminate()
+                await process.wait()
+                await store.put("end", "")
+                server.close()
+
     async def test_forms_from_outside(self):
         with tempfile.TemporaryDirectory() as folder:
             store, node, lookup, ready, metrics, changes = await self.play(folder)
@@ -418,7 +443,7 @@
             {"GET /kv-range", "GET /kv-watch", "POST /kv-lease", "POST /kv-txn"},
             set(store.calls) - {"GET /kv-key", "POST /kv-keep/"},
         )
-        self.assertEqual("/kv-range?PathPrefix=", store.calls["GET /kv-range"].target)
+        self.assertEqual("/kv-range?PathPrefix=&stale=1", store.calls["GET /kv-range"].target)
         self.assertRegex(store.calls["GET /kv-watch"].target, r"^/kv-watch\?PathPrefix=&after=\d+&WaitMs=2500$")
         self.assertEqual(b'{"ttl_ms":30000}', store.calls["POST /kv-lease"].body)
         registration = json.loads(store.calls["POST /kv-txn"].body)
