--- a/src/entry_node/forwarded_request.cpp
+++ b/src/entry_node/forwarded_request.cpp
@@ -10,6 +10,7 @@
 {
 namespace
 {
+/// HTTP status for a request that no route takes.
 constexpr unsigned k_status_no_route = 404;
 
 attempt_end end_of(const exchange_result& _result)
--- a/src/entry_node/header_rules.cpp
+++ b/src/entry_node/header_rules.cpp
@@ -11,6 +11,7 @@
 {
 namespace
 {
+/// Headers that concern one connection only, in lower case; they are never passed on.
 constexpr const char* k_connection_headers[] = {"connection", "keep-alive", "proxy-connection", "te",
     "trailer", "transfer-encoding", "upgrade", "proxy-authenticate", "proxy-authorization"};
 } // namespace
--- a/src/entry_node/heartbeat.cpp
+++ b/src/entry_node/heartbeat.cpp
@@ -134,10 +134,12 @@
 	one.neighbours = neighbours_of_json(_document.at(17));
 	return one;
 }
-/// Whether a node may ask for or send this many requests a second. The bound is far above what any node
-/// serves; a rate beyond it would move the keys of a whole region for as long as its peak is remembered.
+
+/// Whether a node may ask for or send this many requests a second.
 bool is_rate(double _per_s)
 {
+	/// Requests a second, far above what any node serves. A rate beyond it would move the keys of a whole
+	/// region for as long as its peak is remembered.
 	constexpr double k_most_per_s = 1e6;
 	return _per_s >= 0.0 && _per_s <= k_most_per_s;
 }
--- a/src/steering/affinity_key.cpp
+++ b/src/steering/affinity_key.cpp
@@ -9,8 +9,9 @@
 {
 namespace
 {
-/// Seeds that keep the hashes of prefixes and positions apart from each other. All nodes must agree on them.
+/// Seed of the hash of path prefixes; keeps it apart from the one of positions. All nodes must agree on it.
 constexpr std::uint64_t k_prefix_seed = 1;
+/// Seed of the hash of positions. All nodes must agree on it.
 constexpr std::uint64_t k_position_seed = 2;
 } // namespace
 
--- a/src/steering/region_shares_p.h
+++ b/src/steering/region_shares_p.h
@@ -37,11 +37,12 @@
 
 namespace larkrack
 {
-/// Parts of the permitted shift that are used, no unit; the rest is left to chance in small numbers. More
-/// follows demand sooner, less shifts requests back and forth. The way back is the slower one, since each key
-/// that comes home runs once where nobody knows it: 0.5 gains 0.005 of worth in one deployment and loses 0.07
-/// of a quiet day in another, whose small region has to send the keys away again (docs/DECISIONS.md).
+/// Part of the permitted shift that is used for requests that leave their region, no unit; the rest is left to
+/// chance in small numbers. More follows demand sooner, less shifts requests back and forth.
 constexpr double k_shift_part_away = 0.7;
+/// The same for requests that come home. It is slower, since each key that comes home runs once where nobody
+/// knows it: 0.5 gains 0.005 of worth in one deployment and loses 0.07 of a quiet day in another, whose small
+/// region has to send the keys away again (docs/DECISIONS.md).
 constexpr double k_shift_part_back = 0.3;
 /// Requests that a region may have had above its share before any key is moved away from it. More keeps keys
 /// at their place, fewer keeps to the shares closer. Not measured.
--- a/src/steering/request_times_p.h
+++ b/src/steering/request_times_p.h
@@ -30,14 +30,17 @@
 /// Longest timeout that a caller may state, milliseconds. Keeps the arithmetic of deadlines within bounds; a
 /// route's own timeout is nearly always shorter. Not measured.
 constexpr std::chrono::milliseconds k_longest_stated_timeout{3600000};
-/// Longest time for a new connection, milliseconds, within the region and to another one. Longer waits for
-/// backend servers that are gone, shorter gives up slow but healthy ones. Not measured.
+/// Longest time for a new connection within the region, milliseconds. Longer waits for backend servers that
+/// are gone, shorter gives up slow but healthy ones; 80 ms here and 200 ms to other regions cost 0.001 of
+/// worth (docs/DECISIONS.md).
 constexpr std::chrono::milliseconds k_connect_near{300};
+/// The same to another region.
 constexpr std::chrono::milliseconds k_connect_far{500};
-/// A refused caller comes back after a time between these, seconds. Sooner meets the same overload and is
+/// Shortest time after which a refused caller comes back, seconds. Sooner meets the same overload and is
 /// refused for good, later leaves freed slots unused; 0.1 to 0.3 costs 0.003 to 0.007 of worth, measured
 /// together with the shorter wait of slot_queue_p.h (docs/DECISIONS.md).
 constexpr double k_retry_after_first_s = 0.3;
+/// Longest such time; each caller is told one between them, so that they don't come back together.
 constexpr double k_retry_after_last_s = 0.8;
 
 /// @param[in] _stated Text of the caller's header; nothing when it has none. A text that is no number counts
