--- a/src/entry_node/entry_node.cpp
+++ b/src/entry_node/entry_node.cpp
@@ -291,7 +291,6 @@
 
 void entry_node::tick()
 {
-	++m_ticks;
 	m_replica.tick();
 	m_forwarder.tick();
 	m_fleet.tick();
--- a/src/entry_node/entry_node_p.h
+++ b/src/entry_node/entry_node_p.h
@@ -136,6 +136,5 @@
 	bool m_learning = false;        ///< Changes are awaited or being fetched.
 	bool m_learning_routes = false; ///< The same of the configuration.
 	int m_routes_tries = 0;         ///< To have a newer configuration, in vain, in a row.
-	unsigned m_ticks = 0;
 };
 } // namespace larkrack
--- a/src/entry_node/fleet_p.h
+++ b/src/entry_node/fleet_p.h
@@ -4,9 +4,10 @@
 /// @file
 /// The other nodes: who is there, who takes requests, what they carry.
 ///
-/// Owns the table of nodes and the addresses at which nodes may be. What follows from the table is decided in
-/// src/steering: node_liveness, lookup_answer, store_readers, shared_budgets, slot_portion. Relies on
-/// entry_node to hand in heartbeats and to send those of this node.
+/// Owns the table of nodes and the addresses at which nodes may be (fleet.cpp); what others ask of it is
+/// answered in fleet_answers.cpp. What follows from the table is decided in src/steering: node_liveness,
+/// lookup_answer, store_readers, store_start, news_spread, shared_budgets, slot_portion. Relies on entry_node
+/// to hand in heartbeats and to send those of this node.
 #pragma once
 
 #include "entry_node/forwarder_p.h"
