Refuse a heartbeat with a state that no node can have

Cause: the number was taken as it came, so a damaged datagram could put a node into no state at all (read, then shown by a test: accepted). Now such a datagram is refused like one with an absurd rate; what neighbours tell can't hold such a state by its form.

--- a/src/entry_node/heartbeat.cpp
+++ b/src/entry_node/heartbeat.cpp
@@ -190,6 +190,11 @@
 			return error{"bad_heartbeat", "another layout"};
 		}
 		node_heartbeat one = heartbeat_of_json(document);
+		const auto state = document.at(8).get<std::int64_t>();
+		if (state < 0 || state >= k_node_states)
+		{
+			return error{"bad_heartbeat", "a state that no node can have"};
+		}
 		if (!has_sound_rates(one))
 		{
 			return error{"bad_heartbeat", "a rate that no node can have"};
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -18,6 +18,7 @@
 	CPPUNIT_TEST(heartbeat_encoded_and_decoded_is_the_same);
 	CPPUNIT_TEST(heartbeat_cut_short_is_refused);
 	CPPUNIT_TEST(heartbeat_with_an_absurd_rate_is_refused);
+	CPPUNIT_TEST(heartbeat_with_an_unknown_state_is_refused);
 	CPPUNIT_TEST(lookup_names_only_ready_nodes_of_the_region);
 	CPPUNIT_TEST(lookup_silent_node_is_left_out);
 	CPPUNIT_TEST(lookup_region_without_nodes_names_homes_first);
@@ -123,6 +124,18 @@
 		}
 	}
 
+	void heartbeat_with_an_unknown_state_is_refused()
+	{
+		for (const int state : {-1, 3, 200})
+		{
+			node_heartbeat absurd = node("n1");
+			absurd.state = static_cast<node_state>(state);
+			const std::vector<std::uint8_t> bytes = encode(absurd);
+			result<node_heartbeat> decoded = decode_heartbeat(bytes.data(), bytes.size());
+			CPPUNIT_ASSERT(nullptr == value_of(decoded));
+		}
+	}
+
 	void lookup_names_only_ready_nodes_of_the_region()
 	{
 		fleet view = view_of("n1", 2);
