--- a/src/steering/region_shares_p.h
+++ b/src/steering/region_shares_p.h
@@ -37,8 +37,8 @@
 
 namespace larkrack
 {
-/// Part of the permitted shift that is used for requests that leave their region, no unit; the rest is left to
-/// chance in small numbers. More follows demand sooner, less shifts requests back and forth.
+/// Part of the permitted shift that is used for requests that leave their region, no unit; the rest is left
+/// to chance in small numbers. More follows demand sooner, less shifts requests back and forth.
 constexpr double k_shift_part_away = 0.7;
 /// The same for requests that come home. It is slower, since each key that comes home runs once where nobody
 /// knows it: 0.5 gains 0.005 of worth in one deployment and loses 0.07 of a quiet day in another, whose small
