--- a/src/steering/node_liveness.cpp
+++ b/src/steering/node_liveness.cpp
@@ -16,7 +16,7 @@
 /// with 12 nodes and costs 0.006 with 9 nodes and three slots each (docs/DECISIONS.md).
 constexpr std::chrono::milliseconds k_interval{100};
 /// Milliseconds of the interval for each other node that hears at it: a node hears 83 heartbeats a second at
-/// most from its failure domain, and as many from the others. Longer: older news. Shorter: more processor
+/// most from its failure domain, and 33 from the others. Longer: older news. Shorter: more processor
 /// time of each node and, beyond the failure domain, bytes. Not measured alone.
 constexpr std::chrono::milliseconds k_interval_per_node{12};
 /// Heartbeats to nodes of the region of which a far node gets one. More: a far node's death is seen later.
