Read customers from the configuration: names, keys, priority, limits, homes, public routes

Change: the platform's codec decodes them; customer_directory finds the holder of a key by a keyed digest of 128 bits (keys are neither kept in the table nor ever printed: api_key can't be streamed, parse errors of a configuration name a place only). Contradictions (a shared key, a name twice, an impossible rate, an empty key) refuse the configuration whole. Nothing uses it yet.

--- /dev/null
+++ b/src/steering/customer_p.h
@@ -0,0 +1,144 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// Customers: who may send requests, known by API keys, and what each may have.
+///
+/// Decides whose request it is. Inputs: the text of a key as a caller sent it; customers and keys as the
+/// configuration names them.
+///
+/// Rule: a table holds a digest of 128 bits of each key under a secret of this process, not the key. A
+/// look-up is one digest and one probe on average, whatever the number of customers and keys, and compares
+/// whole digests, so its time does not tell how much of a key was right. A configuration with customers that
+/// contradict each other is refused whole.
+///
+/// Other ways (docs/design/shifted-customers.md): the keys themselves in a hash map take 4 times the memory,
+/// and comparing them stops at the first wrong letter.
+///
+/// Relies on: the secret being random; two keys with the same digest are taken for the same key.
+#pragma once
+
+#include "steering/names_p.h"
+
+#include "larkrack/outcome.h"
+
+#include <array>
+#include <cstdint>
+#include <iosfwd>
+#include <string_view>
+#include <vector>
+
+namespace larkrack
+{
+using customer_name = text_id<struct customer_name_tag>;
+
+/// A key by which a customer is known. It is never printed, logged, exported or told to other nodes.
+class api_key
+{
+public:
+	explicit api_key(std::string _text) : m_text(std::move(_text))
+	{
+	}
+	/// @returns The key itself, for the digest alone.
+	std::string_view secret() const
+	{
+		return m_text;
+	}
+	friend std::ostream& operator<<(std::ostream&, const api_key&) = delete;
+
+private:
+	std::string m_text;
+};
+
+/// What a customer may send, over all nodes together.
+struct quota_limit
+{
+	double per_s = 0.0; ///< Requests a second; 0: no limit.
+	double burst = 0.0; ///< Requests above that, in any span.
+
+	bool limited() const
+	{
+		return per_s > 0.0;
+	}
+	friend bool operator==(const quota_limit& _a, const quota_limit& _b)
+	{
+		return _a.per_s == _b.per_s && _a.burst == _b.burst;
+	}
+};
+
+/// One customer as operators declare it.
+struct customer
+{
+	customer_name name;
+	std::uint64_t id = 0; ///< Hash of the name, by which nodes tell each other of it.
+	int priority = 0;     ///< 0 is the highest.
+	quota_limit limit;
+	std::vector<std::string> home_regions; ///< Empty: any region may serve.
+};
+
+/// A customer and its keys, as read from a configuration.
+struct customer_entry
+{
+	customer who;
+	std::vector<api_key> keys;
+};
+
+/// All customers of one configuration. Immutable once built.
+class customer_directory
+{
+public:
+	/// Without customers: no request needs a key.
+	customer_directory() = default;
+	/// @returns The directory, or the error "bad_customers" that names the place and never a key.
+	static result<customer_directory> build(std::vector<customer_entry> _entries);
+
+	/// @returns Whether requests need a key, unless their route is public.
+	bool in_force() const
+	{
+		return m_in_force;
+	}
+	/// @param[in] _key As a caller sent it.
+	/// @returns Null when no customer holds it.
+	const customer* find(std::string_view _key) const;
+	/// @returns Null when there is no such customer.
+	const customer* find_by_id(std::uint64_t _id) const;
+	const std::vector<customer>& customers() const
+	{
+		return m_customers;
+	}
+
+private:
+	struct key_digest
+	{
+		std::uint64_t low = 0;
+		std::uint64_t high = 0;
+	};
+	struct key_slot
+	{
+		key_digest digest;
+		std::uint32_t holder = 0; ///< Index into m_customers plus one; 0: free.
+	};
+	/// @returns False when another customer holds the key.
+	bool insert(const api_key& _key, std::uint32_t _holder);
+	std::size_t slot_of(const key_digest& _digest) const;
+	static key_digest digest_of(std::string_view _key);
+
+	std::vector<customer> m_customers; ///< By rising id.
+	std::vector<key_slot> m_slots;     ///< Open addressing; the size is a power of two.
+	bool m_in_force = false;
+};
+
+/// @returns Hash of a customer's name, the same at all nodes.
+std::uint64_t customer_id(std::string_view _name);
+
+/// Home regions that bind a request: those of its route and those of its customer.
+struct home_regions
+{
+	std::vector<std::string> regions; ///< Empty: any, unless none is left.
+	bool none_left = false;           ///< Route and customer have homes, but none in common.
+};
+
+/// @returns What remains when both bind.
+home_regions common_homes(
+    const std::vector<std::string>& _of_route, const std::vector<std::string>& _of_customer);
+} // namespace larkrack
--- a/src/steering/routing_table.cpp
+++ b/src/steering/routing_table.cpp
@@ -31,8 +31,9 @@
 } // namespace
 
 routing_table::routing_table(std::uint64_t _version, std::vector<route> _routes,
-    std::vector<routed_service> _services, const caller_limits& _limits)
-    : m_version(_version), m_routes(std::move(_routes)), m_services(std::move(_services)), m_limits(_limits)
+    std::vector<routed_service> _services, const caller_limits& _limits, customer_directory _customers)
+    : m_version(_version), m_routes(std::move(_routes)), m_services(std::move(_services)), m_limits(_limits),
+      m_customers(std::move(_customers))
 {
 	for (std::size_t i = 0; i < m_routes.size(); ++i)
 	{
--- a/src/steering/routing_table_p.h
+++ b/src/steering/routing_table_p.h
@@ -15,6 +15,8 @@
 /// built, so a request keeps the one that it began with.
 #pragma once
 
+#include "steering/customer_p.h"
+
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -50,9 +52,10 @@
 	std::chrono::milliseconds objective{0}; ///< Time within which an answer has its full worth.
 	int priority = 0;                       ///< 0 is the highest.
 	int max_attempts = 1;                   ///< Backend servers that one request may be sent to.
-	bool sticky = false;                    ///< Requests with one affinity key prefer one backend server.
-	std::vector<std::string> home_regions;  ///< Empty: any region may serve.
-	std::vector<route_target> targets;      ///< At least one.
+	bool needs_key = true; ///< Requests need a key of a customer, where customers are declared.
+	bool sticky = false;   ///< Requests with one affinity key prefer one backend server.
+	std::vector<std::string> home_regions; ///< Empty: any region may serve.
+	std::vector<route_target> targets;     ///< At least one.
 };
 
 /// What an operator declares for a service.
@@ -79,7 +82,7 @@
 public:
 	/// @param[in] _version Only grows from one configuration to the next.
 	routing_table(std::uint64_t _version, std::vector<route> _routes, std::vector<routed_service> _services,
-	    const caller_limits& _limits);
+	    const caller_limits& _limits, customer_directory _customers = {});
 
 	/// Finds the route with the longest prefix that begins the path.
 	/// @param[in] _host Value of the Host header; its port and case are passed over.
@@ -95,6 +98,10 @@
 	{
 		return m_version;
 	}
+	const customer_directory& customers() const
+	{
+		return m_customers;
+	}
 	const caller_limits& limits() const
 	{
 		return m_limits;
@@ -109,6 +116,7 @@
 	std::vector<route> m_routes;
 	std::vector<routed_service> m_services;
 	caller_limits m_limits;
+	customer_directory m_customers;
 	/// Index into m_routes by host and prefix.
 	std::unordered_map<std::string, std::size_t> m_by_prefix;
 };
--- a/tests/forms/platform_keys_form_test.cpp
+++ b/tests/forms/platform_keys_form_test.cpp
@@ -21,6 +21,9 @@
 	CPPUNIT_TEST(routes_kinds_give_repeat_rules);
 	CPPUNIT_TEST(routes_that_are_incomplete_are_refused);
 	CPPUNIT_TEST(routes_version_is_a_letter_and_a_number);
+	CPPUNIT_TEST(routes_with_customers_are_read);
+	CPPUNIT_TEST(routes_with_a_shared_key_are_refused_without_naming_it);
+	CPPUNIT_TEST(routes_cut_short_are_refused_without_the_last_text);
 	CPPUNIT_TEST(backend_full_is_read);
 	CPPUNIT_TEST(backend_with_the_least_gets_the_known_defaults);
 	CPPUNIT_TEST(backend_state_other_than_ready_is_draining);
@@ -190,6 +193,42 @@
 		return *record;
 	}
 
+	void routes_with_customers_are_read()
+	{
+		const auto table = routes_of(R"({"Version": "v1", "Services": [],
+			"Routes": [{"Host": "h", "PathPrefix": "/a/", "Service": "s", "Public": true},
+				{"Host": "h", "PathPrefix": "/b/", "Service": "s", "Public": false}],
+			"Tenants": [{"Name": "mill", "ApiKeys": ["k1", "k2"], "Priority": 1, "RatePerS": 2.5, "Burst": 4,
+				"HomeRegions": ["east"]}, {"Name": "farm", "ApiKeys": ["k3"]}]})");
+		CPPUNIT_ASSERT(!table->find("h", "/a/")->needs_key && table->find("h", "/b/")->needs_key);
+		CPPUNIT_ASSERT(table->customers().in_force());
+		const customer* mill = table->customers().find("k2");
+		CPPUNIT_ASSERT(nullptr != mill);
+		CPPUNIT_ASSERT_EQUAL(std::string("mill"), mill->name.text);
+		CPPUNIT_ASSERT_EQUAL(1, mill->priority);
+		CPPUNIT_ASSERT((quota_limit{2.5, 4.0}) == mill->limit);
+		CPPUNIT_ASSERT(std::vector<std::string>{"east"} == mill->home_regions);
+		const customer* farm = table->customers().find("k3");
+		CPPUNIT_ASSERT(nullptr != farm && !farm->limit.limited() && farm->home_regions.empty());
+		const auto without = routes_of(R"({"Version": "v1", "Services": [], "Routes": []})");
+		CPPUNIT_ASSERT(!without->customers().in_force());
+	}
+
+	void routes_with_a_shared_key_are_refused_without_naming_it()
+	{
+		const std::string why = refusal_of(R"({"Version": "v1", "Services": [], "Routes": [],
+			"Tenants": [{"Name": "mill", "ApiKeys": ["hidden"]}, {"Name": "farm", "ApiKeys": ["hidden"]}]})");
+		CPPUNIT_ASSERT(std::string::npos != why.find("holds a key of another customer"));
+		CPPUNIT_ASSERT(std::string::npos == why.find("hidden"));
+	}
+
+	void routes_cut_short_are_refused_without_the_last_text()
+	{
+		const std::string why = refusal_of(R"({"Version": "v1", "Tenants": [{"ApiKeys": ["hidden)");
+		CPPUNIT_ASSERT_EQUAL(std::size_t{0}, why.find("no JSON at byte "));
+		CPPUNIT_ASSERT(std::string::npos == why.find("hidden"));
+	}
+
 	void backend_full_is_read()
 	{
 		const backend_record record = backend_of(R"({"Address": "10.0.1.1:8080",
