Know whose request it is: 401 without a key, the customer's name in place of the key, homes of both bind

Change: the holder of the one key is found by route and configuration; without one 401, for a request with a body before the body is read; a caller's spelling of either header goes no further; requests that wait, and each further attempt, are checked against the newest keys; home regions of route and customer both bind on each choice of a region, none in common is refused at once.

--- a/include/larkrack/outcome.h
+++ b/include/larkrack/outcome.h
@@ -39,6 +39,9 @@
 	in_flight_too_long, ///< Another try with this key was still running at the deadline.
 	bad_grant,          ///< The grant is forged, expired or for another service.
 	bad_request,        ///< The request breaks the rules of HTTP or of larkrack.
+	unknown_key,        ///< No customer holds the API key, or the request has none.
+	no_home,            ///< The home regions of route and customer have none in common.
+	over_quota,         ///< The customer asks for more than its quota.
 };
 
 /// @returns Name used in headers, logs and histories.
--- a/src/base/metrics_p.h
+++ b/src/base/metrics_p.h
@@ -68,7 +68,7 @@
 private:
 	std::shared_ptr<prometheus::Registry> m_registry;
 	static constexpr std::size_t k_outcomes = 3; ///< Values of enum outcome.
-	static constexpr std::size_t k_reasons = 16; ///< Values of enum reason, with room for one more.
+	static constexpr std::size_t k_reasons = 20; ///< Values of enum reason, with room for more.
 	using outcome_counters = std::array<std::atomic<prometheus::Counter*>, k_outcomes * k_reasons>;
 
 	prometheus::Family<prometheus::Counter>* m_outcomes = nullptr;
--- a/src/base/outcome.cpp
+++ b/src/base/outcome.cpp
@@ -53,6 +53,12 @@
 		return "bad_grant";
 	case reason::bad_request:
 		return "bad_request";
+	case reason::unknown_key:
+		return "unknown_key";
+	case reason::no_home:
+		return "no_home";
+	case reason::over_quota:
+		return "over_quota";
 	}
 	return "none";
 }
--- a/src/entry_node/entry_node.cpp
+++ b/src/entry_node/entry_node.cpp
@@ -124,6 +124,11 @@
       m_stop_timer(m_context), m_learn_timer(m_context), m_learn_routes_timer(m_context),
       m_peer_caller(m_context.get_executor())
 {
+	m_callers.set_head_check(
+	    [this](const caller_request& _request)
+	    {
+		    return m_forwarder.refuse_unread(_request);
+	    });
 }
 
 entry_node::~entry_node() = default;
--- a/src/entry_node/forwarded_request.cpp
+++ b/src/entry_node/forwarded_request.cpp
@@ -3,6 +3,7 @@
 
 #include "entry_node/forwarded_request_p.h"
 
+#include "entry_node/caller_identity_p.h"
 #include "entry_node/upstream_request_bytes_p.h"
 #include "steering/request_times_p.h"
 
@@ -12,6 +13,8 @@
 {
 /// HTTP status for a request that no route takes.
 constexpr unsigned k_status_no_route = 404;
+/// HTTP status for a request without the key of a customer.
+constexpr unsigned k_status_no_key = 401;
 
 attempt_end end_of(const exchange_result& _result)
 {
@@ -65,14 +68,23 @@
 		refuse(reason::no_configuration);
 		return;
 	}
-	const std::string_view host(m_request[http::field::host].data(), m_request[http::field::host].size());
-	const std::string_view target(m_request.target().data(), m_request.target().size());
-	m_route = m_routes->find(host, target);
+	m_route = route_of(m_request, *m_routes);
 	if (nullptr == m_route)
 	{
 		answer(plain_answer(k_status_no_route), outcome::not_run, reason::unknown_service);
 		return;
 	}
+	const std::optional<reason> refused = check_customer();
+	if (reason::unknown_key == refused)
+	{
+		refuse_key();
+		return;
+	}
+	if (refused)
+	{
+		refuse(*refused);
+		return;
+	}
 	admit();
 	if (!try_send())
 	{
@@ -80,6 +92,34 @@
 	}
 }
 
+std::optional<reason> forwarded_request::check_customer()
+{
+	const caller_identity identity = identify(m_request, *m_route, m_routes->customers(), m_context.names);
+	if (key_check::refused == identity.check)
+	{
+		return reason::unknown_key;
+	}
+	m_customer = identity.holder;
+	m_homes = nullptr == m_customer ? home_regions{m_route->home_regions, false}
+	                                : common_homes(m_route->home_regions, m_customer->home_regions);
+	return m_homes.none_left ? std::optional<reason>(reason::no_home) : std::nullopt;
+}
+
+bool forwarded_request::key_holds() const
+{
+	if (m_context.routes == m_routes || nullptr == m_customer)
+	{
+		return true;
+	}
+	const caller_identity now = identify(m_request, *m_route, m_context.routes->customers(), m_context.names);
+	return key_check::refused != now.check;
+}
+
+void forwarded_request::refuse_key()
+{
+	answer(plain_answer(k_status_no_key), outcome::not_run, reason::unknown_key);
+}
+
 void forwarded_request::admit()
 {
 	const std::chrono::milliseconds longest = timeout();
@@ -150,9 +190,14 @@
 
 bool forwarded_request::try_send()
 {
+	if (state::waiting == m_state && !key_holds())
+	{
+		refuse_key();
+		return true;
+	}
 	service_steering& steering = m_owner.service_of(m_service).steering;
 	region_shares& shares = steering.shares.of(m_planned.rule);
-	const std::vector<std::string>& homes = m_route->home_regions;
+	const std::vector<std::string>& homes = m_homes.regions;
 	for (const region_name& region : regions_to_try(m_planned.region, shares.shares(), homes))
 	{
 		const backend_choice choice = choose_backend_in(region, steering);
@@ -216,8 +261,8 @@
 {
 	const auto left = to_ms(m_deadline - m_context.clock.steady());
 	upstream_request request;
-	request.bytes = std::make_shared<const std::string>(
-	    upstream_request_bytes(m_request, m_context.names, left, _backend->registered.id));
+	request.bytes = std::make_shared<const std::string>(upstream_request_bytes(m_request, m_context.names,
+	    left, _backend->registered.id, nullptr == m_customer ? customer_name() : m_customer->name));
 	request.request_id = m_request_id;
 	request.head = http::verb::head == m_request.method();
 	request.at_most_once = repeat_rule::at_most_once == m_route->repeat;
@@ -271,11 +316,11 @@
 	{
 		m_kept_answer = std::move(_result.response);
 	}
-	if (may_resend_free(_rule, m_history) && try_send())
+	if (may_resend_free(_rule, m_history) && key_holds() && try_send())
 	{
 		return;
 	}
-	if (resend_price::never != _rule.price && pay_for_resend() && try_send())
+	if (resend_price::never != _rule.price && key_holds() && pay_for_resend() && try_send())
 	{
 		return;
 	}
--- a/src/entry_node/forwarded_request_p.h
+++ b/src/entry_node/forwarded_request_p.h
@@ -46,6 +46,12 @@
 		ended,   ///< The caller has its answer, or left.
 	};
 
+	/// Finds the customer by the API key, and the home regions that bind.
+	/// @returns Nothing when the request may go on.
+	std::optional<reason> check_customer();
+	/// @returns Whether the customer still holds the key in the newest configuration.
+	bool key_holds() const;
+	void refuse_key();
 	/// Decides on service, key, region and deadline.
 	void admit();
 	std::chrono::milliseconds timeout() const;
@@ -78,6 +84,8 @@
 	std::string m_request_id;
 	std::shared_ptr<const routing_table> m_routes; ///< Keeps m_route alive.
 	const route* m_route = nullptr;
+	const customer* m_customer = nullptr; ///< Of m_routes; null when no key was needed.
+	home_regions m_homes;
 	service_name m_service;
 	affinity_key m_key;
 	region_choice m_planned; ///< Where it shall run; after it left its region, where it went.
--- a/src/entry_node/forwarder.cpp
+++ b/src/entry_node/forwarder.cpp
@@ -1,6 +1,7 @@
 // Copyright 2026 the larkrack developers. All rights reserved.
 // License: BSD 2-Clause, see LICENSE.
 
+#include "entry_node/caller_identity_p.h"
 #include "entry_node/forwarded_request_p.h"
 
 #include <algorithm>
@@ -44,6 +45,24 @@
 	request->start();
 }
 
+std::optional<http::status> forwarder::refuse_unread(const caller_request& _request)
+{
+	if (!m_context.routes || m_context.stopping)
+	{
+		return std::nullopt;
+	}
+	const route* found = route_of(_request, *m_context.routes);
+	if (nullptr == found ||
+	    key_check::refused !=
+	        identify(_request, *found, m_context.routes->customers(), m_context.names).check)
+	{
+		return std::nullopt;
+	}
+	++m_context.counters.requests;
+	m_context.exported.count_outcome("", outcome::not_run, reason::unknown_key);
+	return http::status::unauthorized;
+}
+
 void forwarder::set_routes(std::shared_ptr<const routing_table> _routes)
 {
 	if (m_context.routes && m_context.routes->version() >= _routes->version())
--- a/src/entry_node/forwarder_p.h
+++ b/src/entry_node/forwarder_p.h
@@ -98,6 +98,9 @@
 
 	/// Takes a request of a caller.
 	void handle(const std::shared_ptr<caller_session>& _session, caller_request&& _request);
+	/// @returns The status with which a request is refused before its body is read: it has no key of a
+	/// customer. What else may refuse it is found when it was read.
+	std::optional<http::status> refuse_unread(const caller_request& _request);
 	/// Puts a configuration in force for requests that come from now on. Older ones are passed over.
 	void set_routes(std::shared_ptr<const routing_table> _routes);
 	/// From now on takes no request any more; those that are on their way go on.
--- a/src/entry_node/http_listener.cpp
+++ b/src/entry_node/http_listener.cpp
@@ -151,6 +151,14 @@
 		refuse(http::status::bad_request);
 		return;
 	}
+	if (!m_parser->is_done() && m_listener.m_head_check)
+	{
+		if (const std::optional<http::status> refused = m_listener.m_head_check(m_parser->get()))
+		{
+			refuse(*refused);
+			return;
+		}
+	}
 	if (beast::iequals(m_parser->get()[http::field::expect], "100-continue") && !m_parser->is_done())
 	{
 		const auto text = std::make_shared<std::string>("HTTP/1.1 100 Continue\r\n\r\n");
--- a/src/entry_node/http_listener_p.h
+++ b/src/entry_node/http_listener_p.h
@@ -95,6 +95,10 @@
 /// Takes one request. Must lead to exactly one respond() or close().
 using request_handler = std::function<void(const std::shared_ptr<caller_session>&, caller_request&&)>;
 
+/// Looks at the head of a request whose body was not read yet.
+/// @returns Status with which it is refused without reading on; nothing: read on.
+using head_check = std::function<std::optional<http::status>(const caller_request&)>;
+
 /// Accepts connections of callers.
 class http_listener
 {
@@ -102,6 +106,11 @@
 	/// @param[in] _max_connections More are closed at once.
 	http_listener(asio::io_context& _context, request_handler _handler, std::size_t _max_connections);
 
+	/// Sets what is asked before a body is read.
+	void set_head_check(head_check _check)
+	{
+		m_head_check = std::move(_check);
+	}
 	/// Listens.
 	/// @returns The error when the address can not be had.
 	beast::error_code listen(const tcp::endpoint& _address);
@@ -145,6 +154,7 @@
 	tcp::acceptor m_acceptor;
 	asio::steady_timer m_accept_pause;
 	request_handler m_handler;
+	head_check m_head_check;
 	std::size_t m_max_connections;
 	std::unordered_set<caller_session*> m_sessions;
 	caller_limits m_limits;
--- a/src/entry_node/upstream_p.h
+++ b/src/entry_node/upstream_p.h
@@ -26,6 +26,8 @@
 	std::string load = "Larkrack-Load";              ///< Running, waiting, slots.
 	std::string affinity_cookie = "Larkrack-Affinity";
 	std::string signature = "Larkrack-Signature"; ///< Stands in each answer of a backend server that ran.
+	std::string api_key = "Larkrack-Api-Key";     ///< Of a caller; never passed on.
+	std::string customer = "Larkrack-Customer"; ///< Name of the customer that holds the key; set by the node.
 };
 
 /// Connection to a backend server, for one exchange at a time.
--- a/src/entry_node/upstream_request_bytes.cpp
+++ b/src/entry_node/upstream_request_bytes.cpp
@@ -4,6 +4,7 @@
 #include "entry_node/upstream_request_bytes_p.h"
 
 #include <algorithm>
+#include <cctype>
 #include <cstdio>
 
 namespace larkrack
@@ -13,16 +14,32 @@
 /// Room for the head of a usual request, bytes: saves moving it while it grows. Not measured.
 constexpr std::size_t k_usual_head = 512;
 
+/// Software behind may take an underscore of a header's name for a hyphen.
+bool is_spelling_of(beast::string_view _name, const std::string& _header)
+{
+	const auto same = [](char _left, char _right)
+	{
+		const auto plain = [](char _letter)
+		{
+			return '_' == _letter ? '-' : std::tolower(static_cast<unsigned char>(_letter));
+		};
+		return plain(_left) == plain(_right);
+	};
+	return std::equal(_name.begin(), _name.end(), _header.begin(), _header.end(), same);
+}
+
 bool is_replaced(const caller_request::value_type& _field, const header_names& _names)
 {
-	return beast::iequals(_field.name_string(), _names.timeout_ms) ||
+	return is_spelling_of(_field.name_string(), _names.api_key) ||
+	       is_spelling_of(_field.name_string(), _names.customer) ||
+	       beast::iequals(_field.name_string(), _names.timeout_ms) ||
 	       beast::iequals(_field.name_string(), _names.target_id) ||
 	       http::field::content_length == _field.name() || http::field::expect == _field.name();
 }
 } // namespace
 
 std::string upstream_request_bytes(const caller_request& _request, const header_names& _names,
-    std::chrono::milliseconds _left, const backend_id& _target)
+    std::chrono::milliseconds _left, const backend_id& _target, const customer_name& _customer)
 {
 	std::string bytes;
 	bytes.reserve(k_usual_head + _request.body().size());
@@ -40,6 +57,10 @@
 	}
 	append_header(bytes, _names.timeout_ms, std::to_string(std::max<std::int64_t>(1, _left.count())));
 	append_header(bytes, _names.target_id, _target.text);
+	if (!_customer.empty())
+	{
+		append_header(bytes, _names.customer, _customer.text);
+	}
 	if (_request.has_content_length() || _request.chunked() || !_request.body().empty())
 	{
 		append_header(bytes, "Content-Length", std::to_string(_request.body().size()));
--- a/src/entry_node/upstream_request_bytes_p.h
+++ b/src/entry_node/upstream_request_bytes_p.h
@@ -10,16 +10,17 @@
 
 #include "entry_node/header_rules_p.h"
 #include "entry_node/upstream_p.h"
-#include "steering/names_p.h"
+#include "steering/customer_p.h"
 
 namespace larkrack
 {
 /// @param[in] _left Time until the deadline; at least 1 ms is told.
 /// @param[in] _target Backend server that alone may run the request.
-/// @returns The caller's request, without the headers of its connection, and with the time left, the target
-/// and the length of its body.
+/// @param[in] _customer Whose request it is; empty: nobody's.
+/// @returns The caller's request, without the headers of its connection and without its API key, and with
+/// the time left, the target, the customer and the length of its body.
 std::string upstream_request_bytes(const caller_request& _request, const header_names& _names,
-    std::chrono::milliseconds _left, const backend_id& _target);
+    std::chrono::milliseconds _left, const backend_id& _target, const customer_name& _customer);
 /// @returns An answer without a body.
 caller_response plain_answer(unsigned _status);
 /// @param[in] _retry_after_s Time after which the caller may come back.
--- a/src/steering/customer.cpp
+++ b/src/steering/customer.cpp
@@ -6,6 +6,7 @@
 #include "steering/rendezvous_p.h"
 
 #include <algorithm>
+#include <cctype>
 #include <cmath>
 #include <random>
 
@@ -47,6 +48,16 @@
 	return std::isfinite(_requests) && _requests >= 0.0 && _requests <= k_most_requests;
 }
 
+/// The name goes to backend servers as the value of a header.
+bool fits_header(const std::string& _name)
+{
+	return std::none_of(_name.begin(), _name.end(),
+	    [](char _letter)
+	    {
+		    return 0 != std::iscntrl(static_cast<unsigned char>(_letter));
+	    });
+}
+
 error refused(const customer& _customer, const std::string& _why)
 {
 	return {"bad_customers", "customer " + _customer.name.text + " " + _why};
@@ -59,6 +70,10 @@
 	{
 		return "has no name";
 	}
+	if (!fits_header(_entry.who.name.text))
+	{
+		return "has a name with control characters";
+	}
 	if (!is_sound(_entry.who.limit.per_s) || !is_sound(_entry.who.limit.burst))
 	{
 		return "has an impossible rate or burst";
--- /dev/null
+++ b/tests/customer_requests_test.cpp
@@ -0,0 +1,215 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// Requests of customers on their way: keys, names, homes.
+
+#include "entry_fixture.h"
+
+namespace larkrack
+{
+class customer_requests_test : public entry_fixture
+{
+	CPPUNIT_TEST_SUITE(customer_requests_test);
+	CPPUNIT_TEST(request_with_a_key_reaches_the_backend_server_with_the_name_alone);
+	CPPUNIT_TEST(request_without_a_known_key_gets_401);
+	CPPUNIT_TEST(request_without_a_known_key_has_no_body_read);
+	CPPUNIT_TEST(request_before_any_configuration_gets_503);
+	CPPUNIT_TEST(request_on_a_public_route_needs_no_key_and_passes_none_on);
+	CPPUNIT_TEST(request_with_the_names_of_others_has_them_dropped);
+	CPPUNIT_TEST(request_without_declared_customers_needs_no_key);
+	CPPUNIT_TEST(request_of_a_customer_stays_in_its_homes);
+	CPPUNIT_TEST(request_without_a_common_home_is_refused_at_once);
+	CPPUNIT_TEST(request_that_waits_while_its_key_is_taken_away_gets_401);
+	CPPUNIT_TEST(request_that_runs_while_its_key_is_taken_away_ends_as_it_began);
+	CPPUNIT_TEST_SUITE_END();
+
+public:
+	void setUp() override
+	{
+		entry_fixture::setUp();
+		m_listener->set_head_check(
+		    [this](const caller_request& _request)
+		    {
+			    return m_forwarder->refuse_unread(_request);
+		    });
+	}
+
+protected:
+	/// Routes of the fixture and "/open/" (public), "/east/" (home in the east); customers shop (keys k1,
+	/// k2), mill (k3, at home in the west).
+	void set_customers(std::uint64_t _version = 1, const std::vector<std::string>& _shop_keys = {"k1", "k2"})
+	{
+		const auto plain = routes(_version);
+		std::vector<route> all = plain->routes();
+		route open = all.front();
+		open.name = "open";
+		open.path_prefix = "/open/";
+		open.needs_key = false;
+		route east = all.front();
+		east.name = "east";
+		east.path_prefix = "/east/";
+		east.home_regions = {"east"};
+		all.push_back(open);
+		all.push_back(east);
+		std::vector<customer_entry> entries(2);
+		entries[0].who.name = customer_name("shop");
+		for (const std::string& key : _shop_keys)
+		{
+			entries[0].keys.emplace_back(key);
+		}
+		entries[1].who.name = customer_name("mill");
+		entries[1].who.home_regions = {"west"};
+		entries[1].keys.emplace_back("k3");
+		result<customer_directory> directory = customer_directory::build(std::move(entries));
+		m_forwarder->set_routes(std::make_shared<const routing_table>(_version, std::move(all),
+		    std::vector<routed_service>{{"shop", 0, 0.0}}, plain->limits(),
+		    std::move(std::get<customer_directory>(directory))));
+	}
+
+	static std::string key(const std::string& _key)
+	{
+		return "Larkrack-Api-Key: " + _key + "\r\n";
+	}
+
+	void request_with_a_key_reaches_the_backend_server_with_the_name_alone()
+	{
+		set_customers();
+		scripted_backend& backend = add_backend("b1");
+		CPPUNIT_ASSERT_EQUAL(200U, ask(request("GET", "/read/1", "r1", key("k2"))).result_int());
+		CPPUNIT_ASSERT_EQUAL(std::size_t{1}, backend.requests.size());
+		CPPUNIT_ASSERT(std::string::npos != backend.requests[0].find("Larkrack-Customer: shop\r\n"));
+		CPPUNIT_ASSERT(std::string::npos == backend.requests[0].find("k2"));
+		CPPUNIT_ASSERT(std::string::npos == backend.requests[0].find("Api-Key"));
+	}
+
+	void request_without_a_known_key_gets_401()
+	{
+		set_customers();
+		scripted_backend& backend = add_backend("b1");
+		const std::string bad[] = {"", key("k9"), key(""), key("k1") + key("k1"), key("k1") + key("k2"),
+		    key("K1"), key("k1, k2"), key("\xc3\x28\x80"), key(std::string(1500, 'x')),
+		    "Larkrack_Api_Key: k1\r\n"};
+		for (const std::string& headers : bad)
+		{
+			CPPUNIT_ASSERT_EQUAL(401U, ask(request("GET", "/read/1", "r1", headers)).result_int());
+		}
+		CPPUNIT_ASSERT_EQUAL(
+		    431U, ask(request("GET", "/read/1", "r1", key(std::string(16384, 'x')))).result_int());
+		CPPUNIT_ASSERT(backend.requests.empty());
+	}
+
+	void request_without_a_known_key_has_no_body_read()
+	{
+		set_customers();
+		add_backend("b1");
+		raw_caller caller = call();
+		caller.send("POST /pay/1 HTTP/1.1\r\nHost: shop.example\r\nLarkrack-Request-Id: r1\r\n"
+		            "Content-Length: 90000\r\n" +
+		            key("k9") + "\r\nfirst part");
+		CPPUNIT_ASSERT_EQUAL(401U, caller.receive().result_int());
+	}
+
+	void request_before_any_configuration_gets_503()
+	{
+		CPPUNIT_ASSERT_EQUAL(503U, ask(request("GET", "/read/1", "r1", key("k9"))).result_int());
+		CPPUNIT_ASSERT_EQUAL(503U, ask(request("POST", "/pay/1", "r2", key("k9"), "body")).result_int());
+	}
+
+	void request_on_a_public_route_needs_no_key_and_passes_none_on()
+	{
+		set_customers();
+		scripted_backend& backend = add_backend("b1");
+		for (const std::string& headers : {std::string(), key("k9"), key("k1")})
+		{
+			CPPUNIT_ASSERT_EQUAL(200U, ask(request("GET", "/open/1", "r1", headers)).result_int());
+			CPPUNIT_ASSERT(std::string::npos == backend.requests.back().find("Api-Key"));
+		}
+		CPPUNIT_ASSERT(std::string::npos == backend.requests[0].find("Larkrack-Customer"));
+		CPPUNIT_ASSERT(std::string::npos == backend.requests[1].find("Larkrack-Customer"));
+		CPPUNIT_ASSERT(std::string::npos != backend.requests[2].find("Larkrack-Customer: shop\r\n"));
+	}
+
+	void request_with_the_names_of_others_has_them_dropped()
+	{
+		set_customers();
+		scripted_backend& backend = add_backend("b1");
+		const std::string forged = "Larkrack-Customer: mill\r\nLARKRACK-CUSTOMER: mill\r\n"
+		                           "larkrack_customer: mill\r\nlarkrack_api-key: k1\r\n";
+		ask(request("GET", "/read/1", "r1", key("k1") + forged));
+		ask(request("GET", "/open/1", "r2", forged));
+		CPPUNIT_ASSERT_EQUAL(std::size_t{2}, backend.requests.size());
+		for (const std::string& text : backend.requests)
+		{
+			CPPUNIT_ASSERT(std::string::npos == text.find("mill"));
+			CPPUNIT_ASSERT(std::string::npos == text.find("k1"));
+		}
+	}
+
+	void request_without_declared_customers_needs_no_key()
+	{
+		set_routes();
+		scripted_backend& backend = add_backend("b1");
+		CPPUNIT_ASSERT_EQUAL(200U, ask(request("GET", "/read/1", "r1")).result_int());
+		CPPUNIT_ASSERT(std::string::npos == backend.requests[0].find("Larkrack-Customer"));
+	}
+
+	void request_of_a_customer_stays_in_its_homes()
+	{
+		set_customers();
+		scripted_backend& east = add_backend("b1");
+		CPPUNIT_ASSERT_EQUAL(503U, ask(request("GET", "/read/1", "r1", key("k3"))).result_int());
+		CPPUNIT_ASSERT(east.requests.empty());
+		CPPUNIT_ASSERT_EQUAL(200U, ask(request("GET", "/read/1", "r2", key("k1"))).result_int());
+	}
+
+	void request_without_a_common_home_is_refused_at_once()
+	{
+		set_customers();
+		add_backend("b1");
+		const steady_time before = m_clock.steady();
+		const caller_response refused = ask(request("GET", "/east/1", "r1", key("k3")));
+		CPPUNIT_ASSERT_EQUAL(503U, refused.result_int());
+		CPPUNIT_ASSERT(m_clock.steady() - before < std::chrono::milliseconds(30));
+		CPPUNIT_ASSERT_EQUAL(200U, ask(request("GET", "/east/1", "r2", key("k1"))).result_int());
+	}
+
+	void request_that_waits_while_its_key_is_taken_away_gets_401()
+	{
+		set_customers();
+		add_backend("b1", 1).script = {{"", false, false, true}, {"", false, false, true}};
+		raw_caller first = call();
+		first.send(request("GET", "/read/1", "r1", key("k1")));
+		raw_caller second = call();
+		second.send(request("GET", "/read/1", "r2", key("k1")));
+		raw_caller third = call();
+		third.send(request("GET", "/read/1", "r3", key("k1")));
+		run_until(*m_context,
+		    [this]
+		    {
+			    return 1 == m_forwarder->counters().queued;
+		    });
+		set_customers(2, {"k2"});
+		m_forwarder->pump();
+		CPPUNIT_ASSERT_EQUAL(401U, third.receive().result_int());
+	}
+
+	void request_that_runs_while_its_key_is_taken_away_ends_as_it_began()
+	{
+		set_customers();
+		scripted_backend& backend = add_backend("b1");
+		raw_caller caller = call();
+		caller.send(request("GET", "/read/1", "r1", key("k1")));
+		run_until(*m_context,
+		    [&backend]
+		    {
+			    return 1 == backend.requests.size();
+		    });
+		set_customers(2, {"k2"});
+		CPPUNIT_ASSERT_EQUAL(200U, caller.receive().result_int());
+		CPPUNIT_ASSERT_EQUAL(401U, ask(request("GET", "/read/1", "r2", key("k1"))).result_int());
+	}
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(customer_requests_test);
+} // namespace larkrack
--- a/tests/steering_customer_test.cpp
+++ b/tests/steering_customer_test.cpp
@@ -147,6 +147,7 @@
 		CPPUNIT_ASSERT_EQUAL(
 		    std::string("customer shop has an empty key at place 2"), refusal({entry("shop", {"k1", ""})}));
 		CPPUNIT_ASSERT_EQUAL(std::string("customer  has no name"), refusal({entry("", {"k1"})}));
+		CPPUNIT_ASSERT(std::string::npos != refusal({entry("a\r\nb", {})}).find("control characters"));
 	}
 
 	void customer_with_an_impossible_limit_is_refused()
