Hold quotas of customers over all nodes: tokens lent by one node for each customer

Change: a request of a customer with a limit takes a token. One node, by consistent hashing, lends a customer's tokens from a bucket; others borrow for 250 ms ahead where they send much and one by one where they send little. A silent lender has a stand-in that lends once it finds the first silent itself. Each node has a part of overage and slack to go on without waiting. Requests that reach no backend server give their token back. 429 tells a time that grows with how far the customer is above its limit, spread.

--- a/include/larkrack/outcome.h
+++ b/include/larkrack/outcome.h
@@ -42,6 +42,7 @@
 	unknown_key,        ///< No customer holds the API key, or the request has none.
 	no_home,            ///< The home regions of route and customer have none in common.
 	over_quota,         ///< The customer asks for more than its quota.
+	quota_unknown,      ///< No entry VM that lends the customer's tokens answers.
 };
 
 /// @returns Name used in headers, logs and histories.
--- a/src/base/events_p.h
+++ b/src/base/events_p.h
@@ -70,7 +70,8 @@
 	X(1907, settings_reloaded, info, "The settings file was read again.")                                    \
 	X(1908, settings_refused, error, "The settings file is invalid; the last good settings stay.")           \
 	X(1909, state_learned, info, "Configuration and registry were learned from another node.")               \
-	X(1910, store_resynced, info, "The platform's keys were read anew.")
+	X(1910, store_resynced, info, "The platform's keys were read anew.")                                     \
+	X(1911, customer_limited, warning, "A customer asks for more than its quota; requests are refused.")
 
 /// Numbered log event.
 enum class event : std::uint16_t
--- a/src/base/outcome.cpp
+++ b/src/base/outcome.cpp
@@ -59,6 +59,8 @@
 		return "no_home";
 	case reason::over_quota:
 		return "over_quota";
+	case reason::quota_unknown:
+		return "quota_unknown";
 	}
 	return "none";
 }
--- a/src/entry_node/entry_node.cpp
+++ b/src/entry_node/entry_node.cpp
@@ -68,13 +68,19 @@
     : m_settings(_settings), m_settings_path(std::move(_settings_path)), m_dialect(_dialect), m_context(1),
       m_log(_settings.place.node), m_backends(_settings.region_of),
       m_fleet(m_clock, self_of(_settings), m_backends, m_log),
+      m_quotas(m_context, m_clock, _settings.quotas, m_fleet, node_name(_settings.place.node), m_log,
+          [this](const std::vector<std::uint8_t>& _bytes, const std::string& _ip)
+          {
+	          send_datagram(_bytes, _ip);
+          }),
       m_forwarder(m_context, m_clock, _dialect.headers(), _settings.place, _settings.bounds, m_backends,
-          m_fleet, m_log, m_metrics),
+          m_fleet, m_quotas, m_log, m_metrics),
       m_replica(
           m_clock, _dialect.codec(), m_backends, m_log,
           [this](std::shared_ptr<const routing_table> _routes)
           {
 	          m_callers.set_limits(_routes->limits());
+	          m_quotas.set_routes(_routes);
 	          m_forwarder.set_routes(std::move(_routes));
           },
           [this](const std::string& _ip)
@@ -299,6 +305,7 @@
 	m_replica.tick();
 	m_forwarder.tick();
 	m_fleet.tick();
+	m_quotas.tick();
 	if (node_state::starting == m_fleet.self().state && m_forwarder.routes())
 	{
 		m_fleet.self().state = node_state::ready;
--- a/src/entry_node/entry_node_p.h
+++ b/src/entry_node/entry_node_p.h
@@ -110,6 +110,7 @@
 	metrics m_metrics;
 	backend_registry m_backends;
 	fleet m_fleet;
+	customer_quotas m_quotas;
 	forwarder m_forwarder;
 	state_replica m_replica;
 	std::unique_ptr<store_base> m_store;
--- a/src/entry_node/entry_node_peers.cpp
+++ b/src/entry_node/entry_node_peers.cpp
@@ -44,6 +44,15 @@
 
 void entry_node::take_datagram(std::size_t _size)
 {
+	if (is_quota_message(m_heartbeat_buffer.data(), _size))
+	{
+		result<quota_message> decoded = decode_quota_message(m_heartbeat_buffer.data(), _size);
+		if (const quota_message* one = value_of(decoded))
+		{
+			m_quotas.on_message(*one, m_heartbeat_sender.address().to_string());
+		}
+		return;
+	}
 	result<node_heartbeat> decoded = decode_heartbeat(m_heartbeat_buffer.data(), _size);
 	if (const node_heartbeat* one = value_of(decoded))
 	{
--- a/src/entry_node/entry_settings.cpp
+++ b/src/entry_node/entry_settings.cpp
@@ -44,7 +44,10 @@
 			"retry_window_s": {"type": "number", "exclusiveMinimum": 0, "description": "Length of that window, seconds."},
 			"max_shift": {"type": "number", "minimum": 0, "maximum": 1, "description": "Part of a region's requests that may change their region from one 2 s window to the next."},
 			"lookup_ttl_max_s": {"type": "number", "exclusiveMinimum": 0, "description": "Longest life of an answer to a look-up, seconds."},
-			"grace_s": {"type": "number", "exclusiveMinimum": 0, "description": "Seconds between SIGTERM and SIGKILL."}
+			"grace_s": {"type": "number", "exclusiveMinimum": 0, "description": "Seconds between SIGTERM and SIGKILL."},
+			"quota_window_s": {"type": "number", "exclusiveMinimum": 0, "description": "Length of the window in which a customer's quota is judged, seconds."},
+			"quota_overage": {"type": "number", "minimum": 0, "description": "Part of its quota that a customer may have above it, in any window."},
+			"quota_slack": {"type": "number", "minimum": 0, "description": "Further requests of a customer in any window."}
 		}
 	}
 }})JSON";
@@ -52,6 +55,8 @@
 /// Seconds for which callers may keep the answer to a look-up, unless the setting asks for less: look-ups
 /// against requests that still go to a node which has stopped. Not measured by itself.
 constexpr double k_lookup_ttl_s = 1.5;
+/// Seconds of the window of quotas, where the settings name none.
+constexpr double k_quota_window_s = 5.0;
 /// A known key is named as the one that was meant if it differs by fewer letters than these. Not measured.
 constexpr std::size_t k_alike = 4;
 
@@ -146,6 +151,15 @@
 {
 	return std::chrono::milliseconds(static_cast<std::int64_t>(_seconds * 1000.0));
 }
+
+quota_bounds quotas_of(const nlohmann::json& _bounds)
+{
+	quota_bounds quotas;
+	quotas.window = from_seconds(_bounds.value("quota_window_s", k_quota_window_s));
+	quotas.overage = _bounds.value("quota_overage", quotas.overage);
+	quotas.slack = _bounds.value("quota_slack", quotas.slack);
+	return quotas;
+}
 } // namespace
 
 const nlohmann::json& schema_entry_settings()
@@ -186,6 +200,7 @@
 	settings.bounds.retries = {
 	    bounds["retry_ratio"], bounds["retry_slack"], from_seconds(bounds["retry_window_s"])};
 	settings.bounds.max_shift = bounds["max_shift"];
+	settings.quotas = quotas_of(bounds);
 	settings.lookup_ttl = from_seconds(std::min(k_lookup_ttl_s, bounds["lookup_ttl_max_s"].get<double>()));
 	settings.grace = from_seconds(bounds["grace_s"]);
 	if (!mistakes.empty())
--- a/src/entry_node/entry_settings_p.h
+++ b/src/entry_node/entry_settings_p.h
@@ -28,6 +28,7 @@
 	std::unordered_map<std::string, std::string> region_of; ///< By failure domain.
 	int max_descriptors = 1024;
 	shared_bounds bounds;
+	quota_bounds quotas;
 	std::chrono::milliseconds lookup_ttl{0};
 	std::chrono::milliseconds grace{0}; ///< Time between the request to stop and the kill.
 };
--- a/src/entry_node/fleet.cpp
+++ b/src/entry_node/fleet.cpp
@@ -268,5 +268,37 @@
 	{
 		on_members_changed();
 	}
+	refresh_lenders();
+}
+
+void fleet::refresh_lenders()
+{
+	const steady_time now = m_clock.steady();
+	std::vector<node_name> names;
+	std::vector<quota_holder> lenders;
+	const auto add = [&names, &lenders](const node_name& _name, const std::string& _ip)
+	{
+		names.push_back(_name);
+		lenders.push_back({_ip, short_hash(_name.text)});
+	};
+	for (const auto& [name, member] : m_members)
+	{
+		if (node_state::ready == member.last.state && alive(member, now))
+		{
+			add(name, member.last.ip);
+		}
+	}
+	if (node_state::ready == m_self.state)
+	{
+		add(m_self.node, "");
+	}
+	if (names == m_lender_names)
+	{
+		return;
+	}
+	m_ring.build(names);
+	m_lender_names = std::move(names);
+	m_lenders = std::move(lenders);
+	++m_lenders_version;
 }
 } // namespace larkrack
--- a/src/entry_node/fleet_answers.cpp
+++ b/src/entry_node/fleet_answers.cpp
@@ -4,8 +4,11 @@
 #include "entry_node/fleet_p.h"
 
 #include "steering/news_spread_p.h"
+#include "steering/rendezvous_p.h"
 #include "steering/store_start_p.h"
 
+#include <algorithm>
+
 namespace larkrack
 {
 namespace
@@ -199,6 +202,27 @@
 	return plan_slot_portion(m_self.node, rate_of(m_self, _service, _region), others);
 }
 
+quota_holders fleet::holders_of(std::uint64_t _customer) const
+{
+	if (m_ring.empty())
+	{
+		return {{"", short_hash(m_self.node.text)}, {}};
+	}
+	const ring_owners owners = m_ring.owners_of(_customer);
+	quota_holders holders{m_lenders[owners.first], {}};
+	if (owners.stand_in != owners.first)
+	{
+		holders.stand_in = m_lenders[owners.stand_in];
+	}
+	return holders;
+}
+
+nodes_in_sight fleet::in_sight() const
+{
+	const double live = std::max(1.0, static_cast<double>(m_lenders.size()));
+	return {live, m_census.sharers().nodes, m_lenders_version};
+}
+
 rate_by_region fleet::demand_of_others(const service_name& _service) const
 {
 	const steady_time now = m_clock.steady();
--- a/src/entry_node/fleet_p.h
+++ b/src/entry_node/fleet_p.h
@@ -14,6 +14,7 @@
 #include "entry_node/heartbeat_p.h"
 #include "steering/lookup_answer_p.h"
 #include "steering/node_liveness_p.h"
+#include "steering/quota_ring_p.h"
 #include "steering/shared_budgets_p.h"
 #include "steering/store_readers_p.h"
 
@@ -80,6 +81,8 @@
 	double warmup_part(const backend_state& _backend) const override;
 	rate_by_region demand_of_others(const service_name& _service) const override;
 	slot_portion portion(const service_name& _service, const region_name& _region) const override;
+	quota_holders holders_of(std::uint64_t _customer) const override;
+	nodes_in_sight in_sight() const override;
 
 	/// @returns Whether another node counts as live.
 	bool is_live(const node_name& _node) const;
@@ -114,6 +117,8 @@
 	    const std::function<bool(const node_heartbeat&)>& _condition) const;
 	/// Counts the nodes anew when one has come or is forgotten: intervals and parts depend on their number.
 	void on_members_changed();
+	/// Builds the ring of lenders anew if the nodes that take requests changed.
+	void refresh_lenders();
 	void take_news(const node_heartbeat& _teller);
 	std::vector<neighbour_news> news_of_neighbours() const;
 	/// @returns Whether the next heartbeat goes to the node.
@@ -134,5 +139,9 @@
 	/// Addresses at which nodes may be, and heartbeats in a row that went there unanswered so far.
 	std::map<std::string, int> m_addresses;
 	node_census m_census;
+	std::vector<node_name> m_lender_names; ///< Live nodes that take requests, this one among them.
+	std::vector<quota_holder> m_lenders;   ///< The same.
+	quota_ring m_ring;                     ///< Of them.
+	std::uint64_t m_lenders_version = 0;
 };
 } // namespace larkrack
--- a/src/entry_node/forwarded_request_p.h
+++ b/src/entry_node/forwarded_request_p.h
@@ -10,7 +10,7 @@
 ///
 /// | state | event | next state |
 /// | --- | --- | --- |
-/// | fresh | no route, no configuration, node stopping | ended |
+/// | fresh | no route, no configuration, node stopping, no customer, quota used up | ended |
 /// | fresh | a backend server has room | sent |
 /// | fresh | none has | waiting |
 /// | waiting | tried again, and a backend server has room | sent |
@@ -40,7 +40,7 @@
 private:
 	enum class state
 	{
-		fresh,
+		fresh,   ///< Not decided on, or the customer's quota decides.
 		waiting, ///< In the queue of its service, for a slot.
 		sent,    ///< An attempt is running, or its end is being dealt with.
 		ended,   ///< The caller has its answer, or left.
@@ -52,6 +52,13 @@
 	/// @returns Whether the customer still holds the key in the newest configuration.
 	bool key_holds() const;
 	void refuse_key();
+	/// Asks for a token of the customer's quota, then goes on.
+	void ask_quota();
+	void on_quota(quota_answer _answer);
+	/// Gives the token back if no backend server was tried.
+	void give_token_back();
+	/// Makes the first attempt, or waits for a slot.
+	void go_on();
 	/// Decides on service, key, region and deadline.
 	void admit();
 	std::chrono::milliseconds timeout() const;
@@ -71,6 +78,7 @@
 	bool pay_for_resend();
 
 	void refuse(reason _reason);
+	void refuse_over_quota();
 	void end_with(const final_answer& _end);
 	void answer(caller_response&& _response, outcome _outcome, reason _reason);
 	void log_failed_attempt(const backend_server& _backend, const char* _why);
@@ -100,5 +108,6 @@
 	std::vector<backend_id> m_tried;
 	attempt_history m_history;
 	state m_state = state::fresh;
+	bool m_has_token = false; ///< Of the customer's quota.
 };
 } // namespace larkrack
--- a/src/entry_node/forwarder_p.h
+++ b/src/entry_node/forwarder_p.h
@@ -9,6 +9,7 @@
 /// backend servers, on the fleet view for the other nodes, and on entry_node to call tick() and pump().
 #pragma once
 
+#include "entry_node/customer_quotas_p.h"
 #include "entry_node/entry_log_p.h"
 #include "entry_node/upstream_p.h"
 #include "steering/fleet_view_p.h"
@@ -63,6 +64,7 @@
 	domain_name domain; ///< Of this node.
 	backend_registry& backends;
 	const fleet_view_base& fleet;
+	quota_gate_base& quotas;
 	entry_log& log;
 	metrics& exported;
 	std::minstd_rand random;
@@ -93,7 +95,7 @@
 public:
 	forwarder(asio::io_context& _context, const clock_base& _clock, header_names _names,
 	    const placement& _placement, shared_bounds _bounds, backend_registry& _backends,
-	    const fleet_view_base& _fleet, entry_log& _log, metrics& _metrics);
+	    const fleet_view_base& _fleet, quota_gate_base& _quotas, entry_log& _log, metrics& _metrics);
 	~forwarder() override;
 
 	/// Takes a request of a caller.
--- a/src/steering/fleet_view_p.h
+++ b/src/steering/fleet_view_p.h
@@ -12,6 +12,28 @@
 
 namespace larkrack
 {
+/// A node that lends the tokens of a customer.
+struct quota_holder
+{
+	std::string ip;              ///< Empty: this node.
+	std::uint32_t name_hash = 0; ///< short_hash of its name; 0: there is none.
+};
+
+/// The lenders of a customer.
+struct quota_holders
+{
+	quota_holder first;
+	quota_holder stand_in;
+};
+
+/// Nodes that may lend.
+struct nodes_in_sight
+{
+	double live = 1.0;         ///< That take requests, this one among them.
+	double most = 1.0;         ///< Most nodes ever seen at once.
+	std::uint64_t version = 0; ///< Grows when one comes or goes.
+};
+
 /// What the decisions about a request ask of the fleet of nodes.
 class fleet_view_base : public warmup_sharing_base
 {
@@ -23,5 +45,8 @@
 	/// @returns This node's part of the slots of a service's backend servers in a region, by what each node
 	/// sends there.
 	virtual slot_portion portion(const service_name& _service, const region_name& _region) const = 0;
+	/// @param[in] _customer customer::id.
+	virtual quota_holders holders_of(std::uint64_t _customer) const = 0;
+	virtual nodes_in_sight in_sight() const = 0;
 };
 } // namespace larkrack
--- /dev/null
+++ b/src/steering/quota_p.h
@@ -0,0 +1,61 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// Quotas over all nodes: what nodes say to each other about a customer's tokens, and the bounds that hold.
+///
+/// A request of a customer with a limit takes a token. One node lends the tokens of a customer, the first by
+/// rendezvous hashing (quota_lender_p.h); the others borrow from it (quota_borrower_p.h), ahead of need where
+/// they send much, one by one where they send little. No node knows or tells anything of customers that don't
+/// send there, so state and messages grow with requests, not with nodes times customers.
+///
+/// Other ways, with figures: docs/design/shifted-customers.md.
+#pragma once
+
+#include "steering/customer_p.h"
+
+#include "base/clock_p.h"
+
+namespace larkrack
+{
+/// What a customer's requests may sum up to over all nodes, in any window: (rate x window + burst) x (1 +
+/// overage) + slack.
+struct quota_bounds
+{
+	std::chrono::milliseconds window{5000};
+	double overage = 0.0; ///< Part of what the limit allows.
+	double slack = 0.0;   ///< Requests.
+};
+
+/// Which lender a node asks.
+enum class lender_rank : std::uint8_t
+{
+	first,    ///< The first on the ring of nodes.
+	stand_in, ///< The second one, because the first does not answer.
+};
+
+/// A node asks for tokens.
+struct quota_request
+{
+	std::uint64_t customer = 0; ///< customer::id.
+	std::uint16_t wanted = 0;   ///< Tokens; at least 1.
+	lender_rank rank = lender_rank::first;
+};
+
+/// The lender's answer.
+struct quota_grant
+{
+	std::uint64_t customer = 0;
+	std::uint16_t granted = 0;         ///< Tokens; 0: none are left.
+	std::chrono::milliseconds wait{0}; ///< Without tokens: until there may be one.
+};
+
+/// Wait in the answer of a stand-in that is answered by the first lender: ask that one again.
+constexpr std::chrono::milliseconds k_sent_back{0};
+
+/// @returns Whether a stand-in's answer sends the node back to the first lender.
+inline bool sends_back(const quota_grant& _grant)
+{
+	return 0 == _grant.granted && k_sent_back == _grant.wait;
+}
+} // namespace larkrack
--- /dev/null
+++ b/src/steering/quota_ring.cpp
@@ -0,0 +1,47 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "steering/quota_ring_p.h"
+
+#include "steering/rendezvous_p.h"
+
+#include <algorithm>
+
+namespace larkrack
+{
+void quota_ring::build(const std::vector<node_name>& _nodes)
+{
+	m_points.clear();
+	m_points.reserve(_nodes.size() * k_points);
+	for (std::size_t i = 0; i < _nodes.size(); ++i)
+	{
+		for (int copy = 0; copy < k_points; ++copy)
+		{
+			const std::uint64_t place = rendezvous_weight(_nodes[i].text, static_cast<std::uint64_t>(copy));
+			m_points.push_back({place, static_cast<std::uint32_t>(i)});
+		}
+	}
+	std::sort(m_points.begin(), m_points.end(),
+	    [](const point& _left, const point& _right)
+	    {
+		    return _left.place < _right.place;
+	    });
+}
+
+ring_owners quota_ring::owners_of(std::uint64_t _customer) const
+{
+	const auto begin = std::lower_bound(m_points.begin(), m_points.end(), _customer,
+	    [](const point& _point, std::uint64_t _place)
+	    {
+		    return _point.place < _place;
+	    });
+	std::size_t at = m_points.end() == begin ? 0 : static_cast<std::size_t>(begin - m_points.begin());
+	ring_owners owners{m_points[at].node, m_points[at].node};
+	for (std::size_t passed = 0; passed < m_points.size() && owners.stand_in == owners.first; ++passed)
+	{
+		at = (at + 1) % m_points.size();
+		owners.stand_in = m_points[at].node;
+	}
+	return owners;
+}
+} // namespace larkrack
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -33,9 +33,47 @@
 	{
 		return 1.0;
 	}
+	quota_holders holders_of(std::uint64_t) const override
+	{
+		return {{"", 1}, {}};
+	}
+	nodes_in_sight in_sight() const override
+	{
+		return {nodes, nodes, 0};
+	}
 	double nodes = 1.0;
 };
 
+/// Gives each request what the test says, at once or when it is asked to.
+class scripted_quotas : public quota_gate_base
+{
+public:
+	void take(const customer& _customer, handler _decided) override
+	{
+		asked.push_back(_customer.name.text);
+		if (quota_answer::waits == answer)
+		{
+			waiting = std::move(_decided);
+			return;
+		}
+		_decided(answer);
+	}
+	void give_back(const customer& _customer) override
+	{
+		given_back.push_back(_customer.name.text);
+	}
+	double seconds_to_come_back(const customer&) const override
+	{
+		return come_back_s;
+	}
+
+	quota_answer answer = quota_answer::granted;
+	handler waiting;
+	double come_back_s = 2.0;
+	std::vector<std::string> asked;
+	std::vector<std::string> given_back;
+};
+
 /// Backend server that answers each request with the next text of its script, as raw bytes.
 class scripted_backend
 {
@@ -225,7 +263,7 @@
 		bounds.retries = {
 		    0.2 / k_retry_used_part, 50.0 / k_retry_used_part, std::chrono::milliseconds(10000)};
 		m_forwarder = std::make_unique<forwarder>(*m_context, m_clock, header_names(),
-		    placement{"n1", "east-a", "east"}, bounds, *m_registry, m_fleet, *m_log, m_metrics);
+		    placement{"n1", "east-a", "east"}, bounds, *m_registry, m_fleet, m_quotas, *m_log, m_metrics);
 		m_listener = std::make_unique<http_listener>(
 		    *m_context,
 		    [this](const std::shared_ptr<caller_session>& _session, caller_request&& _request)
@@ -312,6 +350,7 @@
 	std::unique_ptr<asio::io_context> m_context;
 	clock_system m_clock;
 	fleet_view_alone m_fleet;
+	scripted_quotas m_quotas;
 	std::unique_ptr<backend_registry> m_registry;
 	std::unique_ptr<entry_log> m_log;
 	metrics m_metrics;
--- a/tests/forms/daemon_log_forms_test.cpp
+++ b/tests/forms/daemon_log_forms_test.cpp
@@ -133,6 +133,7 @@
 1908 settings_refused error
 1909 state_learned info
 1910 store_resynced info
+1911 customer_limited warning
 )",
 		    table);
 	}
--- a/tests/forms/entry_settings_form_test.cpp
+++ b/tests/forms/entry_settings_form_test.cpp
@@ -58,6 +58,9 @@
 		    {"/bounds/grace_s", true, R"({"exclusiveMinimum":0,"type":"number"})"},
 		    {"/bounds/lookup_ttl_max_s", true, R"({"exclusiveMinimum":0,"type":"number"})"},
 		    {"/bounds/max_shift", true, R"({"maximum":1,"minimum":0,"type":"number"})"},
+		    {"/bounds/quota_overage", false, R"({"minimum":0,"type":"number"})"},
+		    {"/bounds/quota_slack", false, R"({"minimum":0,"type":"number"})"},
+		    {"/bounds/quota_window_s", false, R"({"exclusiveMinimum":0,"type":"number"})"},
 		    {"/bounds/retry_ratio", true, R"({"maximum":1,"minimum":0,"type":"number"})"},
 		    {"/bounds/retry_slack", true, R"({"minimum":0,"type":"number"})"},
 		    {"/bounds/retry_window_s", true, R"({"exclusiveMinimum":0,"type":"number"})"},
@@ -110,7 +113,8 @@
 			"inner_ports": [7000, 7010], "store": "10.0.0.9:90", "seeds": ["10.0.0.2:83"],
 			"regions": {"east-a": "east", "west-a": "west"}, "max_descriptors": 500,
 			"bounds": {"retry_ratio": 0.2, "retry_slack": 50, "retry_window_s": 10.5, "max_shift": 0.25,
-			"lookup_ttl_max_s": 1.25, "grace_s": 6.5}})");
+			"lookup_ttl_max_s": 1.25, "grace_s": 6.5, "quota_window_s": 2.5, "quota_overage": 0.1,
+			"quota_slack": 20}})");
 		CPPUNIT_ASSERT_EQUAL(std::string("n1"), settings.place.node);
 		CPPUNIT_ASSERT_EQUAL(std::string("east"), settings.place.region);
 		CPPUNIT_ASSERT_EQUAL(std::string("east-a"), settings.place.domain);
@@ -129,6 +133,9 @@
 		CPPUNIT_ASSERT_EQUAL(0.25, settings.bounds.max_shift);
 		CPPUNIT_ASSERT(std::chrono::milliseconds(1250) == settings.lookup_ttl);
 		CPPUNIT_ASSERT(std::chrono::milliseconds(6500) == settings.grace);
+		CPPUNIT_ASSERT(std::chrono::milliseconds(2500) == settings.quotas.window);
+		CPPUNIT_ASSERT_EQUAL(0.1, settings.quotas.overage);
+		CPPUNIT_ASSERT_EQUAL(20.0, settings.quotas.slack);
 	}
 
 	void settings_with_the_least_get_the_known_defaults()
@@ -141,6 +148,8 @@
 		CPPUNIT_ASSERT(settings.seeds.empty());
 		CPPUNIT_ASSERT_EQUAL(1024, settings.max_descriptors);
 		CPPUNIT_ASSERT(std::chrono::milliseconds(1500) == settings.lookup_ttl);
+		CPPUNIT_ASSERT(std::chrono::milliseconds(5000) == settings.quotas.window);
+		CPPUNIT_ASSERT_EQUAL(0.0, settings.quotas.overage + settings.quotas.slack);
 	}
 
 	void template_of_the_platform_is_the_known_one()
@@ -171,7 +180,10 @@
 		"retry_window_s": {{Bounds.BudgetWindowS}},
 		"max_shift": {{Bounds.MaxShift}},
 		"lookup_ttl_max_s": {{Bounds.ttl_max_s}},
-		"grace_s": {{Bounds.GraceS}}
+		"grace_s": {{Bounds.GraceS}}{{#Bounds.QuotaWindowS}},
+		"quota_window_s": {{Bounds.QuotaWindowS}},
+		"quota_overage": {{Bounds.QuotaOverage}},
+		"quota_slack": {{Bounds.QuotaSlack}}{{/Bounds.QuotaWindowS}}
 	}
 }
 )TEMPLATE"),
--- a/tests/forms/event_catalogue_form_test.cpp
+++ b/tests/forms/event_catalogue_form_test.cpp
@@ -82,6 +82,8 @@
 		    {1909, "state_learned", severity::info,
 		        "Configuration and registry were learned from another node."},
 		    {1910, "store_resynced", severity::info, "The platform's keys were read anew."},
+		    {1911, "customer_limited", severity::warning,
+		        "A customer asks for more than its quota; requests are refused."},
 		};
 		CPPUNIT_ASSERT_EQUAL(std::size(known), event_catalogue().size());
 		for (std::size_t i = 0; i < std::size(known); ++i)
--- /dev/null
+++ b/tests/steering_quota_test.cpp
@@ -0,0 +1,413 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "fixtures.h"
+
+#include "steering/quota_borrower_p.h"
+#include "steering/quota_lender_p.h"
+#include "steering/quota_ring_p.h"
+
+#include <map>
+
+namespace larkrack
+{
+namespace
+{
+using ms = std::chrono::milliseconds;
+constexpr quota_bounds k_bounds{ms(5000), 0.1, 20.0};
+constexpr quota_lenders k_lenders{1, 2};
+
+customer limited(double _per_s, double _burst)
+{
+	customer one;
+	one.name = customer_name("shop");
+	one.id = customer_id("shop");
+	one.limit = {_per_s, _burst};
+	return one;
+}
+
+quota_request wanting(const customer& _customer, int _tokens, lender_rank _rank = lender_rank::first)
+{
+	return {_customer.id, static_cast<std::uint16_t>(_tokens), _rank};
+}
+} // namespace
+
+class steering_quota_lender_test : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(steering_quota_lender_test);
+	CPPUNIT_TEST(lender_long_settled_lends_the_burst_then_the_rate);
+	CPPUNIT_TEST(lender_just_started_lends_no_burst);
+	CPPUNIT_TEST(lender_after_a_change_of_nodes_goes_on_where_it_was_asked_before);
+	CPPUNIT_TEST(lender_after_a_change_of_nodes_starts_anew_where_it_was_not);
+	CPPUNIT_TEST(lender_standing_in_starts_empty);
+	CPPUNIT_TEST(lender_with_few_nodes_in_sight_lends_their_part_or_nothing);
+	CPPUNIT_TEST(lender_without_tokens_tells_how_long_all_who_ask_would_wait);
+	CPPUNIT_TEST(lender_of_a_lowered_limit_lends_by_the_new_one);
+	CPPUNIT_TEST(bucket_that_nobody_asks_for_is_dropped);
+	CPPUNIT_TEST_SUITE_END();
+
+protected:
+	steady_time m_now{std::chrono::hours(1)};
+	quota_lender m_lender{k_bounds, m_now};
+	const customer m_shop = limited(100.0, 50.0);
+
+	int lent(const customer& _customer, int _tokens, lender_rank _rank = lender_rank::first)
+	{
+		return m_lender.lend(_customer, wanting(_customer, _tokens, _rank), m_now).granted;
+	}
+
+	void lender_long_settled_lends_the_burst_then_the_rate()
+	{
+		m_now += std::chrono::minutes(1);
+		CPPUNIT_ASSERT_EQUAL(55, lent(m_shop, 1000)); // And a quarter of the slack.
+		CPPUNIT_ASSERT_EQUAL(0, lent(m_shop, 1));
+		m_now += ms(200);
+		CPPUNIT_ASSERT_EQUAL(20, lent(m_shop, 1000));
+	}
+
+	void lender_just_started_lends_no_burst()
+	{
+		CPPUNIT_ASSERT_EQUAL(0, lent(m_shop, 1000));
+		m_now += ms(100);
+		CPPUNIT_ASSERT_EQUAL(10, lent(m_shop, 1000));
+	}
+
+	void lender_after_a_change_of_nodes_goes_on_where_it_was_asked_before()
+	{
+		m_now += std::chrono::minutes(1);
+		CPPUNIT_ASSERT_EQUAL(5, lent(m_shop, 5));
+		m_now += ms(500);
+		m_lender.on_nodes_changed(m_now);
+		CPPUNIT_ASSERT_EQUAL(55, lent(m_shop, 1000));
+	}
+
+	void lender_after_a_change_of_nodes_starts_anew_where_it_was_not()
+	{
+		m_now += std::chrono::minutes(1);
+		CPPUNIT_ASSERT_EQUAL(5, lent(m_shop, 5));
+		m_now += std::chrono::seconds(5);
+		m_lender.on_nodes_changed(m_now);
+		CPPUNIT_ASSERT_EQUAL(0, lent(m_shop, 1000));
+	}
+
+	void lender_standing_in_starts_empty()
+	{
+		m_now += std::chrono::minutes(1);
+		CPPUNIT_ASSERT_EQUAL(0, lent(m_shop, 10, lender_rank::stand_in));
+		m_now += ms(100);
+		CPPUNIT_ASSERT_EQUAL(5, lent(m_shop, 1000, lender_rank::stand_in)); // Half of the rate.
+		CPPUNIT_ASSERT_EQUAL(0, lent(m_shop, 1000)); // Now the first one: still the same tokens.
+	}
+
+	void lender_with_few_nodes_in_sight_lends_their_part_or_nothing()
+	{
+		m_now += std::chrono::minutes(1);
+		m_lender.set_nodes(50.0, 100.0);
+		CPPUNIT_ASSERT_EQUAL(55, lent(m_shop, 1000));
+		m_lender.set_nodes(40.0, 100.0);
+		m_now += std::chrono::seconds(1);
+		CPPUNIT_ASSERT_EQUAL(22, lent(m_shop, 1000)); // 0.4 of 55.
+		m_lender.set_nodes(20.0, 100.0);
+		m_now += std::chrono::seconds(1);
+		CPPUNIT_ASSERT_EQUAL(0, lent(m_shop, 1000));
+	}
+
+	void lender_without_tokens_tells_how_long_all_who_ask_would_wait()
+	{
+		m_now += std::chrono::minutes(1);
+		lent(m_shop, 1000);
+		const quota_grant few = m_lender.lend(m_shop, wanting(m_shop, 5), m_now);
+		CPPUNIT_ASSERT(0 == few.granted && few.wait >= ms(50));
+		lent(m_shop, 400);
+		const quota_grant many = m_lender.lend(m_shop, wanting(m_shop, 5), m_now);
+		CPPUNIT_ASSERT(many.wait >= ms(4000));
+		CPPUNIT_ASSERT(!sends_back(few) && !sends_back(many));
+	}
+
+	void lender_of_a_lowered_limit_lends_by_the_new_one()
+	{
+		m_now += std::chrono::minutes(1);
+		lent(m_shop, 5);
+		CPPUNIT_ASSERT_EQUAL(15, lent(limited(20.0, 10.0), 1000));
+		m_now += ms(500);
+		CPPUNIT_ASSERT_EQUAL(10, lent(limited(20.0, 10.0), 1000));
+	}
+
+	void bucket_that_nobody_asks_for_is_dropped()
+	{
+		lent(m_shop, 1);
+		m_now += k_bucket_kept;
+		m_lender.forget_idle(m_now);
+		CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_lender.size());
+		m_now += ms(1);
+		m_lender.forget_idle(m_now);
+		CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_lender.size());
+	}
+};
+
+class steering_quota_borrower_test : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(steering_quota_borrower_test);
+	CPPUNIT_TEST(request_first_of_a_customer_waits_for_the_lender);
+	CPPUNIT_TEST(request_with_tokens_borrowed_ahead_does_not_wait);
+	CPPUNIT_TEST(tokens_that_are_old_are_void);
+	CPPUNIT_TEST(token_given_back_serves_the_next_request);
+	CPPUNIT_TEST(customer_far_above_its_limit_is_refused_at_once_until_the_next_question);
+	CPPUNIT_TEST(customer_short_of_tokens_for_a_moment_waits);
+	CPPUNIT_TEST(lender_silent_is_passed_over_for_all_customers);
+	CPPUNIT_TEST(lender_slow_is_not_passed_over);
+	CPPUNIT_TEST(lender_that_the_stand_in_hears_is_asked_again);
+	CPPUNIT_TEST(requests_without_lenders_sum_up_to_less_than_the_bounds_leave);
+	CPPUNIT_TEST(refused_come_back_the_later_the_more_ask);
+	CPPUNIT_TEST(account_that_nobody_uses_is_dropped);
+	CPPUNIT_TEST_SUITE_END();
+
+protected:
+	/// So many nodes that none has a request of its own without a token.
+	static constexpr double k_nodes = 1e9;
+	steady_time m_now{std::chrono::hours(1)};
+	quota_borrower m_borrower{k_bounds, 0};
+	const customer m_shop = limited(100.0, 50.0);
+
+	quota_answer take()
+	{
+		return m_borrower.take(m_shop, k_nodes, m_now);
+	}
+	std::optional<quota_request> due(std::size_t _waiting = 1)
+	{
+		return m_borrower.due(m_shop, k_lenders, _waiting, m_now);
+	}
+	void grant(int _tokens, ms _wait = ms(1), std::uint32_t _lender = 1)
+	{
+		m_borrower.on_grant({m_shop.id, static_cast<std::uint16_t>(_tokens), _wait}, _lender, m_now);
+	}
+
+	void request_first_of_a_customer_waits_for_the_lender()
+	{
+		CPPUNIT_ASSERT(quota_answer::waits == take());
+		const auto request = due();
+		CPPUNIT_ASSERT(request && 1 == request->wanted && lender_rank::first == request->rank);
+		CPPUNIT_ASSERT(!due()); // One question at a time.
+		grant(1);
+		CPPUNIT_ASSERT(quota_answer::granted == m_borrower.take_again(m_shop, k_lenders, m_now));
+		CPPUNIT_ASSERT(!due(0)); // A single request tells no rate that is worth tokens ahead.
+	}
+
+	void request_with_tokens_borrowed_ahead_does_not_wait()
+	{
+		for (int i = 0; i < 100; ++i)
+		{
+			take();
+			m_now += ms(10);
+		}
+		const auto request = due();
+		CPPUNIT_ASSERT(request && request->wanted >= 10 && request->wanted <= 26);
+		grant(request->wanted);
+		CPPUNIT_ASSERT(quota_answer::granted == take());
+		CPPUNIT_ASSERT(!due(0)); // More than half of them are left.
+	}
+
+	void tokens_that_are_old_are_void()
+	{
+		take();
+		due();
+		grant(2);
+		m_now += k_token_life;
+		CPPUNIT_ASSERT(quota_answer::waits == take());
+	}
+
+	void token_given_back_serves_the_next_request()
+	{
+		take();
+		due();
+		grant(1);
+		CPPUNIT_ASSERT(quota_answer::granted == take());
+		CPPUNIT_ASSERT(quota_answer::waits == take());
+		m_borrower.give_back(m_shop, m_now);
+		CPPUNIT_ASSERT(quota_answer::granted == take());
+	}
+
+	void customer_far_above_its_limit_is_refused_at_once_until_the_next_question()
+	{
+		take();
+		due();
+		grant(0, ms(3000));
+		CPPUNIT_ASSERT(quota_answer::over == take());
+		CPPUNIT_ASSERT(quota_answer::over == m_borrower.take_again(m_shop, k_lenders, m_now));
+		CPPUNIT_ASSERT(!due());
+		m_now += k_longest_pause;
+		CPPUNIT_ASSERT(quota_answer::waits == take());
+		CPPUNIT_ASSERT(due());
+		CPPUNIT_ASSERT(quota_answer::over == take()); // The others do not wait with that one.
+	}
+
+	void customer_short_of_tokens_for_a_moment_waits()
+	{
+		take();
+		due();
+		grant(0, ms(100));
+		CPPUNIT_ASSERT(quota_answer::waits == take());
+		CPPUNIT_ASSERT(!due());
+		m_now += ms(100);
+		CPPUNIT_ASSERT(due());
+	}
+
+	void let_the_first_be_silent()
+	{
+		take();
+		due();
+		for (ms passed{0}; passed < k_lender_silent; passed += k_answer_time)
+		{
+			m_now += k_answer_time;
+			due();
+		}
+	}
+
+	void lender_silent_is_passed_over_for_all_customers()
+	{
+		let_the_first_be_silent();
+		CPPUNIT_ASSERT(m_borrower.is_silent(1, m_now));
+		customer mill = limited(10.0, 10.0);
+		mill.id = 7;
+		m_borrower.take(mill, k_nodes, m_now);
+		const auto request = m_borrower.due(mill, k_lenders, 1, m_now);
+		CPPUNIT_ASSERT(request && lender_rank::stand_in == request->rank);
+		m_now += k_passed_over;
+		CPPUNIT_ASSERT(!m_borrower.is_silent(1, m_now));
+	}
+
+	void lender_slow_is_not_passed_over()
+	{
+		for (int i = 0; i < 10; ++i)
+		{
+			take();
+			due();
+			m_now += k_answer_time;
+			CPPUNIT_ASSERT(due()); // Asked once more,
+			grant(1);              // and answered late.
+			CPPUNIT_ASSERT(!m_borrower.is_silent(1, m_now));
+		}
+	}
+
+	void lender_that_the_stand_in_hears_is_asked_again()
+	{
+		let_the_first_be_silent();
+		CPPUNIT_ASSERT(m_borrower.is_silent(1, m_now));
+		m_borrower.on_sent_back({m_shop.id, 0, k_sent_back}, 1);
+		const auto request = due();
+		CPPUNIT_ASSERT(request && lender_rank::first == request->rank);
+	}
+
+	void requests_without_lenders_sum_up_to_less_than_the_bounds_leave()
+	{
+		constexpr int k_fleet = 67;
+		int granted = 0;
+		for (int node = 0; node < k_fleet; ++node)
+		{
+			quota_borrower one(k_bounds, customer_id("n" + std::to_string(node)));
+			for (int i = 0; i < 500; ++i) // Each 10 ms for one window.
+			{
+				const steady_time now = m_now + ms(10 * i);
+				granted += quota_answer::granted == one.take(m_shop, k_fleet, now) ? 1 : 0;
+			}
+		}
+		// 0.4 of the overage of 550 requests and three quarters of the slack, 37, rounded node by node.
+		CPPUNIT_ASSERT(granted >= 22 && granted <= 52);
+	}
+
+	void refused_come_back_the_later_the_more_ask()
+	{
+		CPPUNIT_ASSERT_EQUAL(0.5, m_borrower.seconds_to_come_back(m_shop));
+		for (int i = 0; i < 100; ++i)
+		{
+			take();
+			m_now += ms(1);
+		}
+		CPPUNIT_ASSERT_EQUAL(4.0, m_borrower.seconds_to_come_back(m_shop));
+	}
+
+	void account_that_nobody_uses_is_dropped()
+	{
+		take();
+		m_now += k_account_kept + ms(1);
+		m_borrower.forget_idle(m_now);
+		CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_borrower.size());
+	}
+};
+
+class steering_quota_ring_test : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(steering_quota_ring_test);
+	CPPUNIT_TEST(customers_are_spread_over_all_nodes);
+	CPPUNIT_TEST(node_that_goes_leaves_its_customers_to_their_stand_ins);
+	CPPUNIT_TEST(node_alone_stands_in_for_itself);
+	CPPUNIT_TEST_SUITE_END();
+
+protected:
+	static constexpr std::size_t k_nodes = 67;
+	static constexpr int k_customers = 20000;
+
+	static std::vector<node_name> nodes_without(std::size_t _left_out)
+	{
+		std::vector<node_name> nodes;
+		for (std::size_t i = 0; i < k_nodes; ++i)
+		{
+			if (i != _left_out)
+			{
+				nodes.emplace_back("n" + std::to_string(i));
+			}
+		}
+		return nodes;
+	}
+
+	static std::uint64_t customer_of(int _number)
+	{
+		return customer_id("c" + std::to_string(_number));
+	}
+
+	void customers_are_spread_over_all_nodes()
+	{
+		quota_ring ring;
+		ring.build(nodes_without(k_nodes));
+		std::map<std::size_t, int> customers;
+		for (int i = 0; i < k_customers; ++i)
+		{
+			++customers[ring.owners_of(customer_of(i)).first];
+		}
+		CPPUNIT_ASSERT_EQUAL(k_nodes, customers.size());
+		for (const auto& [node, count] : customers)
+		{
+			CPPUNIT_ASSERT(count < 3 * k_customers / static_cast<int>(k_nodes));
+		}
+	}
+
+	void node_that_goes_leaves_its_customers_to_their_stand_ins()
+	{
+		const std::vector<node_name> all = nodes_without(k_nodes);
+		const std::vector<node_name> left = nodes_without(5);
+		quota_ring before;
+		before.build(all);
+		quota_ring after;
+		after.build(left);
+		for (int i = 0; i < k_customers; ++i)
+		{
+			const ring_owners old = before.owners_of(customer_of(i));
+			const std::size_t expected = 5 == old.first ? old.stand_in : old.first;
+			CPPUNIT_ASSERT(all[expected] == left[after.owners_of(customer_of(i)).first]);
+		}
+	}
+
+	void node_alone_stands_in_for_itself()
+	{
+		quota_ring ring;
+		CPPUNIT_ASSERT(ring.empty());
+		ring.build({node_name("n1")});
+		CPPUNIT_ASSERT_EQUAL(std::size_t{0}, ring.owners_of(1).first);
+		CPPUNIT_ASSERT_EQUAL(std::size_t{0}, ring.owners_of(1).stand_in);
+	}
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(steering_quota_lender_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(steering_quota_borrower_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(steering_quota_ring_test);
+} // namespace larkrack
