Quotas of whole fleets on a virtual clock, and what random faults showed

A model of whole fleets (tests/quota_model_test) plays loss, cuts, deaths, restarts and a surge of eight to ten times the limit. RapidCheck found customers 1 to 5% above the bounds, by four causes: a node that starts lends or doubts as if its former life had spent nothing; a lender that learns of a change later than those that ask lends a whole burst; a bucket goes on filling for a time in which another node lent; a cut-off lender lends the whole limit until the others count as dead. Changes: no requests in doubt within the first window; a node that is not the first lender in its own view lends as a stand-in only; buckets fill from the change on; a lender lends the part of the limit that nodes in sight are of all ever seen, alone after 400 ms without any heartbeat; a stand-in lends a quarter of the rate, nodes hold 200 ms of it.

--- a/src/entry_node/customer_quotas.cpp
+++ b/src/entry_node/customer_quotas.cpp
@@ -24,8 +24,8 @@
 customer_quotas::customer_quotas(asio::io_context& _context, const clock_base& _clock, quota_bounds _bounds,
     const fleet_view_base& _fleet, const node_name& _self, entry_log& _log, sender _send)
     : m_clock(_clock), m_fleet(_fleet), m_log(_log), m_send(std::move(_send)),
-      m_borrower(_bounds, rendezvous_weight(_self.text, 0)), m_lender(_bounds, _clock.steady()),
-      m_timer(_context)
+      m_borrower(_bounds, rendezvous_weight(_self.text, 0), _clock.steady()),
+      m_lender(_bounds, _clock.steady()), m_timer(_context)
 {
 }
 
@@ -222,14 +222,20 @@
 		return; // This node has an older configuration: the other one asks again.
 	}
 	const quota_holders holders = m_fleet.holders_of(asked->id);
-	const bool stands_in = lender_rank::stand_in == _request.rank && !holders.first.ip.empty();
+	quota_request request = _request;
+	// Also where the other node takes this one for the first: it may know of a change before this one does.
+	const bool stands_in = !holders.first.ip.empty();
+	if (stands_in)
+	{
+		request.rank = lender_rank::stand_in;
+	}
 	if (stands_in && !m_borrower.is_silent(holders.first.name_hash, m_clock.steady()))
 	{
 		probe(*asked);
 		m_send(encode(quota_grant{_request.customer, 0, k_sent_back}), _sender_ip);
 		return;
 	}
-	m_send(encode(m_lender.lend(*asked, _request, m_clock.steady())), _sender_ip);
+	m_send(encode(m_lender.lend(*asked, request, m_clock.steady())), _sender_ip);
 }
 
 void customer_quotas::probe(const customer& _customer)
--- a/src/entry_node/fleet.cpp
+++ b/src/entry_node/fleet.cpp
@@ -80,6 +80,7 @@
 	}
 	member.last = _heartbeat;
 	member.heard_at = now;
+	m_heard_at = now;
 	member.sign_at = now;
 	m_backends.set_in_flight_of_node(_heartbeat.node, _heartbeat.in_flight);
 	add_address(_heartbeat.ip);
--- a/src/entry_node/fleet_answers.cpp
+++ b/src/entry_node/fleet_answers.cpp
@@ -13,6 +13,11 @@
 {
 namespace
 {
+/// Milliseconds without a heartbeat of any node after which this one counts as cut off, long before each
+/// other one counts as dead. Longer: it lends the whole limit of customers beside their stand-ins. Shorter: a
+/// node that stands still for a moment refuses callers. In the smallest fleet it is four heartbeats.
+constexpr std::chrono::milliseconds k_alone{400};
+
 double rate_of(const node_heartbeat& _node, const service_name& _service, const region_name& _region)
 {
 	const auto service = _node.sent_per_s.find(_service);
@@ -219,7 +224,8 @@
 
 nodes_in_sight fleet::in_sight() const
 {
-	const double live = std::max(1.0, static_cast<double>(m_lenders.size()));
+	const bool alone = m_clock.steady() - m_heard_at > k_alone;
+	const double live = alone ? 1.0 : std::max(1.0, static_cast<double>(m_lenders.size()));
 	return {live, m_census.sharers().nodes, m_lenders_version};
 }
 
--- a/src/entry_node/fleet_p.h
+++ b/src/entry_node/fleet_p.h
@@ -144,5 +144,6 @@
 	std::vector<quota_holder> m_lenders;   ///< The same.
 	quota_ring m_ring;                     ///< Of them.
 	std::uint64_t m_lenders_version = 0;
+	steady_time m_heard_at{}; ///< When the last heartbeat of any node came.
 };
 } // namespace larkrack
--- a/src/steering/quota_borrower.cpp
+++ b/src/steering/quota_borrower.cpp
@@ -14,10 +14,13 @@
 {
 /// Part of the overage that nodes share without tokens, no unit. The rest is for the tokens that nodes hold
 /// and for a stand-in that lends beside a slow lender. With half of it and a stand-in that lends the whole
-/// rate, a customer that asked for ten times its limit was served 3% above the bounds in a window.
-constexpr double k_doubt_of_overage = 0.4;
-/// Part of the slack that nodes share without tokens, no unit. The rest is depth of the lender's bucket.
-constexpr double k_doubt_of_slack = 0.75;
+/// rate, a customer that asked for ten times its limit was served 3% above the bounds in a window; with 0.4,
+/// faults at random in a model took one 1% above.
+constexpr double k_doubt_of_overage = 0.2;
+/// Part of the slack that nodes share without tokens, no unit. The rest is depth of the bucket, of one lender
+/// and of another one after it: with 0.75, nodes that were cut off and died at random took a customer with a
+/// limit of a few requests 1 to 5% above the bounds.
+constexpr double k_doubt_of_slack = 0.3;
 /// Part of the tokens for the horizon below which more are borrowed. Higher: more messages. Lower: requests
 /// wait. Not measured.
 constexpr double k_borrow_below = 0.5;
@@ -109,6 +112,10 @@
 bool quota_borrower::spend_in_doubt(
     account& _account, const customer& _customer, double _nodes, steady_time _now) const
 {
+	if (_now - m_started_at < m_bounds.window)
+	{
+		return false;
+	}
 	// Only once the whole window lies behind the last one: any shorter span could hold twice as many.
 	if (_now - _account.last_doubt > m_bounds.window)
 	{
--- a/src/steering/quota_borrower_p.h
+++ b/src/steering/quota_borrower_p.h
@@ -18,7 +18,8 @@
 ///   lender silent itself; else it sends the node back to it.
 /// - Each node has a part of k_doubt_of_overage of the overage and k_doubt_of_slack of the slack for itself.
 ///   A request takes it in place of waiting, and it comes back with the next tokens; when no lender answers,
-///   it is all there is. What makes less than one request, some nodes have by the hash of their name.
+///   it is all there is. What makes less than one request, some nodes have by the hash of their name. A node
+///   that started within the window has none: it can't know what its former life had.
 /// - Tokens that were not used for k_token_life are void: the lender has given their time to others.
 ///
 /// What is sent above what the lender lends: the tokens that nodes hold, k_horizon of the rate.
@@ -37,7 +38,7 @@
 {
 /// Time for whose requests a node holds tokens. Longer: fewer messages, more above the limit after a jump.
 /// Shorter: requests of customers with a high rate wait for the lender. Not measured.
-constexpr std::chrono::milliseconds k_horizon{250};
+constexpr std::chrono::milliseconds k_horizon{200};
 /// Time after which tokens are void. Longer: more above the limit. Shorter: tokens of customers with a
 /// changing rate are lost. Not measured.
 constexpr std::chrono::milliseconds k_token_life{1000};
@@ -86,8 +87,9 @@
 {
 public:
 	/// @param[in] _node_hash Hash of this node's name.
-	quota_borrower(quota_bounds _bounds, std::uint64_t _node_hash)
-	    : m_bounds(_bounds), m_node_hash(_node_hash)
+	/// @param[in] _now Start of the process.
+	quota_borrower(quota_bounds _bounds, std::uint64_t _node_hash, steady_time _now)
+	    : m_bounds(_bounds), m_node_hash(_node_hash), m_started_at(_now)
 	{
 	}
 	/// Counts a request of a customer.
@@ -150,6 +152,7 @@
 
 	quota_bounds m_bounds;
 	std::uint64_t m_node_hash;
+	steady_time m_started_at;
 	std::unordered_map<std::uint64_t, account> m_accounts;
 	std::unordered_map<std::uint32_t, lender_health> m_lenders; ///< By short_hash of the name.
 };
--- a/src/steering/quota_lender.cpp
+++ b/src/steering/quota_lender.cpp
@@ -37,8 +37,7 @@
 
 void quota_lender::set_nodes(double _in_sight, double _most)
 {
-	const double part = _in_sight / std::max(1.0, _most);
-	m_part = part >= k_whole_in_sight ? 1.0 : part >= k_least_in_sight ? part : 0.0;
+	m_part = std::min(1.0, _in_sight / std::max(1.0, _most));
 }
 
 quota_lender::bucket& quota_lender::filled(const customer& _customer, lender_rank _rank, steady_time _now)
@@ -53,6 +52,11 @@
 		one.filled_at = lender_rank::first == _rank ? m_settled_since : _now;
 		one.asked_at = _now;
 	}
+	if (one.asked_at < m_settled_since)
+	{
+		// Another node may have lent between the last question and the change.
+		one.filled_at = std::max(one.filled_at, m_settled_since);
+	}
 	one.unmet *= std::exp(-seconds_between(one.asked_at, _now) / seconds(k_unmet_memory));
 	one.tokens = std::min(depth, one.tokens + per_s * seconds_between(one.filled_at, _now));
 	one.filled_at = _now;
--- a/src/steering/quota_lender_p.h
+++ b/src/steering/quota_lender_p.h
@@ -11,8 +11,9 @@
 /// Rule: a token bucket for each customer that is asked for. A lender that is new to a customer can not know
 /// what the one before it gave away, so its bucket starts with what came together since the nodes in sight
 /// changed, or since its own start; that of a stand-in starts empty and gets k_stand_in_part of the rate,
-/// since the first one may only be slow. With at least half of all nodes in sight it lends the whole limit,
-/// down to k_least_in_sight their part of it, below that nothing: the others may be cut off and lend as well.
+/// since the first one may only be slow. It lends the
+/// part of the limit that the nodes in sight are of all that ever were: the others may be cut off and lend as
+/// well.
 /// Without tokens it tells how long those who asked in the last second would have to wait, so that nodes tell
 /// a short shortage from a customer far above its limit.
 ///
@@ -28,18 +29,12 @@
 namespace larkrack
 {
 /// Part of the rate that a stand-in lends, no unit. Higher: more above the limit while a slow lender lends
-/// beside it. Lower: more is refused until a dead one is known to be dead.
-constexpr double k_stand_in_part = 0.5;
-/// Part of the nodes in sight from which a lender lends the whole limit, no unit: two islands of a split
-/// network can't both have more. Lower: they could lend twice the limit.
-constexpr double k_whole_in_sight = 0.5;
-/// Part of the nodes in sight from which it lends that part of the limit. Lower: islands of few nodes add to
-/// what the others lend. Higher: the survivors of a loss of many nodes refuse callers below their limit. Not
-/// measured.
-constexpr double k_least_in_sight = 0.25;
+/// beside it. Lower: more is refused until a dead one is known to be dead. With 0.5, and a bucket deeper by a
+/// quarter of the slack, one of 3,000 series of faults in a model took a customer 1% above the bounds.
+constexpr double k_stand_in_part = 0.25;
 /// Part of the slack of the bounds by which a bucket is deeper than the burst. Customers with a small burst
 /// need room for requests that come together.
-constexpr double k_depth_of_slack = 0.25;
+constexpr double k_depth_of_slack = 0.2;
 /// Time for which the bucket of a customer that nobody asks for is kept. Longer: memory. Shorter: a customer
 /// that comes back starts with less than its burst.
 constexpr std::chrono::seconds k_bucket_kept{30};
