--- a/src/entry_node/forwarded_request.cpp
+++ b/src/entry_node/forwarded_request.cpp
@@ -491,19 +491,24 @@
 	{
 		return;
 	}
-	m_context.log.write(log_line(event::request_ended)
-	                        .text("id", m_request_id)
-	                        .text("route", nullptr == m_route ? "" : m_route->name)
-	                        .text("service", m_service.text)
-	                        .number("config", m_routes ? static_cast<std::int64_t>(m_routes->version()) : 0)
-	                        .number("status", _status)
-	                        .text("outcome", to_string(_outcome))
-	                        .text("reason", to_string(_reason))
-	                        .text("region", m_planned.region.text)
-	                        .text("backend", m_tried.empty() ? "" : m_tried.back().text)
-	                        .number("attempts", m_history.reached)
-	                        .number("unsent", m_history.unsent)
-	                        .number("ms", to_ms(m_context.clock.steady() - m_arrived_at).count()));
+	log_line line(event::request_ended);
+	line.text("id", m_request_id)
+	    .text("route", nullptr == m_route ? "" : m_route->name)
+	    .text("service", m_service.text)
+	    .number("config", m_routes ? static_cast<std::int64_t>(m_routes->version()) : 0)
+	    .number("status", _status)
+	    .text("outcome", to_string(_outcome))
+	    .text("reason", to_string(_reason))
+	    .text("region", m_planned.region.text)
+	    .text("backend", m_tried.empty() ? "" : m_tried.back().text)
+	    .number("attempts", m_history.reached)
+	    .number("unsent", m_history.unsent)
+	    .number("ms", to_ms(m_context.clock.steady() - m_arrived_at).count());
+	if (nullptr != m_customer)
+	{
+		line.text("customer", m_customer->name.text);
+	}
+	m_context.log.write(line);
 }
 
 void forwarded_request::forget()
--- a/src/steering/quota_lender_p.h
+++ b/src/steering/quota_lender_p.h
@@ -11,11 +11,10 @@
 /// Rule: a token bucket for each customer that is asked for. A lender that is new to a customer can not know
 /// what the one before it gave away, so its bucket starts with what came together since the nodes in sight
 /// changed, or since its own start; that of a stand-in starts empty and gets k_stand_in_part of the rate,
-/// since the first one may only be slow. It lends the
-/// part of the limit that the nodes in sight are of all that ever were: the others may be cut off and lend as
-/// well.
-/// Without tokens it tells how long those who asked in the last second would have to wait, so that nodes tell
-/// a short shortage from a customer far above its limit.
+/// since the first one may only be slow. It lends the part of the limit that the nodes in sight are of all
+/// that ever were: the others may be cut off and lend as well. Without tokens it tells how long those who
+/// asked in the last second would have to wait, so that nodes tell a short shortage from a customer far above
+/// its limit.
 ///
 /// State: one bucket of 56 bytes for each customer that was asked for in the last k_bucket_kept.
 ///
--- a/tests/customer_requests_test.cpp
+++ b/tests/customer_requests_test.cpp
@@ -20,6 +20,10 @@
 	CPPUNIT_TEST(request_without_declared_customers_needs_no_key);
 	CPPUNIT_TEST(request_of_a_customer_stays_in_its_homes);
 	CPPUNIT_TEST(request_without_a_common_home_is_refused_at_once);
+	CPPUNIT_TEST(request_above_the_quota_gets_429_and_a_time_to_come_back);
+	CPPUNIT_TEST(request_that_waits_for_a_token_runs_when_it_comes);
+	CPPUNIT_TEST(request_that_reaches_no_backend_server_gives_its_token_back);
+	CPPUNIT_TEST(request_of_a_customer_without_limit_takes_no_token);
 	CPPUNIT_TEST(request_that_waits_while_its_key_is_taken_away_gets_401);
 	CPPUNIT_TEST(request_that_runs_while_its_key_is_taken_away_ends_as_it_began);
 	CPPUNIT_TEST_SUITE_END();
@@ -37,7 +41,7 @@
 
 protected:
 	/// Routes of the fixture and "/open/" (public), "/east/" (home in the east); customers shop (keys k1,
-	/// k2), mill (k3, at home in the west).
+	/// k2), mill (k3, at home in the west), farm (k4, with a limit).
 	void set_customers(std::uint64_t _version = 1, const std::vector<std::string>& _shop_keys = {"k1", "k2"})
 	{
 		const auto plain = routes(_version);
@@ -52,7 +56,10 @@
 		east.home_regions = {"east"};
 		all.push_back(open);
 		all.push_back(east);
-		std::vector<customer_entry> entries(2);
+		std::vector<customer_entry> entries(3);
+		entries[2].who.name = customer_name("farm");
+		entries[2].who.limit = {10.0, 10.0};
+		entries[2].keys.emplace_back("k4");
 		entries[0].who.name = customer_name("shop");
 		for (const std::string& key : _shop_keys)
 		{
@@ -174,6 +181,53 @@
 		CPPUNIT_ASSERT_EQUAL(200U, ask(request("GET", "/east/1", "r2", key("k1"))).result_int());
 	}
 
+	void request_above_the_quota_gets_429_and_a_time_to_come_back()
+	{
+		set_customers();
+		scripted_backend& backend = add_backend("b1");
+		m_quotas.answer = quota_answer::over;
+		const caller_response refused = ask(request("GET", "/read/1", "r1", key("k4")));
+		CPPUNIT_ASSERT_EQUAL(429U, refused.result_int());
+		const double pause_s = std::stod(std::string(refused[http::field::retry_after]));
+		CPPUNIT_ASSERT(pause_s >= 1.0 && pause_s <= 2.0); // Spread below the 2 s that the quotas tell.
+		CPPUNIT_ASSERT(backend.requests.empty() && m_quotas.given_back.empty());
+		m_quotas.answer = quota_answer::unknown;
+		CPPUNIT_ASSERT_EQUAL(503U, ask(request("GET", "/read/1", "r2", key("k4"))).result_int());
+	}
+
+	void request_that_waits_for_a_token_runs_when_it_comes()
+	{
+		set_customers();
+		scripted_backend& backend = add_backend("b1");
+		m_quotas.answer = quota_answer::waits;
+		raw_caller caller = call();
+		caller.send(request("GET", "/read/1", "r1", key("k4")));
+		run_until(*m_context,
+		    [this]
+		    {
+			    return nullptr != m_quotas.waiting;
+		    });
+		CPPUNIT_ASSERT(backend.requests.empty());
+		m_quotas.waiting(quota_answer::granted);
+		CPPUNIT_ASSERT_EQUAL(200U, caller.receive().result_int());
+		CPPUNIT_ASSERT(m_quotas.given_back.empty());
+	}
+
+	void request_that_reaches_no_backend_server_gives_its_token_back()
+	{
+		set_customers();
+		CPPUNIT_ASSERT_EQUAL(503U, ask(request("GET", "/read/1", "r1", key("k4"))).result_int());
+		CPPUNIT_ASSERT(std::vector<std::string>{"farm"} == m_quotas.given_back);
+	}
+
+	void request_of_a_customer_without_limit_takes_no_token()
+	{
+		set_customers();
+		add_backend("b1");
+		CPPUNIT_ASSERT_EQUAL(200U, ask(request("GET", "/read/1", "r1", key("k1"))).result_int());
+		CPPUNIT_ASSERT(m_quotas.asked.empty());
+	}
+
 	void request_that_waits_while_its_key_is_taken_away_gets_401()
 	{
 		set_customers();
