--- a/tests/quota_model_test.cpp
+++ b/tests/quota_model_test.cpp
@@ -133,11 +133,13 @@
 class quota_model
 {
 public:
-	quota_model(quota_way _way, int _nodes, std::vector<customer> _customers, double _loss, unsigned _seed)
+	quota_model(
+	    quota_way _way, int _nodes, const std::vector<customer>& _customers, double _loss, unsigned _seed)
 	    : m_way(_way), m_loss(_loss), m_random(_seed)
 	{
 		std::vector<customer_entry> entries;
-		for (customer& one : _customers)
+		entries.reserve(_customers.size());
+		for (const customer& one : _customers)
 		{
 			entries.push_back({one, {}});
 		}
