--- a/src/entry_node/customer_quotas.cpp
+++ b/src/entry_node/customer_quotas.cpp
@@ -19,6 +19,11 @@
 constexpr std::chrono::seconds k_told_again{10};
 /// Seconds between two looks for accounts that nobody uses.
 constexpr std::chrono::seconds k_forget_interval{1};
+
+quota_lenders hashes_of(const quota_holders& _holders)
+{
+	return {_holders.first.name_hash, _holders.stand_in.name_hash};
+}
 } // namespace
 
 customer_quotas::customer_quotas(asio::io_context& _context, const clock_base& _clock, quota_bounds _bounds,
@@ -34,11 +39,6 @@
 	return m_routes ? m_routes->customers().find_by_id(_id) : nullptr;
 }
 
-quota_lenders customer_quotas::hashes_of(const quota_holders& _holders)
-{
-	return {_holders.first.name_hash, _holders.stand_in.name_hash};
-}
-
 void customer_quotas::take(const customer& _customer, handler _decided)
 {
 	const quota_answer answer = m_borrower.take(_customer, m_fleet.sharers().nodes, m_clock.steady());
--- a/src/entry_node/customer_quotas_p.h
+++ b/src/entry_node/customer_quotas_p.h
@@ -81,7 +81,6 @@
 	using waiting_list = std::list<waiting_request>;
 
 	const customer* find(std::uint64_t _id) const;
-	static quota_lenders hashes_of(const quota_holders& _holders);
 	void decide(const customer& _customer, const handler& _decided, quota_answer _answer);
 	/// Asks the lender if a question is due.
 	void ask(const customer& _customer);
