Let a test drop the request that it held, before its context goes

The test program ended with a segmentation fault after its last test: the handler of a waiting request outlived the fixture's io_context. The program itself destroys its quotas before its context. Seen by the exit status of the whole run, found by running each fixture alone.

--- a/tests/customer_requests_test.cpp
+++ b/tests/customer_requests_test.cpp
@@ -208,7 +208,9 @@
 			    return nullptr != m_quotas.waiting;
 		    });
 		CPPUNIT_ASSERT(backend.requests.empty());
-		m_quotas.waiting(quota_answer::granted);
+		// Moved out, since the handler keeps the request, and the request needs the fixture's context.
+		const quota_gate_base::handler decide = std::exchange(m_quotas.waiting, nullptr);
+		decide(quota_answer::granted);
 		CPPUNIT_ASSERT_EQUAL(200U, caller.receive().result_int());
 		CPPUNIT_ASSERT(m_quotas.given_back.empty());
 	}
