--- a/src/entry_node/entry_node.cpp
+++ b/src/entry_node/entry_node.cpp
@@ -80,8 +80,8 @@
           [this](std::shared_ptr<const routing_table> _routes)
           {
 	          m_callers.set_limits(_routes->limits());
-	          m_quotas.set_routes(_routes);
 	          m_forwarder.set_routes(std::move(_routes));
+	          m_quotas.set_routes(m_forwarder.routes()); // An older version is passed over there.
           },
           [this](const std::string& _ip)
           {
