Hear, log and count the limits that backend servers name

Nothing told whether a node had heard of a backend server's limit, so the hypotheses of the incident could not be told apart. A node now reads the header beside each answer that the backend server ran (absent: the limit ends; a server that turned a request away need not repeat it), keeps the word with the life of the backend server, logs its begin, change and end (event 1916) and shows how many name one (larkrack_limited_backends).

--- a/src/base/events_p.h
+++ b/src/base/events_p.h
@@ -75,7 +75,8 @@
 	X(1912, backend_refused, warning, "An entry of the registry names no backend server that can be used.")  \
 	X(1913, rollout_decided, info, "This node writes down how a roll-out goes on.")                          \
 	X(1914, rollout_changed, info, "The store tells a new state of a roll-out.")                             \
-	X(1915, rollout_refused, warning, "A key about a roll-out is none; nothing moves.")
+	X(1915, rollout_refused, warning, "A key about a roll-out is none; nothing moves.")                      \
+	X(1916, backend_limited, info, "A backend server names another limit of its requests, or none.")
 
 /// Numbered log event.
 enum class event : std::uint16_t
--- a/src/entry_node/backend_registry.cpp
+++ b/src/entry_node/backend_registry.cpp
@@ -148,6 +148,15 @@
 	return m_by_service.end() == it ? s_none : it->second;
 }
 
+std::size_t backend_registry::limited() const
+{
+	return static_cast<std::size_t>(std::count_if(m_by_id.begin(), m_by_id.end(),
+	    [](const auto& _entry)
+	    {
+		    return _entry.second->limit.limited();
+	    }));
+}
+
 backend_ptr backend_registry::find(const backend_id& _id) const
 {
 	const auto it = m_by_id.find(_id);
--- a/src/entry_node/backend_registry_p.h
+++ b/src/entry_node/backend_registry_p.h
@@ -101,6 +101,8 @@
 	in_flight_counts own_in_flight();
 	/// @returns Null when there is none of that id.
 	backend_ptr find(const backend_id& _id) const;
+	/// @returns How many name a limit; goes through all.
+	std::size_t limited() const;
 	std::size_t size() const
 	{
 		return m_by_id.size();
--- a/src/entry_node/entry_node.cpp
+++ b/src/entry_node/entry_node.cpp
@@ -84,8 +84,8 @@
           {
 	          write_rollout_status(_status, _expected_revision);
           }),
-      m_forwarder(m_context, m_clock, _dialect.headers(), _settings.place, _settings.bounds, m_backends,
-          m_fleet, m_quotas, m_rollouts, m_log, m_metrics),
+      m_limits(m_log), m_forwarder(m_context, m_clock, _dialect.headers(), _settings.place, _settings.bounds,
+                           m_backends, m_fleet, m_quotas, m_rollouts, m_limits, m_log, m_metrics),
       m_replica(
           m_clock, _dialect.codec(), m_backends, m_log,
           [this](std::shared_ptr<const routing_table> _routes)
--- a/src/entry_node/entry_node_answers.cpp
+++ b/src/entry_node/entry_node_answers.cpp
@@ -149,6 +149,8 @@
 	gauge("in_flight", "Requests whose answer is due.", static_cast<double>(m_forwarder.in_flight()));
 	gauge("caller_connections", "Open connections of callers.", static_cast<double>(m_callers.connections()));
 	gauge("backend_servers", "Backend servers in the registry.", static_cast<double>(m_backends.size()));
+	gauge("limited_backends", "Backend servers that name a limit of their requests.",
+	    static_cast<double>(m_backends.limited()));
 	gauge("nodes", "Other nodes that were heard of.", static_cast<double>(m_fleet.members().size()));
 	gauge("config_version", "Version of the configuration in force.",
 	    m_forwarder.routes() ? static_cast<double>(m_forwarder.routes()->version()) : 0.0);
--- a/src/entry_node/entry_node_p.h
+++ b/src/entry_node/entry_node_p.h
@@ -135,6 +135,7 @@
 	fleet m_fleet;
 	customer_quotas m_quotas;
 	rollouts m_rollouts;
+	backend_limits m_limits;
 	forwarder m_forwarder;
 	state_replica m_replica;
 	std::unique_ptr<store_base> m_store;
--- a/src/entry_node/forwarded_request.cpp
+++ b/src/entry_node/forwarded_request.cpp
@@ -282,6 +282,10 @@
 	{
 		m_context.distances.add_connect_time(backend->region, *_result.connect_time);
 	}
+	if (_result.limit)
+	{
+		m_context.limits.on_word(*backend, *_result.limit);
+	}
 	if (state::ended == m_state)
 	{
 		return;
--- a/src/entry_node/forwarder_p.h
+++ b/src/entry_node/forwarder_p.h
@@ -9,6 +9,7 @@
 /// backend servers, on the fleet view for the other nodes, and on entry_node to call tick() and pump().
 #pragma once
 
+#include "entry_node/backend_limits_p.h"
 #include "entry_node/customer_quotas_p.h"
 #include "entry_node/entry_log_p.h"
 #include "entry_node/rollouts_p.h"
@@ -67,6 +68,7 @@
 	const fleet_view_base& fleet;
 	quota_gate_base& quotas;
 	rollout_gate_base& rollouts;
+	limit_gate_base& limits;
 	entry_log& log;
 	metrics& exported;
 	std::minstd_rand random;
@@ -98,7 +100,7 @@
 	forwarder(asio::io_context& _context, const clock_base& _clock, header_names _names,
 	    const placement& _placement, shared_bounds _bounds, backend_registry& _backends,
 	    const fleet_view_base& _fleet, quota_gate_base& _quotas, rollout_gate_base& _rollouts,
-	    entry_log& _log, metrics& _metrics);
+	    limit_gate_base& _limits, entry_log& _log, metrics& _metrics);
 	~forwarder() override;
 
 	/// Takes a request of a caller.
--- a/src/entry_node/upstream.cpp
+++ b/src/entry_node/upstream.cpp
@@ -246,6 +246,10 @@
 		fail(exchange_outcome::lost, "unsigned_answer", backend_signal::lost);
 		return;
 	}
+	if (!wrong_server)
+	{
+		take_limit(response, !not_run);
+	}
 	if (!m_parser->need_eof() && m_parser->keep_alive())
 	{
 		keep_connection(response);
@@ -285,6 +289,19 @@
 	}
 }
 
+void upstream_exchange::take_limit(const caller_response& _response, bool _ran)
+{
+	const auto named = _response.find(m_names.limit);
+	if (_response.end() != named)
+	{
+		m_limit = parse_limit({named->value().data(), named->value().size()}, m_clock.steady());
+	}
+	else if (_ran)
+	{
+		m_limit = limit_word{std::nullopt, m_clock.steady()};
+	}
+}
+
 void upstream_exchange::keep_connection(const caller_response& _response)
 {
 	// What is left of the request, or of an answer, would be taken for a part of the next exchange.
@@ -314,6 +331,7 @@
 	const auto handler = std::move(m_handler);
 	m_handler = nullptr;
 	_result.connect_time = m_connect_time;
+	_result.limit = m_limit;
 	handler(std::move(_result));
 }
 
--- a/src/entry_node/upstream_p.h
+++ b/src/entry_node/upstream_p.h
@@ -24,6 +24,7 @@
 	std::string target_id = "Larkrack-Backend";      ///< Only this backend server may run the request.
 	std::string not_run = "Larkrack-Shed";           ///< The backend server did not run the request.
 	std::string load = "Larkrack-Load";              ///< Running, waiting, slots.
+	std::string limit = "Larkrack-Limit"; ///< Requests a second that it takes from all nodes together.
 	std::string affinity_cookie = "Larkrack-Affinity";
 	std::string signature = "Larkrack-Signature"; ///< Stands in each answer of a backend server that ran.
 	std::string api_key = "Larkrack-Api-Key";     ///< Of a caller; never passed on.
@@ -74,6 +75,7 @@
 	exchange_outcome end = exchange_outcome::not_sent;
 	std::optional<caller_response> response; ///< Set when answered.
 	const char* detail = "";                 ///< What went wrong, for the log.
+	std::optional<limit_word> limit;         ///< What the backend server said of its limit, if anything.
 	/// Time that a new connection needed to come up; nothing when none was made.
 	std::optional<steady_time::duration> connect_time;
 };
@@ -122,6 +124,9 @@
 	void finish(exchange_result&& _result, backend_signal _signal);
 	bool is_ours(const caller_response& _response) const;
 	void take_load(const caller_response& _response);
+	/// @param[in] _ran Whether the backend server ran the request; one that turned it away need not say
+	/// whether its limit goes on.
+	void take_limit(const caller_response& _response, bool _ran);
 	void keep_connection(const caller_response& _response);
 	void close_connection();
 
@@ -140,6 +145,7 @@
 	bool m_done = false;
 	steady_time m_connecting_since{};
 	std::optional<steady_time::duration> m_connect_time;
+	std::optional<limit_word> m_limit;
 	int m_foreign_answers = 0;
 };
 } // namespace larkrack
--- a/src/steering/backend_state_p.h
+++ b/src/steering/backend_state_p.h
@@ -11,6 +11,7 @@
 /// Relies on: backend_registry, which owns the objects and puts in what the platform's registry says.
 #pragma once
 
+#include "steering/backend_limit_p.h"
 #include "steering/load_estimate_p.h"
 #include "steering/names_p.h"
 #include "steering/outlier_ejection_p.h"
@@ -53,6 +54,7 @@
 	token_bucket warmup;       ///< This node's part of the request rate that it bears while cold.
 	load_estimate load;        ///< Requests that it holds.
 	outlier_ejection ejection; ///< Its failures.
+	named_limit limit;         ///< What it takes a second from all nodes, if it says so.
 
 	/// @returns Whether it is meant to get new requests, failures left aside.
 	bool accepts_new_requests() const
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -95,6 +95,16 @@
 	std::vector<version_attempt> ends;
 };
 
+/// Keeps what backend servers say of their limits.
+class heard_limits : public limit_gate_base
+{
+public:
+	void on_word(backend_server& _backend, const limit_word& _word) override
+	{
+		_backend.limit.hear(_word);
+	}
+};
+
 /// Backend server that answers each request with the next text of its script, as raw bytes.
 class scripted_backend
 {
@@ -125,8 +135,10 @@
 		       "Content-Length: " + std::to_string(_body.size()) + "\r\n\r\n" + _body;
 	}
 
-	std::deque<step> script;           ///< When it is empty: a plain answer.
+	std::deque<step> script; ///< When it is empty: the usual step.
+	step usual{answer("fine"), false, false, false};
 	std::vector<std::string> requests; ///< As they came, head and body.
+	std::vector<steady_time> arrivals; ///< Of them, by rising time.
 	int connections = 0;
 	int closed_by_peer = 0;
 
@@ -170,12 +182,13 @@
 			    std::ostringstream text;
 			    text << _session->request;
 			    requests.push_back(text.str());
+			    arrivals.push_back(clock_system().steady());
 			    play(_session);
 		    });
 	}
 	void play(const session_ptr& _session)
 	{
-		step next{answer("fine"), false, false, false};
+		step next = usual;
 		if (!script.empty())
 		{
 			next = script.front();
@@ -284,8 +297,8 @@
 		bounds.retries = {
 		    0.2 / k_retry_used_part, 50.0 / k_retry_used_part, std::chrono::milliseconds(10000)};
 		m_forwarder = std::make_unique<forwarder>(*m_context, m_clock, header_names(),
-		    placement{"n1", "east-a", "east"}, bounds, *m_registry, m_fleet, m_quotas, m_rollouts, *m_log,
-		    m_metrics);
+		    placement{"n1", "east-a", "east"}, bounds, *m_registry, m_fleet, m_quotas, m_rollouts, m_limits,
+		    *m_log, m_metrics);
 		m_listener = std::make_unique<http_listener>(
 		    *m_context,
 		    [this](const std::shared_ptr<caller_session>& _session, caller_request&& _request)
@@ -306,12 +319,6 @@
 		m_context.reset();
 	}
 
-protected:
-	void set_routes(std::uint64_t _version = 1)
-	{
-		m_forwarder->set_routes(routes(_version));
-	}
-
 	static std::shared_ptr<const routing_table> routes(std::uint64_t _version)
 	{
 		route read;
@@ -335,6 +342,12 @@
 		    _version, std::vector<route>{read, pay}, std::vector<routed_service>{{"shop", 0, 0.0}}, limits);
 	}
 
+protected:
+	void set_routes(std::uint64_t _version = 1)
+	{
+		m_forwarder->set_routes(routes(_version));
+	}
+
 	scripted_backend& add_backend(const std::string& _id, int _slots = 3, const std::string& _version = "v1")
 	{
 		m_backends.push_back(std::make_unique<scripted_backend>(*m_context));
@@ -375,6 +388,7 @@
 	fleet_view_alone m_fleet;
 	scripted_quotas m_quotas;
 	scripted_rollouts m_rollouts;
+	heard_limits m_limits;
 	std::unique_ptr<backend_registry> m_registry;
 	std::unique_ptr<entry_log> m_log;
 	metrics m_metrics;
--- a/tests/forms/event_catalogue_form_test.cpp
+++ b/tests/forms/event_catalogue_form_test.cpp
@@ -89,6 +89,8 @@
 		    {1913, "rollout_decided", severity::info, "This node writes down how a roll-out goes on."},
 		    {1914, "rollout_changed", severity::info, "The store tells a new state of a roll-out."},
 		    {1915, "rollout_refused", severity::warning, "A key about a roll-out is none; nothing moves."},
+		    {1916, "backend_limited", severity::info,
+		        "A backend server names another limit of its requests, or none."},
 		};
 		CPPUNIT_ASSERT_EQUAL(std::size(known), event_catalogue().size());
 		for (std::size_t i = 0; i < std::size(known); ++i)
--- /dev/null
+++ b/tests/steering_backend_limit_test.cpp
@@ -0,0 +1,66 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// Words of backend servers about their limits: which are taken, and which of several holds.
+
+#include "fixtures.h"
+
+#include "steering/backend_limit_p.h"
+
+namespace larkrack
+{
+class steering_backend_limit_test : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(steering_backend_limit_test);
+	CPPUNIT_TEST(text_of_a_decimal_number_is_a_limit);
+	CPPUNIT_TEST(text_that_is_no_number_is_passed_over);
+	CPPUNIT_TEST(absurd_number_becomes_the_nearest_limit_that_can_be_kept);
+	CPPUNIT_TEST(newer_word_holds_whatever_order_words_come_in);
+	CPPUNIT_TEST_SUITE_END();
+
+protected:
+	static std::optional<limit_word> parse(const char* _text)
+	{
+		return parse_limit(_text, s_now);
+	}
+
+	void text_of_a_decimal_number_is_a_limit()
+	{
+		CPPUNIT_ASSERT_EQUAL(2.9, *parse("2.9")->per_s);
+		CPPUNIT_ASSERT_EQUAL(5.0, *parse("5")->per_s);
+		CPPUNIT_ASSERT(s_now == parse("5")->said_at);
+	}
+
+	void text_that_is_no_number_is_passed_over()
+	{
+		for (const char* text : {"", "-1", "nan", "inf", "2.9 a second", "0x10", " 5", "5,6"})
+		{
+			CPPUNIT_ASSERT_MESSAGE(text, !parse(text));
+		}
+	}
+
+	void absurd_number_becomes_the_nearest_limit_that_can_be_kept()
+	{
+		CPPUNIT_ASSERT_EQUAL(k_least_limit_per_s, *parse("0")->per_s);
+		CPPUNIT_ASSERT_EQUAL(k_least_limit_per_s, *parse("0.0000001")->per_s);
+		CPPUNIT_ASSERT(!parse("10000000000")->per_s);
+	}
+
+	void newer_word_holds_whatever_order_words_come_in()
+	{
+		named_limit limit;
+		CPPUNIT_ASSERT(!limit.limited());
+		CPPUNIT_ASSERT(limit.hear({5.0, s_now}));
+		CPPUNIT_ASSERT(!limit.hear({7.0, s_now - std::chrono::milliseconds(1)}));
+		CPPUNIT_ASSERT_EQUAL(5.0, *limit.word().per_s);
+		CPPUNIT_ASSERT(!limit.hear({5.0, s_now + std::chrono::milliseconds(1)}));
+		CPPUNIT_ASSERT(limit.hear({std::nullopt, s_now + std::chrono::milliseconds(2)}));
+		CPPUNIT_ASSERT(!limit.limited());
+	}
+
+	static constexpr steady_time s_now{std::chrono::hours(1)};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(steering_backend_limit_test);
+} // namespace larkrack
