Keep the exchange of tokens apart from the quotas of customers

The requests that wait for a token, and the questions and answers of nodes that lend, knew customers by name only; what a limit of a backend server needs is the same.

--- a/src/steering/customer_p.h
+++ b/src/steering/customer_p.h
@@ -19,6 +19,7 @@
 #pragma once
 
 #include "steering/names_p.h"
+#include "steering/quota_subject_p.h"
 
 #include "larkrack/outcome.h"
 
@@ -50,29 +51,11 @@
 	std::string m_text;
 };
 
-/// What a customer may send, over all nodes together.
-struct quota_limit
-{
-	double per_s = 0.0; ///< Requests a second; 0: no limit.
-	double burst = 0.0; ///< Requests above that, in any span.
-
-	bool limited() const
-	{
-		return per_s > 0.0;
-	}
-	friend bool operator==(const quota_limit& _a, const quota_limit& _b)
-	{
-		return _a.per_s == _b.per_s && _a.burst == _b.burst;
-	}
-};
-
-/// One customer as operators declare it.
-struct customer
+/// One customer as operators declare it. Its id is the hash of its name.
+struct customer : quota_subject
 {
 	customer_name name;
-	std::uint64_t id = 0; ///< Hash of the name, by which nodes tell each other of it.
-	int priority = 0;     ///< 0 is the highest.
-	quota_limit limit;
+	int priority = 0;                      ///< 0 is the highest.
 	std::vector<std::string> home_regions; ///< Empty: any region may serve.
 };
 
--- a/src/steering/quota_borrower.cpp
+++ b/src/steering/quota_borrower.cpp
@@ -37,9 +37,9 @@
 }
 } // namespace
 
-quota_borrower::account& quota_borrower::counted(std::uint64_t _customer, steady_time _now)
+quota_borrower::account& quota_borrower::counted(std::uint64_t _subject, steady_time _now)
 {
-	account& one = m_accounts[_customer];
+	account& one = m_accounts[_subject];
 	const double memory_s = seconds(k_account_rate_memory);
 	const double kept = steady_time{} == one.counted_at
 	                        ? 0.0
@@ -65,9 +65,9 @@
 	return true;
 }
 
-quota_answer quota_borrower::take(const customer& _customer, double _nodes, steady_time _now)
+quota_answer quota_borrower::take(const quota_subject& _subject, double _nodes, steady_time _now)
 {
-	account& one = counted(_customer.id, _now);
+	account& one = counted(_subject.id, _now);
 	one.per_s += 1.0 / seconds(k_account_rate_memory);
 	if (spend(one, _now))
 	{
@@ -77,7 +77,7 @@
 	{
 		return quota_answer::over;
 	}
-	return spend_in_doubt(one, _customer, _nodes, _now) ? quota_answer::granted : quota_answer::waits;
+	return spend_in_doubt(one, _subject, _nodes, _now) ? quota_answer::granted : quota_answer::waits;
 }
 
 bool quota_borrower::refuses(const account& _account, steady_time _now)
@@ -87,9 +87,9 @@
 }
 
 quota_answer quota_borrower::take_again(
-    const customer& _customer, const quota_lenders& _lenders, steady_time _now)
+    const quota_subject& _subject, const quota_lenders& _lenders, steady_time _now)
 {
-	account& one = counted(_customer.id, _now);
+	account& one = counted(_subject.id, _now);
 	if (spend(one, _now))
 	{
 		return quota_answer::granted;
@@ -110,7 +110,7 @@
 }
 
 bool quota_borrower::spend_in_doubt(
-    account& _account, const customer& _customer, double _nodes, steady_time _now) const
+    account& _account, const quota_subject& _subject, double _nodes, steady_time _now) const
 {
 	if (_now - m_started_at < m_bounds.window)
 	{
@@ -121,10 +121,10 @@
 	{
 		_account.in_doubt = 0;
 	}
-	const double in_window = _customer.limit.per_s * seconds(m_bounds.window) + _customer.limit.burst;
+	const double in_window = _subject.limit.per_s * seconds(m_bounds.window) + _subject.limit.burst;
 	const double all = k_doubt_of_overage * m_bounds.overage * in_window + k_doubt_of_slack * m_bounds.slack;
 	const double mine = all / std::max(1.0, _nodes);
-	const double rounding = unit_interval(_customer.id ^ m_node_hash);
+	const double rounding = unit_interval(_subject.id ^ m_node_hash);
 	if (_account.in_doubt + 1 > std::floor(mine + rounding))
 	{
 		return false;
@@ -134,9 +134,9 @@
 	return true;
 }
 
-void quota_borrower::give_back(const customer& _customer, steady_time _now)
+void quota_borrower::give_back(const quota_subject& _subject, steady_time _now)
 {
-	const auto it = m_accounts.find(_customer.id);
+	const auto it = m_accounts.find(_subject.id);
 	if (m_accounts.end() != it && _now < it->second.void_at)
 	{
 		it->second.tokens += 1.0;
@@ -164,9 +164,9 @@
 }
 
 std::optional<quota_request> quota_borrower::due(
-    const customer& _customer, const quota_lenders& _lenders, std::size_t _waiting, steady_time _now)
+    const quota_subject& _subject, const quota_lenders& _lenders, std::size_t _waiting, steady_time _now)
 {
-	account& one = counted(_customer.id, _now);
+	account& one = counted(_subject.id, _now);
 	if (steady_time{} != one.asked_at)
 	{
 		if (_now - one.asked_at < k_answer_time)
@@ -187,7 +187,7 @@
 	one.asked_at = _now;
 	note_asked(one.asked, _now);
 	quota_request request;
-	request.customer = _customer.id;
+	request.customer = _subject.id;
 	const double wanted = std::max(1.0, static_cast<double>(_waiting) + ahead - held);
 	request.wanted = static_cast<std::uint16_t>(std::min(wanted, k_most_wanted));
 	one.wanted = request.wanted;
@@ -218,19 +218,28 @@
 	if (0 == _grant.granted)
 	{
 		one.over = _grant.wait > k_short_wait;
-		one.pause_until = _now + std::clamp(_grant.wait, k_least_pause, k_longest_pause);
+		one.pause_until = _now + std::clamp(_grant.wait, k_least_pause, m_bounds.longest_pause);
 		return;
 	}
 	one.over = one.over && _grant.granted < one.wanted;
 	const int made_up = std::min<int>(one.in_doubt, _grant.granted);
 	one.in_doubt -= made_up;
 	one.tokens = (_now < one.void_at ? one.tokens : 0.0) + _grant.granted - made_up;
-	one.void_at = _now + k_token_life;
+	one.void_at = _now + m_bounds.token_life;
 }
 
-double quota_borrower::seconds_to_come_back(const customer& _customer) const
+void quota_borrower::on_limit_fell(std::uint64_t _subject, double _part)
 {
-	const auto it = m_accounts.find(_customer.id);
+	const auto it = m_accounts.find(_subject);
+	if (m_accounts.end() != it)
+	{
+		it->second.tokens *= _part;
+	}
+}
+
+double quota_borrower::seconds_to_come_back(const quota_subject& _subject) const
+{
+	const auto it = m_accounts.find(_subject.id);
 	if (m_accounts.end() == it)
 	{
 		return k_back_first_s;
--- a/src/steering/quota_borrower_p.h
+++ b/src/steering/quota_borrower_p.h
@@ -20,7 +20,8 @@
 ///   A request takes it in place of waiting, and it comes back with the next tokens; when no lender answers,
 ///   it is all there is. What makes less than one request, some nodes have by the hash of their name. A node
 ///   that started within the window has none: it can't know what its former life had.
-/// - Tokens that were not used for k_token_life are void: the lender has given their time to others.
+/// - Tokens that were not used for quota_bounds::token_life are void: the lender has given their time to
+/// others.
 ///
 /// What is sent above what the lender lends: the tokens that nodes hold, k_horizon of the rate.
 ///
@@ -39,9 +40,6 @@
 /// Time for whose requests a node holds tokens. Longer: fewer messages, more above the limit after a jump.
 /// Shorter: requests of customers with a high rate wait for the lender. Not measured.
 constexpr std::chrono::milliseconds k_horizon{200};
-/// Time after which tokens are void. Longer: more above the limit. Shorter: tokens of customers with a
-/// changing rate are lost. Not measured.
-constexpr std::chrono::milliseconds k_token_life{1000};
 /// Time for an answer of a lender; to another region and back take 70 ms, and a node with a link of 10 Mbit/s
 /// may be sending a large answer for 70 to 400 ms. Longer: requests wait longer for a dead lender. Shorter:
 /// more questions than needed, and live lenders count as silent; at 100 ms without late answers 3 of 100
@@ -53,10 +51,9 @@
 /// Time for which a silent lender is passed over. Longer: a stand-in lends beside one that answers again.
 /// Shorter: more requests wait for a dead one. Not measured.
 constexpr std::chrono::milliseconds k_passed_over{1000};
-/// Shortest and longest time between two questions in vain. Shorter: more messages about customers above
-/// their limit. Longer: tokens come to few nodes at a time. Not measured.
+/// Shortest time between two questions in vain. Shorter: more messages about customers above their limit. Not
+/// measured.
 constexpr std::chrono::milliseconds k_least_pause{50};
-constexpr std::chrono::milliseconds k_longest_pause{200}; ///< See above.
 /// A shortage that the lender takes to be over within this time is waited for. Longer: callers above the
 /// limit wait in vain. Shorter: customers below their limit are refused when their requests come together.
 /// Not measured.
@@ -66,15 +63,6 @@
 /// Time for which the account of a customer that does not send is kept.
 constexpr std::chrono::seconds k_account_kept{10};
 
-/// What a request of a customer meets.
-enum class quota_answer
-{
-	granted, ///< It has a token.
-	waits,   ///< The lender's answer decides.
-	over,    ///< The customer is above its limit.
-	unknown, ///< No lender answers.
-};
-
 /// Who lends the tokens of a customer, as this node sees it.
 struct quota_lenders
 {
@@ -95,15 +83,15 @@
 	/// Counts a request of a customer.
 	/// @param[in] _nodes Nodes that share what there is without a lender.
 	/// @returns Never unknown.
-	quota_answer take(const customer& _customer, double _nodes, steady_time _now);
+	quota_answer take(const quota_subject& _subject, double _nodes, steady_time _now);
 	/// Asks again for a request that waits.
-	quota_answer take_again(const customer& _customer, const quota_lenders& _lenders, steady_time _now);
+	quota_answer take_again(const quota_subject& _subject, const quota_lenders& _lenders, steady_time _now);
 	/// Takes back the token of a request that reached no backend server.
-	void give_back(const customer& _customer, steady_time _now);
+	void give_back(const quota_subject& _subject, steady_time _now);
 	/// @param[in] _waiting Requests that wait for a token.
 	/// @returns What to ask now; nothing when no question is due.
 	std::optional<quota_request> due(
-	    const customer& _customer, const quota_lenders& _lenders, std::size_t _waiting, steady_time _now);
+	    const quota_subject& _subject, const quota_lenders& _lenders, std::size_t _waiting, steady_time _now);
 	/// @returns Whether a lender left this node's questions without an answer of late.
 	bool is_silent(std::uint32_t _lender, steady_time _now) const;
 	/// Late answers count as well: the lender has given their tokens away.
@@ -111,8 +99,11 @@
 	void on_grant(const quota_grant& _grant, std::uint32_t _lender, steady_time _now);
 	/// Takes the word of the stand-in that the first lender answers.
 	void on_sent_back(const quota_grant& _grant, std::uint32_t _first);
+	/// Takes a limit that fell: of the tokens that were lent under the former one, a part stays.
+	/// @param[in] _part 0 to 1.
+	void on_limit_fell(std::uint64_t _subject, double _part);
 	/// @returns Seconds until a customer that was refused may find tokens, by how far it is above its limit.
-	double seconds_to_come_back(const customer& _customer) const;
+	double seconds_to_come_back(const quota_subject& _subject) const;
 	/// Drops accounts of customers that do not send.
 	void forget_idle(steady_time _now);
 	std::size_t size() const
@@ -144,11 +135,12 @@
 	};
 	/// @returns Whether a request without a token is refused at once.
 	static bool refuses(const account& _account, steady_time _now);
-	account& counted(std::uint64_t _customer, steady_time _now);
+	account& counted(std::uint64_t _subject, steady_time _now);
 	void note_unanswered(account& _account, steady_time _now);
 	void note_asked(std::uint32_t _lender, steady_time _now);
 	bool spend(account& _account, steady_time _now);
-	bool spend_in_doubt(account& _account, const customer& _customer, double _nodes, steady_time _now) const;
+	bool spend_in_doubt(
+	    account& _account, const quota_subject& _subject, double _nodes, steady_time _now) const;
 
 	quota_bounds m_bounds;
 	std::uint64_t m_node_hash;
--- a/src/steering/quota_lender.cpp
+++ b/src/steering/quota_lender.cpp
@@ -40,12 +40,12 @@
 	m_part = std::min(1.0, _in_sight / std::max(1.0, _most));
 }
 
-quota_lender::bucket& quota_lender::filled(const customer& _customer, lender_rank _rank, steady_time _now)
+quota_lender::bucket& quota_lender::filled(const quota_subject& _subject, lender_rank _rank, steady_time _now)
 {
 	const double rank_part = lender_rank::first == _rank ? 1.0 : k_stand_in_part;
-	const double per_s = rank_part * m_part * _customer.limit.per_s;
-	const double depth = m_part * (_customer.limit.burst + k_depth_of_slack * m_bounds.slack);
-	bucket& one = m_buckets[_customer.id];
+	const double per_s = rank_part * m_part * _subject.limit.per_s;
+	const double depth = m_part * (_subject.limit.burst + k_depth_of_slack * m_bounds.slack);
+	bucket& one = m_buckets[_subject.id];
 	if (one.asked_at + k_goes_on < m_settled_since || steady_time{} == one.asked_at)
 	{
 		one = bucket();
@@ -64,9 +64,9 @@
 	return one;
 }
 
-quota_grant quota_lender::lend(const customer& _customer, const quota_request& _request, steady_time _now)
+quota_grant quota_lender::lend(const quota_subject& _subject, const quota_request& _request, steady_time _now)
 {
-	bucket& one = filled(_customer, _request.rank, _now);
+	bucket& one = filled(_subject, _request.rank, _now);
 	const double wanted = _request.wanted;
 	const double granted = std::min(wanted, std::floor(one.tokens));
 	one.tokens -= granted;
@@ -76,7 +76,7 @@
 	grant.granted = static_cast<std::uint16_t>(granted);
 	if (granted < 1.0)
 	{
-		grant.wait = k_least_wait + time_for(one.unmet - one.tokens, m_part * _customer.limit.per_s);
+		grant.wait = k_least_wait + time_for(one.unmet - one.tokens, m_part * _subject.limit.per_s);
 	}
 	return grant;
 }
--- a/src/steering/quota_lender_p.h
+++ b/src/steering/quota_lender_p.h
@@ -60,7 +60,7 @@
 	{
 		m_settled_since = _now;
 	}
-	quota_grant lend(const customer& _customer, const quota_request& _request, steady_time _now);
+	quota_grant lend(const quota_subject& _subject, const quota_request& _request, steady_time _now);
 	/// Drops buckets that nobody asks for.
 	void forget_idle(steady_time _now);
 	std::size_t size() const
@@ -77,7 +77,7 @@
 		double unmet = 0.0; ///< Tokens that were wanted and not there, of about the last second.
 	};
 	/// @returns The bucket, filled up to now.
-	bucket& filled(const customer& _customer, lender_rank _rank, steady_time _now);
+	bucket& filled(const quota_subject& _subject, lender_rank _rank, steady_time _now);
 
 	quota_bounds m_bounds;
 	steady_time m_settled_since;
--- a/src/steering/quota_p.h
+++ b/src/steering/quota_p.h
@@ -4,20 +4,28 @@
 /// @file
 /// Quotas over all nodes: what nodes say to each other about a customer's tokens, and the bounds that hold.
 ///
-/// A request of a customer with a limit takes a token. One node lends the tokens of a customer, the first by
-/// rendezvous hashing (quota_lender_p.h); the others borrow from it (quota_borrower_p.h), ahead of need where
-/// they send much, one by one where they send little. No node knows or tells anything of customers that don't
-/// send there, so state and messages grow with requests, not with nodes times customers.
+/// A request of a customer with a limit takes a token, and so does one to a backend server that names a limit
+/// (backend_limit_p.h); "customer" below stands for either. One node lends the tokens of a customer, the
+/// first on the ring of nodes (quota_lender_p.h); the others borrow from it (quota_borrower_p.h), ahead of
+/// need where they send much, one by one where they send little. No node knows or tells anything of customers
+/// that don't send there, so state and messages grow with requests, not with nodes times customers.
 ///
 /// Other ways, with figures: docs/design/shifted-customers.md.
 #pragma once
 
-#include "steering/customer_p.h"
+#include "steering/quota_subject_p.h"
 
 #include "base/clock_p.h"
 
 namespace larkrack
 {
+/// Time after which borrowed tokens are void. Longer: more above the limit. Shorter: tokens of customers with
+/// a changing rate are lost. Not measured.
+constexpr std::chrono::milliseconds k_token_life{1000};
+/// Longest time between two questions in vain. Shorter: more messages about customers above their limit.
+/// Longer: tokens come to few nodes at a time. Not measured.
+constexpr std::chrono::milliseconds k_longest_pause{200};
+
 /// What a customer's requests may sum up to over all nodes, in any window: (rate x window + burst) x (1 +
 /// overage) + slack.
 struct quota_bounds
@@ -25,6 +33,17 @@
 	std::chrono::milliseconds window{5000};
 	double overage = 0.0; ///< Part of what the limit allows.
 	double slack = 0.0;   ///< Requests.
+	std::chrono::milliseconds token_life{k_token_life};
+	std::chrono::milliseconds longest_pause{k_longest_pause}; ///< Between two questions in vain.
+};
+
+/// What a request that needs a token meets.
+enum class quota_answer
+{
+	granted, ///< It has a token.
+	waits,   ///< The lender's answer decides.
+	over,    ///< The customer is above its limit.
+	unknown, ///< No lender answers.
 };
 
 /// Which lender a node asks.
@@ -37,7 +56,7 @@
 /// A node asks for tokens.
 struct quota_request
 {
-	std::uint64_t customer = 0; ///< customer::id.
+	std::uint64_t customer = 0; ///< quota_subject::id.
 	std::uint16_t wanted = 0;   ///< Tokens; at least 1.
 	lender_rank rank = lender_rank::first;
 };
--- a/tests/steering_quota_test.cpp
+++ b/tests/steering_quota_test.cpp
@@ -3,6 +3,7 @@
 
 #include "fixtures.h"
 
+#include "steering/customer_p.h"
 #include "steering/node_ring_p.h"
 #include "steering/quota_borrower_p.h"
 #include "steering/quota_lender_p.h"
