Use limits whole when most backend servers name one

Cause: a request that found one limit spent asked for no other token, and a lender told nodes to stay away for as long as all tokens that were wanted would take, also those wanted ahead by requests that had gone elsewhere: 2 s, in which tokens were lost.

Change: a request may ask one limited backend server after the other for a tenth of its objective, as it would wait for a slot; and a lender of limits tells the wait by the questions that got nothing.

--- a/src/entry_node/forwarded_request.cpp
+++ b/src/entry_node/forwarded_request.cpp
@@ -167,8 +167,10 @@
 	query.versions = m_versions;
 	query.sharers = m_context.fleet.sharers();
 	query.tokens = &m_context.limits;
-	// A request waits for one token at most, and a resend for none: they go where there is room.
-	query.waits_for_token = m_tried.empty() && !m_has_asked;
+	// A resend asks for no token: it goes where there is room.
+	const bool in_time = steady_time{} == m_asking_since ||
+	                     m_context.clock.steady() - m_asking_since < longest_wait(m_route->objective);
+	query.waits_for_token = m_tried.empty() && in_time;
 	query.without_token = &m_without_token;
 	if (m_route->large_answers)
 	{
@@ -239,7 +241,7 @@
 void forwarded_request::ask_for_token(const backend_ptr& _backend)
 {
 	m_state = state::asking;
-	m_has_asked = true;
+	m_asking_since = steady_time{} == m_asking_since ? m_context.clock.steady() : m_asking_since;
 	m_context.limits.wait_for_token(*_backend,
 	    [self = shared_from_this(), _backend](quota_answer _answer)
 	    {
--- a/src/entry_node/forwarded_request_p.h
+++ b/src/entry_node/forwarded_request_p.h
@@ -110,6 +110,7 @@
 	steady_time m_arrived_at{};
 	steady_time m_sent_at{};
 	steady_time m_deadline{};
+	steady_time m_asking_since{}; ///< For tokens of limits of backend servers; epoch: it did not ask.
 	asio::steady_timer m_deadline_timer;
 	asio::steady_timer m_wait_timer;
 	std::shared_ptr<upstream_exchange> m_exchange; ///< Null between two attempts.
@@ -120,7 +121,6 @@
 	attempt_history m_history;
 	state m_state = state::fresh;
 	bool m_has_token = false;   ///< Of the customer's quota.
-	bool m_has_asked = false;   ///< For a token of a backend server's limit.
 	bool m_only_limits = false; ///< At the last try, spent limits alone kept it from being sent.
 };
 } // namespace larkrack
--- a/src/steering/backend_limit_p.h
+++ b/src/steering/backend_limit_p.h
@@ -38,7 +38,7 @@
 
 /// What requests may sum up to in any window, beside the limit itself: half as much again, and five more.
 constexpr quota_bounds k_limit_bounds{std::chrono::milliseconds(4000), 0.5, 5.0,
-    std::chrono::milliseconds(300), std::chrono::milliseconds(2000)};
+    std::chrono::milliseconds(300), std::chrono::milliseconds(2000), true};
 /// Time for which a limit is saved up, seconds, and requests beside. More: more at once after a pause. Less:
 /// what comes together between two questions is lost.
 constexpr double k_limit_burst_s = 0.1;
--- a/src/steering/quota_lender.cpp
+++ b/src/steering/quota_lender.cpp
@@ -70,7 +70,7 @@
 	const double wanted = _request.wanted;
 	const double granted = std::min(wanted, std::floor(one.tokens));
 	one.tokens -= granted;
-	one.unmet += wanted - granted;
+	one.unmet += m_bounds.counts_questions ? (granted < 1.0 ? 1.0 : 0.0) : wanted - granted;
 	quota_grant grant;
 	grant.customer = _request.customer;
 	grant.granted = static_cast<std::uint16_t>(granted);
--- a/src/steering/quota_p.h
+++ b/src/steering/quota_p.h
@@ -35,6 +35,9 @@
 	double slack = 0.0;   ///< Requests.
 	std::chrono::milliseconds token_life{k_token_life};
 	std::chrono::milliseconds longest_pause{k_longest_pause}; ///< Between two questions in vain.
+	/// Whether a shortage is told by the questions that got nothing, in place of the tokens that they wanted:
+	/// for limits of which one request may try several, so that many want tokens that few need.
+	bool counts_questions = false;
 };
 
 /// What a request that needs a token meets.
--- a/tests/steering_quota_test.cpp
+++ b/tests/steering_quota_test.cpp
@@ -44,6 +44,7 @@
 	CPPUNIT_TEST(lender_with_few_nodes_in_sight_lends_their_part);
 	CPPUNIT_TEST(lender_without_tokens_tells_how_long_all_who_ask_would_wait);
 	CPPUNIT_TEST(lender_of_a_lowered_limit_lends_by_the_new_one);
+	CPPUNIT_TEST(lender_that_counts_questions_tells_a_wait_by_those_who_ask);
 	CPPUNIT_TEST(bucket_that_nobody_asks_for_is_dropped);
 	CPPUNIT_TEST_SUITE_END();
 
@@ -109,6 +110,20 @@
 		CPPUNIT_ASSERT_EQUAL(20, lent(m_shop, 1000)); // 0.4 of 50.
 	}
 
+	/// Requests that try one limit after the other want more tokens of each than they need.
+	void lender_that_counts_questions_tells_a_wait_by_those_who_ask()
+	{
+		quota_bounds bounds = k_bounds;
+		bounds.counts_questions = true;
+		quota_lender lender(bounds, m_now);
+		quota_grant last;
+		for (int question = 0; question < 5; ++question)
+		{
+			last = lender.lend(m_shop, wanting(m_shop, 100), m_now);
+		}
+		CPPUNIT_ASSERT(0 == last.granted && last.wait >= ms(50) && last.wait < ms(60));
+	}
+
 	void lender_without_tokens_tells_how_long_all_who_ask_would_wait()
 	{
 		m_now += std::chrono::minutes(1);
