Count the nodes that may lend without the table of lenders

Read in the diff: each tick asked for the lenders of the region, so their table (8 places a node, sorted) was built anew whenever any node came or went, also where no backend server names a limit. The nodes are counted in a pass now, as tick() has others; the table is built by the first request to a limited backend server.

--- a/src/entry_node/fleet_answers.cpp
+++ b/src/entry_node/fleet_answers.cpp
@@ -390,8 +390,14 @@
 
 nodes_in_sight fleet::in_sight_of_region() const
 {
-	const lender_table& table = lenders_of(m_self.region);
-	return {in_sight_of(table.holders.size()), static_cast<double>(m_census.most_in_region()), table.version};
+	// Counted here, so that the table of lenders is built only where a limit is named.
+	const live_summary& summary = live();
+	std::size_t takers = node_state::ready == m_self.state ? 1 : 0;
+	for (const auto& [name, member] : m_members)
+	{
+		takers += node_state::ready == member.last.state && is_near(member, summary.at) ? 1 : 0;
+	}
+	return {in_sight_of(takers), static_cast<double>(m_census.most_in_region()), summary.takers_version};
 }
 
 rate_by_region fleet::demand_of_others(const service_name& _service) const
--- a/tests/forms/daemon_log_forms_test.cpp
+++ b/tests/forms/daemon_log_forms_test.cpp
@@ -138,6 +138,7 @@
 1913 rollout_decided info
 1914 rollout_changed info
 1915 rollout_refused warning
+1916 backend_limited info
 )",
 		    table);
 	}
