--- a/tests/forms/programs.py
+++ b/tests/forms/programs.py
@@ -64,9 +64,9 @@
 larkrack_callers_left gauge Callers that left before their answer.
 larkrack_config_version gauge Version of the configuration in force.
 larkrack_in_flight gauge Requests whose answer is due.
-larkrack_log_lines_dropped gauge Lines of the log that were dropped.
 larkrack_limit_refusals gauge Requests that the limit of a backend server kept from it.
 larkrack_limited_backends gauge Backend servers that name a limit of their requests.
+larkrack_log_lines_dropped gauge Lines of the log that were dropped.
 larkrack_lookups_total counter Look-ups answered.
 larkrack_nodes gauge Other nodes that were heard of.
 larkrack_queued gauge Requests that waited for a slot.
