--- /dev/null
+++ b/tests/node_group_fixture.h
@@ -0,0 +1,167 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// Several nodes in one process: each with its listener, its forwarder and its own view of the same backend
+/// servers, in sight of all others. Datagrams arrive at once and are never lost.
+#pragma once
+
+#include "entry_fixture.h"
+
+#include "steering/node_ring_p.h"
+#include "steering/rendezvous_p.h"
+
+namespace larkrack
+{
+constexpr std::size_t k_group_nodes = 9;
+
+inline std::string name_of(std::size_t _number)
+{
+	return "n" + std::to_string(_number);
+}
+
+/// Each node sees all others; its address is its number.
+class all_in_sight : public fleet_view_alone
+{
+public:
+	explicit all_in_sight(std::size_t _self) : m_self(_self)
+	{
+		nodes = k_group_nodes;
+		std::vector<node_name> names;
+		for (std::size_t i = 0; i < k_group_nodes; ++i)
+		{
+			names.emplace_back(name_of(i));
+		}
+		m_ring.build(names);
+	}
+	quota_holders holders_in(const region_name&, std::uint64_t _thing) const override
+	{
+		const ring_owners owners = m_ring.owners_of(_thing);
+		return {holder(owners.first), holder(owners.stand_in)};
+	}
+	std::vector<std::string> region_addresses() const override
+	{
+		std::vector<std::string> others;
+		for (std::size_t i = 0; i < k_group_nodes; ++i)
+		{
+			if (i != m_self)
+			{
+				others.push_back(std::to_string(i));
+			}
+		}
+		return others;
+	}
+
+private:
+	quota_holder holder(std::size_t _node) const
+	{
+		return {_node == m_self ? "" : std::to_string(_node), short_hash(name_of(_node))};
+	}
+
+	std::size_t m_self;
+	node_ring m_ring;
+};
+
+/// One node: a forwarder with its listener, and its own view of the backend servers.
+class group_node
+{
+public:
+	using sender = backend_limits::sender;
+
+	group_node(asio::io_context& _context, const clock_base& _clock, std::size_t _number,
+	    const std::vector<backend_record>& _records, sender _send)
+	    : m_clock(_clock), m_fleet(_number),
+	      m_registry(std::unordered_map<std::string, std::string>{{"east-a", "east"}}),
+	      m_log(name_of(_number), -1),
+	      m_limits(_context, _clock, m_fleet, m_registry, placement{name_of(_number), "east-a", "east"},
+	          m_log, std::move(_send)),
+	      m_forwarder(_context, _clock, header_names(), placement{name_of(_number), "east-a", "east"},
+	          shared_bounds(), m_registry, m_fleet, m_quotas, m_rollouts, m_limits, m_log, m_metrics),
+	      m_listener(
+	          _context,
+	          [this](const std::shared_ptr<caller_session>& _session, caller_request&& _request)
+	          {
+		          m_forwarder.handle(_session, std::move(_request));
+	          },
+	          1000)
+	{
+		for (const backend_record& record : _records)
+		{
+			m_registry.put(record, _clock.steady());
+		}
+		m_forwarder.set_routes(entry_fixture::routes(1));
+		CPPUNIT_ASSERT(!m_listener.listen(tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)));
+	}
+	tcp::endpoint address() const
+	{
+		return m_listener.address();
+	}
+	backend_registry& registry()
+	{
+		return m_registry;
+	}
+	void take(const std::vector<std::uint8_t>& _bytes, const std::string& _sender)
+	{
+		result<limit_message> decoded = decode_limit_message(_bytes.data(), _bytes.size(), m_clock.steady());
+		m_limits.on_message(*value_of(decoded), _sender);
+	}
+	void tick()
+	{
+		m_limits.tick();
+		m_forwarder.tick();
+	}
+
+private:
+	const clock_base& m_clock;
+	all_in_sight m_fleet;
+	scripted_quotas m_quotas;
+	scripted_rollouts m_rollouts;
+	backend_registry m_registry;
+	entry_log m_log;
+	backend_limits m_limits;
+	metrics m_metrics;
+	forwarder m_forwarder;
+	http_listener m_listener;
+};
+
+inline backend_record record_of(const std::string& _id, const scripted_backend& _backend)
+{
+	backend_record record;
+	record.id = backend_id(_id);
+	record.service = service_name("shop");
+	record.domain = domain_name("east-a");
+	record.slots = 3;
+	record.address = _backend.address();
+	return record;
+}
+
+/// The nodes, and what they send each other.
+class node_group
+{
+public:
+	node_group(
+	    asio::io_context& _context, const clock_base& _clock, const std::vector<backend_record>& _records)
+	{
+		for (std::size_t i = 0; i < k_group_nodes; ++i)
+		{
+			const auto send = [this, &_context, i](
+			                      const std::vector<std::uint8_t>& _bytes, const std::string& _ip)
+			{
+				asio::post(_context,
+				    [this, i, _bytes, to = std::stoul(_ip)]
+				    {
+					    m_nodes.at(to)->take(_bytes, std::to_string(i));
+				    });
+			};
+			m_nodes.push_back(std::make_unique<group_node>(_context, _clock, i, _records, send));
+		}
+	}
+	group_node& at(std::size_t _number)
+	{
+		return *m_nodes.at(_number);
+	}
+
+private:
+	std::vector<std::unique_ptr<group_node>> m_nodes;
+};
+} // namespace larkrack
