--- /dev/null
+++ b/tests/crashing_request_test.cpp
@@ -0,0 +1,283 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// A request that ends each backend server that runs it, and that comes again at any node under another id.
+
+#include "node_group_fixture.h"
+
+#include <set>
+
+namespace larkrack
+{
+namespace
+{
+using ms = std::chrono::milliseconds;
+
+constexpr ms k_work{20};         ///< From the begin of a request to its answer, or to the end of its server.
+constexpr ms k_down{400};        ///< From the end of a backend server to the next start at its place.
+constexpr ms k_comes_again{90};  ///< Between two arrivals of the crashing request.
+constexpr ms k_pause{15};        ///< Between two other requests.
+constexpr ms k_known_after{500}; ///< From the third crash until all nodes have to know.
+constexpr ms k_played{4000};
+constexpr std::size_t k_servers = 8;
+constexpr std::size_t k_crashes = 3;     ///< After which the request has shown what it does.
+constexpr std::size_t k_sends_after = 3; ///< In all, however long it comes.
+const std::string k_crashing_path = "/read/ends";
+
+/// Backend server that ends when it runs a certain request, with all that it has, and starts again.
+class ending_server : public std::enable_shared_from_this<ending_server>
+{
+public:
+	ending_server(
+	    asio::io_context& _context, std::size_t _place, std::function<void(ending_server&)> _on_start)
+	    : m_context(_context), m_place(_place), m_on_start(std::move(_on_start)), m_timer(_context)
+	{
+	}
+	void start()
+	{
+		m_acceptor =
+		    std::make_unique<tcp::acceptor>(m_context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+		++m_life;
+		accept();
+		m_on_start(*this);
+	}
+	backend_id id() const
+	{
+		return backend_id("b" + std::to_string(m_place) + "." + std::to_string(m_life));
+	}
+	/// @returns The id of the life before this one.
+	backend_id former_id() const
+	{
+		return backend_id("b" + std::to_string(m_place) + "." + std::to_string(m_life - 1));
+	}
+	tcp::endpoint address() const
+	{
+		return m_acceptor->local_endpoint();
+	}
+
+	std::vector<steady_time> crashing_arrivals;
+	std::vector<steady_time> ends;
+
+private:
+	struct session
+	{
+		explicit session(tcp::socket _socket) : socket(std::move(_socket)), timer(socket.get_executor())
+		{
+		}
+		tcp::socket socket;
+		asio::steady_timer timer;
+		beast::flat_buffer buffer;
+		http::request<http::string_body> request;
+		std::string answer;
+	};
+	using session_ptr = std::shared_ptr<session>;
+
+	void accept()
+	{
+		m_acceptor->async_accept(
+		    [self = shared_from_this()](beast::error_code _error, tcp::socket _socket)
+		    {
+			    if (_error)
+			    {
+				    return;
+			    }
+			    const auto one = std::make_shared<session>(std::move(_socket));
+			    self->m_sessions.insert(one);
+			    self->read(one);
+			    self->accept();
+		    });
+	}
+	void read(const session_ptr& _session)
+	{
+		_session->request = {};
+		http::async_read(_session->socket, _session->buffer, _session->request,
+		    [self = shared_from_this(), _session](beast::error_code _error, std::size_t)
+		    {
+			    if (_error)
+			    {
+				    self->m_sessions.erase(_session);
+				    return;
+			    }
+			    self->run(_session);
+		    });
+	}
+	void run(const session_ptr& _session)
+	{
+		const bool crashes = k_crashing_path == _session->request.target();
+		if (crashes)
+		{
+			crashing_arrivals.push_back(clock_system().steady());
+		}
+		_session->timer.expires_after(k_work);
+		_session->timer.async_wait(
+		    [self = shared_from_this(), _session, crashes](beast::error_code _error)
+		    {
+			    if (_error || !_session->socket.is_open())
+			    {
+				    return;
+			    }
+			    crashes ? self->end() : self->answer(_session);
+		    });
+	}
+	void answer(const session_ptr& _session)
+	{
+		_session->answer = scripted_backend::answer("fine");
+		_session->answer.replace(
+		    _session->answer.find("{id}"), 4, std::string(_session->request["Larkrack-Request-Id"]));
+		asio::async_write(_session->socket, asio::buffer(_session->answer),
+		    [self = shared_from_this(), _session](beast::error_code, std::size_t)
+		    {
+			    self->read(_session);
+		    });
+	}
+	void end()
+	{
+		ends.push_back(clock_system().steady());
+		m_acceptor->close();
+		for (const session_ptr& one : std::exchange(m_sessions, {}))
+		{
+			beast::error_code ignored;
+			one->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+			one->socket.close(ignored);
+			one->timer.cancel();
+		}
+		m_timer.expires_after(k_down);
+		m_timer.async_wait(
+		    [self = shared_from_this()](beast::error_code _error)
+		    {
+			    if (!_error)
+			    {
+				    self->start();
+			    }
+		    });
+	}
+
+	asio::io_context& m_context;
+	std::size_t m_place;
+	std::function<void(ending_server&)> m_on_start;
+	asio::steady_timer m_timer;
+	std::unique_ptr<tcp::acceptor> m_acceptor;
+	std::set<session_ptr> m_sessions;
+	int m_life = 0;
+};
+
+/// Nine nodes, and backend servers that a certain request ends.
+class crashing_play
+{
+public:
+	crashing_play()
+	{
+		const auto on_start = [this](ending_server& _server)
+		{
+			for (std::size_t i = 0; m_nodes && i < k_group_nodes; ++i)
+			{
+				m_nodes->at(i).registry().remove(_server.former_id());
+				m_nodes->at(i).registry().put(
+				    record_at(_server.id().text, _server.address()), m_clock.steady());
+			}
+		};
+		std::vector<backend_record> records;
+		for (std::size_t i = 0; i < k_servers; ++i)
+		{
+			m_servers.push_back(std::make_shared<ending_server>(m_context, i, on_start));
+			m_servers.back()->start();
+			records.push_back(record_at(m_servers.back()->id().text, m_servers.back()->address()));
+		}
+		m_nodes = std::make_unique<node_group>(m_context, m_clock, records);
+	}
+	~crashing_play()
+	{
+		m_context.stop();
+	}
+	crashing_play(const crashing_play&) = delete;
+	crashing_play& operator=(const crashing_play&) = delete;
+
+	/// Other requests all the time, and the crashing one at another node each time.
+	void run()
+	{
+		const steady_time until = m_clock.steady() + k_played;
+		steady_time comes_at = m_clock.steady() + k_comes_again;
+		while (m_clock.steady() < until)
+		{
+			const bool crashing = m_clock.steady() >= comes_at;
+			comes_at += crashing ? k_comes_again : ms(0);
+			send(crashing ? k_crashing_path : "/read/" + std::to_string(m_sent % 50));
+			m_context.run_for(k_pause);
+			m_nodes->at(m_sent % k_group_nodes).tick();
+		}
+	}
+	std::size_t ended() const
+	{
+		return all(&ending_server::ends).size();
+	}
+	/// @returns Sends of the request that came when all nodes had to know.
+	std::size_t sends_after() const
+	{
+		const std::vector<steady_time> ends = all(&ending_server::ends);
+		const std::vector<steady_time> arrivals = all(&ending_server::crashing_arrivals);
+		const steady_time known = ends.at(k_crashes - 1) + k_known_after;
+		return static_cast<std::size_t>(
+		    arrivals.end() - std::upper_bound(arrivals.begin(), arrivals.end(), known));
+	}
+
+private:
+	static backend_record record_at(const std::string& _id, const tcp::endpoint& _address)
+	{
+		backend_record record;
+		record.id = backend_id(_id);
+		record.service = service_name("shop");
+		record.domain = domain_name("east-a");
+		record.slots = 9;
+		record.address = _address;
+		return record;
+	}
+	std::vector<steady_time> all(std::vector<steady_time> ending_server::*_times) const
+	{
+		std::vector<steady_time> times;
+		for (const auto& server : m_servers)
+		{
+			times.insert(times.end(), ((*server).*_times).begin(), ((*server).*_times).end());
+		}
+		std::sort(times.begin(), times.end());
+		return times;
+	}
+	void send(const std::string& _path)
+	{
+		const std::string id = "r" + std::to_string(++m_sent);
+		m_callers.emplace_back(m_context, m_nodes->at(m_sent % k_group_nodes).address());
+		m_callers.back().send("GET " + _path + " HTTP/1.1\r\nHost: shop.example\r\nLarkrack-Request-Id: " +
+		                      id + "\r\nLarkrack-Deadline-Ms: 1500\r\n\r\n");
+	}
+
+	asio::io_context m_context{1};
+	clock_system m_clock;
+	std::vector<std::shared_ptr<ending_server>> m_servers;
+	std::unique_ptr<node_group> m_nodes;
+	std::deque<raw_caller> m_callers;
+	std::size_t m_sent = 0;
+};
+} // namespace
+
+class crashing_request_test : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(crashing_request_test);
+	CPPUNIT_TEST(request_that_has_ended_three_servers_is_sent_three_times_more_at_most);
+	CPPUNIT_TEST_SUITE_END();
+
+protected:
+	/// Guards against a harm that one request does, remembered by no node beyond that request's life.
+	void request_that_has_ended_three_servers_is_sent_three_times_more_at_most()
+	{
+		crashing_play play;
+		play.run();
+		CPPUNIT_ASSERT(play.ended() >= k_crashes);
+		const std::string seen = std::to_string(play.sends_after()) +
+		                         " sends after the third crash was known, " + std::to_string(play.ended()) +
+		                         " servers ended";
+		CPPUNIT_ASSERT_MESSAGE(seen, play.sends_after() <= k_sends_after);
+	}
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(crashing_request_test);
+} // namespace larkrack
