--- a/src/base/clock_p.h
+++ b/src/base/clock_p.h
@@ -48,6 +48,18 @@
 	return _time.time_since_epoch().count();
 }
 
+/// @returns Whole milliseconds of an interval.
+inline std::chrono::milliseconds to_ms(steady_time::duration _interval)
+{
+	return std::chrono::duration_cast<std::chrono::milliseconds>(_interval);
+}
+
+/// @returns Seconds of an interval.
+inline double to_s(steady_time::duration _interval)
+{
+	return std::chrono::duration<double>(_interval).count();
+}
+
 /// @returns A wall time from microseconds since 1970.
 inline wall_time from_us(std::int64_t _us)
 {
--- /dev/null
+++ b/src/entry_node/forwarded_request_attempts.cpp
@@ -0,0 +1,285 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "entry_node/forwarded_request_p.h"
+#include "entry_node/upstream_request_bytes_p.h"
+#include "steering/request_times_p.h"
+
+namespace larkrack
+{
+namespace
+{
+attempt_end end_of(const exchange_result& _result)
+{
+	switch (_result.end)
+	{
+	case exchange_outcome::answered:
+		return end_of_answer(_result.response->result_int());
+	case exchange_outcome::not_run:
+		return attempt_end::not_run;
+	case exchange_outcome::not_sent:
+		return attempt_end::not_sent;
+	case exchange_outcome::lost:
+		break;
+	}
+	return attempt_end::lost;
+}
+
+} // namespace
+
+backend_choice forwarded_request::choose_backend_in(const region_name& _region, service_steering& _steering)
+{
+	backend_query query;
+	query.candidates = &m_context.backends.of_service(m_service);
+	query.region = _region;
+	query.own_region = m_context.region;
+	query.key = m_key;
+	query.key_part = _steering.keys.part_of(m_key);
+	query.own_portion = _steering.own_portion(_region);
+	query.tried = &m_tried;
+	query.versions = m_versions;
+	query.sharers = m_context.fleet.sharers();
+	query.tokens = &m_context.limits;
+	// A resend asks for no token: it goes where there is room.
+	const bool in_time = steady_time{} == m_asking_since ||
+	                     m_context.clock.steady() - m_asking_since < longest_wait(m_route->objective);
+	query.waits_for_token = m_tried.empty() && in_time;
+	query.without_token = &m_without_token;
+	if (m_route->large_answers)
+	{
+		query.nearest_domain = m_context.domain;
+	}
+	if (const routed_service* spec = m_routes->find_service(m_service.text))
+	{
+		query.limits = {spec->warmup_requests_per_s, spec->max_connections};
+	}
+	return choose_backend(query, m_context.fleet, m_context.clock.steady());
+}
+
+bool forwarded_request::try_send()
+{
+	if (state::waiting == m_state && !key_holds())
+	{
+		refuse_key();
+		return true;
+	}
+	service_steering& steering = m_owner.service_of(m_service).steering;
+	region_shares& shares = steering.shares.of(m_planned.rule);
+	const std::vector<std::string>& homes = m_homes.regions;
+	bool slot_may_come = false;
+	for (const region_name& region : regions_to_try(m_planned.region, shares.shares(), homes))
+	{
+		const backend_choice choice = choose_backend_in(region, steering);
+		if (nullptr == choice.backend)
+		{
+			slot_may_come = slot_may_come || (backend_choice_reason::limit_spent != choice.why &&
+			                                     backend_choice_reason::none_usable != choice.why);
+			continue;
+		}
+		if (region != m_planned.region)
+		{
+			if (!leaves_freely(m_planned.region, homes) &&
+			    departure::denied == steering.overflow.may_leave(m_planned.region, homes,
+			                             steering.demand.requests_per_s(), m_context.clock.steady()))
+			{
+				if (backend_choice_reason::awaits_token != choice.why)
+				{
+					m_context.limits.give_back(*choice.backend);
+				}
+				m_only_limits = false;
+				return false;
+			}
+			shares.move_credit(m_planned.region, region);
+			m_planned.region = region;
+		}
+		leave_queue();
+		const backend_ptr backend = m_context.backends.find(choice.backend->registered.id);
+		if (backend_choice_reason::awaits_token == choice.why)
+		{
+			ask_for_token(backend);
+			return true;
+		}
+		send_to(backend);
+		return true;
+	}
+	if (version_side::target == m_versions.side)
+	{
+		m_versions.side = version_side::others; // None of the target has room: it isn't kept waiting for one.
+		return try_send();
+	}
+	m_only_limits = !slot_may_come && !m_without_token.empty();
+	return false;
+}
+
+void forwarded_request::ask_for_token(const backend_ptr& _backend)
+{
+	m_state = state::asking;
+	m_asking_since = steady_time{} == m_asking_since ? m_context.clock.steady() : m_asking_since;
+	m_context.limits.wait_for_token(*_backend,
+	    [self = shared_from_this(), _backend](quota_answer _answer)
+	    {
+		    self->on_token(_backend, _answer);
+	    });
+}
+
+void forwarded_request::on_token(const backend_ptr& _backend, quota_answer _answer)
+{
+	const bool granted = quota_answer::granted == _answer;
+	const bool goes_there =
+	    state::asking == m_state && granted && key_holds() && _backend->usable(m_context.clock.steady());
+	if (goes_there)
+	{
+		send_to(_backend);
+		return;
+	}
+	if (granted)
+	{
+		m_context.limits.give_back(*_backend);
+	}
+	if (state::asking != m_state)
+	{
+		return;
+	}
+	if (!key_holds())
+	{
+		refuse_key();
+		return;
+	}
+	m_without_token.push_back(_backend->registered.id);
+	if (!try_send())
+	{
+		wait_for_slot();
+	}
+}
+
+void forwarded_request::send_to(const backend_ptr& _backend)
+{
+	const auto left = to_ms(m_deadline - m_context.clock.steady());
+	upstream_request request;
+	request.bytes = std::make_shared<const std::string>(upstream_request_bytes(m_request, m_context.names,
+	    left, _backend->registered.id, nullptr == m_customer ? customer_name() : m_customer->name));
+	request.request_id = m_request_id;
+	request.head = http::verb::head == m_request.method();
+	request.at_most_once = repeat_rule::at_most_once == m_route->repeat;
+	m_state = state::sent;
+	m_tried.push_back(_backend->registered.id);
+	m_context.backends.note_sent(*_backend);
+	m_sent_at = m_context.clock.steady();
+	++m_context.counters.attempts;
+	m_exchange = std::make_shared<upstream_exchange>(m_context.io, m_context.clock, m_context.names, _backend,
+	    std::move(request), connect_timeout(_backend->region == m_context.region),
+	    [self = shared_from_this()](exchange_result&& _result)
+	    {
+		    self->on_result(std::move(_result));
+	    });
+	m_exchange->start();
+}
+
+void forwarded_request::on_result(exchange_result&& _result)
+{
+	const backend_ptr backend = m_exchange->backend();
+	m_exchange.reset();
+	if (_result.connect_time)
+	{
+		m_context.distances.add_connect_time(backend->region, *_result.connect_time);
+	}
+	if (_result.limit)
+	{
+		m_context.limits.on_word(*backend, *_result.limit);
+	}
+	if (state::ended == m_state)
+	{
+		return;
+	}
+	note_attempt(*backend, end_of(_result));
+	if (version_side::target == m_versions.side)
+	{
+		m_versions.side = version_side::others; // A resend stays clear of what may be a bad version.
+	}
+	if (exchange_outcome::answered == _result.end)
+	{
+		const double took_s = to_s(m_context.clock.steady() - m_sent_at);
+		m_owner.service_of(m_service).steering.demand.add_service_time(took_s);
+	}
+	else
+	{
+		log_failed_attempt(*backend, _result.detail);
+	}
+	follow(rule_after(end_of(_result), m_route->repeat), std::move(_result));
+	m_owner.pump();
+}
+
+void forwarded_request::follow(const attempt_rule& _rule, exchange_result&& _result)
+{
+	m_history.count(_rule);
+	if (_rule.pass_answer_on)
+	{
+		answer(std::move(*_result.response), outcome::served, reason::none);
+		return;
+	}
+	if (_rule.keep_answer)
+	{
+		m_kept_answer = std::move(_result.response);
+	}
+	if (may_resend_free(_rule, m_history) && key_holds() && try_send())
+	{
+		return;
+	}
+	if (resend_price::never != _rule.price && key_holds() && pay_for_resend() && try_send())
+	{
+		return;
+	}
+	end_with(answer_without_resend(m_history, _rule.why));
+}
+
+bool forwarded_request::pay_for_resend()
+{
+	if (attempts_spent(m_history, m_route->max_attempts))
+	{
+		return false;
+	}
+	const resend decision =
+	    may_resend(m_history, m_route->max_attempts, m_context.clock.steady(), m_deadline);
+	if (resend::within_budget != decision)
+	{
+		return resend::free == decision;
+	}
+	if (!m_owner.service_of(m_service).steering.retries.spend(m_context.clock.steady()))
+	{
+		++m_context.counters.retries_denied;
+		return false;
+	}
+	m_context.exported.count_retry();
+	return true;
+}
+
+void forwarded_request::note_attempt(const backend_server& _backend, attempt_end _end)
+{
+	if (attempt_end::not_run == _end || attempt_end::not_sent == _end)
+	{
+		return;
+	}
+	const steady_time now = m_context.clock.steady();
+	version_attempt attempt;
+	attempt.service = m_service;
+	attempt.version = _backend.registered.version;
+	attempt.route = m_route->name;
+	attempt.failed = attempt_end::served != _end;
+	if (!attempt.failed && !_backend.cold(now))
+	{
+		attempt.time = to_ms(now - m_sent_at);
+	}
+	m_context.rollouts.on_attempt_end(attempt);
+}
+
+void forwarded_request::log_failed_attempt(const backend_server& _backend, const char* _why)
+{
+	m_context.log.write(log_line(event::attempt_failed)
+	                        .text("id", m_request_id)
+	                        .text("service", m_service.text)
+	                        .text("backend", _backend.registered.id.text)
+	                        .text("why", _why)
+	                        .decimal("busy", _backend.estimated_load(m_context.clock.steady()))
+	                        .number("ms", to_ms(m_context.clock.steady() - m_sent_at).count()));
+}
+} // namespace larkrack
