Let the models of limits and quotas see nodes by one view

The same views of a modelled fleet stood in limit_model_test and quota_model_test; the model of requests that end backend servers needs a third.

--- a/tests/limit_model_test.cpp
+++ b/tests/limit_model_test.cpp
@@ -8,10 +8,9 @@
 /// alone that sends there.
 
 #include "fixtures.h"
+#include "model_view.h"
 
 #include "entry_node/backend_limits_p.h"
-#include "steering/node_ring_p.h"
-#include "steering/rendezvous_p.h"
 #include "testing/clock_virtual_p.h"
 
 #include <cstdlib>
@@ -34,100 +33,13 @@
 constexpr ms k_known_after{500};   ///< From a node's first answer that names the limit.
 constexpr ms k_judged_after{4000}; ///< From the first time that the limit was named.
 constexpr ms k_work{200};          ///< Of the backend server on a request.
-constexpr int k_regions = 3;
-
-region_name region_of(int _node)
-{
-	return region_name("r" + std::to_string(_node % k_regions));
-}
-
-/// What one node sees of the others.
-class limit_view : public fleet_view_base
-{
-public:
-	sharing sharers() const override
-	{
-		return {most};
-	}
-	rate_by_region demand_of_others(const service_name&) const override
-	{
-		return {};
-	}
-	rate_by_region bound_of_others(const service_name&) const override
-	{
-		return {};
-	}
-	slot_portion portion(const service_name&, const region_name&) const override
-	{
-		return {};
-	}
-	double warmup_part(const backend_state&) const override
-	{
-		return 1.0;
-	}
-	quota_holders holders_of(std::uint64_t) const override
-	{
-		return {};
-	}
-	nodes_in_sight in_sight() const override
-	{
-		return {};
-	}
-	quota_holders holders_in(const region_name& _region, std::uint64_t _thing) const override
-	{
-		const auto it = by_region.find(_region);
-		if (by_region.end() == it || it->second.nodes.empty())
-		{
-			return {};
-		}
-		const ring_owners owners = it->second.ring.owners_of(_thing);
-		quota_holders holders{holder(it->second.nodes[owners.first]), {}};
-		if (owners.first != owners.stand_in)
-		{
-			holders.stand_in = holder(it->second.nodes[owners.stand_in]);
-		}
-		return holders;
-	}
-	nodes_in_sight in_sight_of_region() const override
-	{
-		const auto it = by_region.find(region_of(self));
-		return {static_cast<double>(it->second.nodes.size()), most_in_region, version};
-	}
-	std::vector<std::string> region_addresses() const override
-	{
-		std::vector<std::string> others;
-		for (const int node : by_region.at(region_of(self)).nodes)
-		{
-			if (node != self)
-			{
-				others.push_back(std::to_string(node));
-			}
-		}
-		return others;
-	}
-	quota_holder holder(int _node) const
-	{
-		return {_node == self ? "" : std::to_string(_node), short_hash("n" + std::to_string(_node))};
-	}
-
-	struct part
-	{
-		std::vector<int> nodes;
-		node_ring ring;
-	};
-	int self = 0;
-	std::map<region_name, part> by_region;
-	double most = 1.0;
-	double most_in_region = 1.0;
-	std::uint64_t version = 0;
-};
 
 /// A node that divides a limit in another way than by lent tokens.
 class other_way : public limit_gate_base
 {
 public:
 	/// @param[in] _alone Whether one node sends alone; else each has the same part.
-	other_way(const clock_base& _clock, const limit_view& _view, bool _alone)
+	other_way(const clock_base& _clock, const model_view& _view, bool _alone)
 	    : m_clock(_clock), m_view(_view), m_alone(_alone)
 	{
 	}
@@ -135,7 +47,7 @@
 	{
 		const double per_s = *_backend.limit.word().per_s;
 		const bool sends = m_view.holders_in(_backend.region, _backend.id_hash).first.ip.empty();
-		const double part = m_alone ? (sends ? 1.0 : 0.0) : 1.0 / m_view.most;
+		const double part = m_alone ? (sends ? 1.0 : 0.0) : 1.0 / m_view.nodes.most;
 		return m_bucket.take(part * per_s, 1.0, m_clock.steady()) ? quota_answer::granted
 		                                                          : quota_answer::over;
 	}
@@ -152,7 +64,7 @@
 
 private:
 	const clock_base& m_clock;
-	const limit_view& m_view;
+	const model_view& m_view;
 	bool m_alone;
 	token_bucket m_bucket;
 };
@@ -217,7 +129,7 @@
 		node.known_since = steady_time{};
 		node.gate.reset();
 		node.lent = nullptr;
-		node.view = std::make_unique<limit_view>();
+		node.view = std::make_unique<model_view>();
 		node.view->self = _node;
 		node.backends = std::make_unique<backend_registry>(
 		    std::unordered_map<std::string, std::string>{{"d", "r0"}, {"d1", "r1"}, {"d2", "r2"}});
@@ -232,7 +144,7 @@
 		else
 		{
 			auto lent = std::make_unique<backend_limits>(m_context, m_clock, *node.view, *node.backends,
-			    placement{"n" + std::to_string(_node), "", region_of(_node).text}, m_log,
+			    placement{model_name_of(_node), "", model_region_of(_node).text}, m_log,
 			    [this, _node](const std::vector<std::uint8_t>& _bytes, const std::string& _ip)
 			    {
 				    send(_node, std::stoi(_ip), _bytes);
@@ -267,7 +179,7 @@
 	int lender() const
 	{
 		const quota_holder first =
-		    m_nodes.front().view->holders_in(region_of(0), ring_place(state_at(0).id_hash)).first;
+		    m_nodes.front().view->holders_in(model_region_of(0), ring_place(state_at(0).id_hash)).first;
 		return first.ip.empty() ? 0 : std::stoi(first.ip);
 	}
 	/// @returns The most that counted in any window, as a part of what was allowed there.
@@ -292,7 +204,7 @@
 private:
 	struct model_node
 	{
-		std::unique_ptr<limit_view> view;
+		std::unique_ptr<model_view> view;
 		std::unique_ptr<backend_registry> backends;
 		std::unique_ptr<limit_gate_base> gate;
 		backend_limits* lent = nullptr;
@@ -322,7 +234,7 @@
 	}
 	ms delay_to(int _from, int _to) const
 	{
-		return _from % k_regions == _to % k_regions ? k_near : k_far;
+		return _from % k_model_regions == _to % k_model_regions ? k_near : k_far;
 	}
 	void later(ms _delay, std::function<void()> _what)
 	{
@@ -492,29 +404,17 @@
 
 	void refresh(model_node& _node)
 	{
-		limit_view& view = *_node.view;
-		view.by_region.clear();
-		std::map<region_name, std::vector<node_name>> names;
+		model_view& view = *_node.view;
+		std::vector<int> seen;
 		for (int i = 0; i < nodes(); ++i)
 		{
 			const model_node& other = at(i);
-			const bool seen = !other.dead && !other.cut && !other.frozen && !_node.cut;
-			if (i == view.self || seen)
+			if (i == view.self || (!other.dead && !other.cut && !other.frozen && !_node.cut))
 			{
-				view.by_region[region_of(i)].nodes.push_back(i);
-				names[region_of(i)].emplace_back("n" + std::to_string(i));
+				seen.push_back(i);
 			}
 		}
-		double all = 0.0;
-		for (auto& [region, part] : view.by_region)
-		{
-			part.ring.build(names[region]);
-			all += static_cast<double>(part.nodes.size());
-		}
-		view.most = std::max(view.most, all);
-		view.most_in_region = std::max(
-		    view.most_in_region, static_cast<double>(view.by_region[region_of(view.self)].nodes.size()));
-		++view.version;
+		view.set_seen(seen);
 		if (nullptr != _node.lent && !_node.frozen && !_node.dead)
 		{
 			_node.lent->tick();
--- /dev/null
+++ b/tests/model_view.h
@@ -0,0 +1,140 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// What one node of a modelled fleet sees of the others: nodes are numbers, and stand in three regions by
+/// turn.
+#pragma once
+
+#include "steering/fleet_view_p.h"
+#include "steering/node_ring_p.h"
+#include "steering/rendezvous_p.h"
+
+#include <map>
+
+namespace larkrack
+{
+constexpr int k_model_regions = 3;
+
+inline region_name model_region_of(int _node)
+{
+	return region_name("r" + std::to_string(_node % k_model_regions));
+}
+
+inline std::string model_name_of(int _node)
+{
+	return "n" + std::to_string(_node);
+}
+
+/// Answers by the nodes that it was told of last. The address of a node is its number.
+class model_view : public fleet_view_base
+{
+public:
+	/// Sets which nodes are in sight, this one among them.
+	void set_seen(const std::vector<int>& _nodes)
+	{
+		m_all = {_nodes, {}, false};
+		m_by_region.clear();
+		for (const int node : _nodes)
+		{
+			m_by_region[model_region_of(node)].nodes.push_back(node);
+		}
+		nodes.live = static_cast<double>(_nodes.size());
+		nodes.most = std::max(nodes.most, nodes.live);
+		near.live = static_cast<double>(m_by_region[model_region_of(self)].nodes.size());
+		near.most = std::max(near.most, near.live);
+		++nodes.version;
+		near.version = nodes.version;
+	}
+	sharing sharers() const override
+	{
+		return {nodes.most};
+	}
+	rate_by_region demand_of_others(const service_name&) const override
+	{
+		return {};
+	}
+	rate_by_region bound_of_others(const service_name&) const override
+	{
+		return {};
+	}
+	slot_portion portion(const service_name&, const region_name&) const override
+	{
+		return {};
+	}
+	double warmup_part(const backend_state&) const override
+	{
+		return 1.0;
+	}
+	quota_holders holders_of(std::uint64_t _thing) const override
+	{
+		return holders_among(m_all, _thing);
+	}
+	nodes_in_sight in_sight() const override
+	{
+		return nodes;
+	}
+	quota_holders holders_in(const region_name& _region, std::uint64_t _thing) const override
+	{
+		const auto it = m_by_region.find(_region);
+		return m_by_region.end() == it || it->second.nodes.empty() ? quota_holders()
+		                                                           : holders_among(it->second, _thing);
+	}
+	nodes_in_sight in_sight_of_region() const override
+	{
+		return near;
+	}
+	std::vector<std::string> region_addresses() const override
+	{
+		std::vector<std::string> others;
+		for (const int node : m_by_region.at(model_region_of(self)).nodes)
+		{
+			if (node != self)
+			{
+				others.push_back(std::to_string(node));
+			}
+		}
+		return others;
+	}
+
+	int self = 0;
+	nodes_in_sight nodes; ///< Of all regions; a test may change what the node believes.
+	nodes_in_sight near;  ///< Of this region.
+
+private:
+	struct part
+	{
+		std::vector<int> nodes;
+		node_ring ring;
+		bool built = false;
+	};
+
+	quota_holder holder(int _node) const
+	{
+		return {_node == self ? "" : std::to_string(_node), short_hash(model_name_of(_node))};
+	}
+	quota_holders holders_among(part& _part, std::uint64_t _thing) const
+	{
+		if (!_part.built)
+		{
+			std::vector<node_name> names;
+			for (const int node : _part.nodes)
+			{
+				names.emplace_back(model_name_of(node));
+			}
+			_part.ring.build(names);
+			_part.built = true;
+		}
+		const ring_owners owners = _part.ring.owners_of(_thing);
+		quota_holders holders{holder(_part.nodes[owners.first]), {}};
+		if (owners.first != owners.stand_in)
+		{
+			holders.stand_in = holder(_part.nodes[owners.stand_in]);
+		}
+		return holders;
+	}
+
+	mutable part m_all; ///< Rings are built when they are first asked for.
+	mutable std::map<region_name, part> m_by_region;
+};
+} // namespace larkrack
--- a/tests/quota_model_test.cpp
+++ b/tests/quota_model_test.cpp
@@ -7,6 +7,7 @@
 /// of the limit for each node.
 
 #include "fixtures.h"
+#include "model_view.h"
 
 #include "entry_node/customer_quotas_p.h"
 #include "steering/node_ring_p.h"
@@ -67,64 +68,6 @@
 	std::map<std::uint64_t, token_bucket> m_buckets;
 };
 
-/// What one node sees of the others.
-class model_view : public fleet_view_base
-{
-public:
-	sharing sharers() const override
-	{
-		return {nodes.most};
-	}
-	rate_by_region demand_of_others(const service_name&) const override
-	{
-		return {};
-	}
-	rate_by_region bound_of_others(const service_name&) const override
-	{
-		return {};
-	}
-	slot_portion portion(const service_name&, const region_name&) const override
-	{
-		return {};
-	}
-	double warmup_part(const backend_state&) const override
-	{
-		return 1.0;
-	}
-	quota_holders holders_of(std::uint64_t _customer) const override
-	{
-		const ring_owners owners = ring.owners_of(_customer);
-		return {
-		    holder(owners.first), owners.first == owners.stand_in ? quota_holder() : holder(owners.stand_in)};
-	}
-	nodes_in_sight in_sight() const override
-	{
-		return nodes;
-	}
-	quota_holders holders_in(const region_name&, std::uint64_t _thing) const override
-	{
-		return holders_of(_thing);
-	}
-	nodes_in_sight in_sight_of_region() const override
-	{
-		return nodes;
-	}
-	std::vector<std::string> region_addresses() const override
-	{
-		return {};
-	}
-	quota_holder holder(std::size_t _index) const
-	{
-		const int node = seen.at(_index);
-		return {node == self ? "" : std::to_string(node), short_hash("n" + std::to_string(node))};
-	}
-
-	int self = 0;
-	std::vector<int> seen; ///< Nodes in sight, in the order of the ring's indices.
-	node_ring ring;
-	nodes_in_sight nodes;
-};
-
 /// What the requests of one customer met.
 struct customer_figures
 {
@@ -299,7 +242,8 @@
 	int first_lender(std::size_t _customer) const
 	{
 		const model_view& view = *m_nodes.front().view;
-		return view.seen.at(view.ring.owners_of(at(_customer).id).first);
+		const std::string ip = view.holders_of(at(_customer).id).first.ip;
+		return ip.empty() ? view.self : std::stoi(ip);
 	}
 	/// All nodes see at once who is there.
 	void refresh_views()
@@ -349,21 +293,16 @@
 	void refresh(model_node& _node)
 	{
 		model_view& view = *_node.view;
-		view.seen.clear();
-		std::vector<node_name> names;
+		std::vector<int> seen;
 		for (int i = 0; i < nodes(); ++i)
 		{
 			const model_node& other = m_nodes[static_cast<std::size_t>(i)];
 			if (i == view.self || (!other.dead && !other.cut && !_node.cut))
 			{
-				view.seen.push_back(i);
-				names.emplace_back("n" + std::to_string(i));
+				seen.push_back(i);
 			}
 		}
-		view.ring.build(names);
-		view.nodes.live = static_cast<double>(names.size());
-		view.nodes.most = std::max(view.nodes.most, view.nodes.live);
-		++view.nodes.version;
+		view.set_seen(seen);
 		if (nullptr != _node.lent)
 		{
 			_node.lent->tick();
