Hold off requests that end the backend servers that run them

What callers saw: while one request came again and again, ended 28 and 40 backend servers and took up to 14 others with each of them, a tenth of all requests to the service was not served.

Cause: what a request did to a backend server was known to that request alone; the next one with another id began anew at any node. Class: a harm of one request that nobody remembers beyond its own life.

In the incident's logs the request of the symptom is an ordinary attempt with why=closed.

Why it works: two nodes, found by consistent hashing, count the ends under a request (method, host, path, body and caller, whatever its id) for all nodes; after the third one the request is refused at once at every node, told by datagram and kept in the store. An innocent one that ran beside it is let through alone, once, and clears itself. An end is one only if the port refuses connections, so that broken links blame nobody.

New events 1917 and 1918, new reason ends_backends, new metrics larkrack_blocked_requests and larkrack_block_refusals, new datagrams, new keys status/blocked/ in the store.

--- a/include/larkrack/outcome.h
+++ b/include/larkrack/outcome.h
@@ -43,6 +43,7 @@
 	no_home,            ///< The home regions of route and customer have none in common.
 	over_quota,         ///< The customer asks for more than its quota.
 	quota_unknown,      ///< No entry VM that lends the customer's tokens answers.
+	ends_backends,      ///< Backend servers have ended under the same request again and again.
 };
 
 /// @returns Name used in headers, logs and histories.
--- a/src/base/clock_p.h
+++ b/src/base/clock_p.h
@@ -4,7 +4,7 @@
 /// @file
 /// Time, behind an interface, so that decisions can be tested on a virtual clock.
 ///
-/// For: steady_time for intervals and timers, wall_time for what other VMs see. All in microseconds.
+/// For: steady_time for intervals, wall_time for what other VMs see. All in microseconds.
 /// Relies on: wall clocks of VMs that differ by no more than k_clock_skew.
 #pragma once
 
@@ -14,7 +14,7 @@
 
 namespace larkrack
 {
-/// A point on a clock that never jumps; microseconds.
+/// A point on a clock that never jumps back and counts the time for which the VM is suspended; microseconds.
 using steady_time = std::chrono::time_point<std::chrono::steady_clock, std::chrono::microseconds>;
 /// A point on the wall clock; microseconds since 1970.
 using wall_time = std::chrono::time_point<std::chrono::system_clock, std::chrono::microseconds>;
@@ -27,7 +27,8 @@
 	{
 		return "clock";
 	}
-	/// @returns Time for intervals and timers.
+	/// @returns Time for intervals. After a suspension it is ahead of timers, which do not fire for it: what
+	/// is due by this clock is looked at before anything is sent.
 	virtual steady_time steady() const = 0;
 	/// @returns Time that can be compared between VMs, within the assumed skew.
 	virtual wall_time wall() const = 0;
--- a/src/base/events_p.h
+++ b/src/base/events_p.h
@@ -76,7 +76,9 @@
 	X(1913, rollout_decided, info, "This node writes down how a roll-out goes on.")                          \
 	X(1914, rollout_changed, info, "The store tells a new state of a roll-out.")                             \
 	X(1915, rollout_refused, warning, "A key about a roll-out is none; nothing moves.")                      \
-	X(1916, backend_limited, info, "A backend server names another limit of its requests, or none.")
+	X(1916, backend_limited, info, "A backend server names another limit of its requests, or none.")         \
+	X(1917, backend_ended, warning, "A backend server ended with requests of this node on it.")              \
+	X(1918, request_blocked, warning, "What is known of a request that ends backend servers has changed.")
 
 /// Numbered log event.
 enum class event : std::uint16_t
--- a/src/base/outcome.cpp
+++ b/src/base/outcome.cpp
@@ -61,6 +61,8 @@
 		return "over_quota";
 	case reason::quota_unknown:
 		return "quota_unknown";
+	case reason::ends_backends:
+		return "ends_backends";
 	}
 	return "none";
 }
--- /dev/null
+++ b/src/entry_node/crash_messages.cpp
@@ -0,0 +1,150 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "entry_node/crash_messages_p.h"
+
+#include <limits>
+#include <nlohmann/json.hpp>
+
+namespace larkrack
+{
+namespace
+{
+/// First field: layout and kind in one; other layouts are not understood. The kinds follow each other in the
+/// order of crash_message.
+constexpr std::uint64_t k_first_layout = 109;
+/// Fields: layout, head, content and caller of the request, and four that depend on the kind.
+constexpr std::size_t k_fields = 8;
+/// First byte of a CBOR array of that many; no other datagram of nodes begins with it.
+constexpr std::uint8_t k_first_byte = 0x80 + k_fields;
+/// Bits of the flags of block_news.
+constexpr std::uint64_t k_blocked_bit = 1;
+constexpr std::uint64_t k_tells_on_bit = 2; ///< See above.
+
+/// What a message says beside its request.
+struct message_words
+{
+	std::uint64_t words[4] = {0, 0, 0, 0};
+};
+
+message_words words_of(const end_report& _report)
+{
+	return {{_report.life, _report.caller_only ? 1U : 0U}};
+}
+
+message_words words_of(const served_report&)
+{
+	return {};
+}
+
+message_words words_of(const block_news& _news)
+{
+	const std::uint64_t flags =
+	    (_news.block.blocked ? k_blocked_bit : 0) | (_news.tells_on ? k_tells_on_bit : 0);
+	return {{flags, _news.block.number, _news.block.looks, _news.block.versions}};
+}
+
+message_words words_of(const look_request& _request)
+{
+	return {{_request.versions}};
+}
+
+message_words words_of(const look_answer& _answer)
+{
+	return {{_answer.granted ? 1U : 0U}};
+}
+
+message_words words_of(const look_returned&)
+{
+	return {};
+}
+
+const request_fingerprint& request_of(const block_news& _news)
+{
+	return _news.block.request;
+}
+
+template <typename Message>
+const request_fingerprint& request_of(const Message& _message)
+{
+	return _message.request;
+}
+
+crash_message message_of(
+    std::uint64_t _layout, const request_fingerprint& _request, const message_words& _words)
+{
+	const auto word = [&_words](std::size_t _place)
+	{
+		return static_cast<std::uint32_t>(_words.words[_place]);
+	};
+	switch (_layout - k_first_layout)
+	{
+	case 0:
+		return end_report{_request, word(0), 0 != word(1)};
+	case 1:
+		return served_report{_request};
+	case 2:
+		return block_news{{_request, 0 != (word(0) & k_blocked_bit), word(1), word(2), word(3)},
+		    0 != (word(0) & k_tells_on_bit)};
+	case 3:
+		return look_request{_request, word(0)};
+	case 4:
+		return look_answer{_request, 0 != word(0)};
+	default:
+		return look_returned{_request};
+	}
+}
+
+bool is_word(const nlohmann::json& _field)
+{
+	return _field.is_number_unsigned() &&
+	       _field.get<std::uint64_t>() <= std::numeric_limits<std::uint32_t>::max();
+}
+} // namespace
+
+std::vector<std::uint8_t> encode(const crash_message& _message)
+{
+	return std::visit(
+	    [&_message](const auto& _one)
+	    {
+		    const request_fingerprint& request = request_of(_one);
+		    const message_words words = words_of(_one);
+		    const nlohmann::json document = {k_first_layout + _message.index(), request.head, request.content,
+		        request.caller, words.words[0], words.words[1], words.words[2], words.words[3]};
+		    return nlohmann::json::to_cbor(document);
+	    },
+	    _message);
+}
+
+bool is_crash_message(const std::uint8_t* _data, std::size_t _size)
+{
+	return _size > k_fields && k_first_byte == _data[0];
+}
+
+result<crash_message> decode_crash_message(const std::uint8_t* _data, std::size_t _size)
+{
+	const nlohmann::json document = nlohmann::json::from_cbor(_data, _data + _size, true, false);
+	const bool whole = document.is_array() && k_fields == document.size() && is_word(document[0]) &&
+	                   document[1].is_number_unsigned() && document[2].is_number_unsigned() &&
+	                   is_word(document[3]);
+	if (!whole)
+	{
+		return error{"bad_crash_message", "no message of a request that ends backend servers"};
+	}
+	message_words words;
+	for (std::size_t i = 0; i < std::size(words.words); ++i)
+	{
+		if (!is_word(document[4 + i]))
+		{
+			return error{"bad_crash_message", "a field that is no count"};
+		}
+		words.words[i] = document[4 + i];
+	}
+	const std::uint64_t layout = document[0];
+	if (layout < k_first_layout || layout >= k_first_layout + std::variant_size_v<crash_message>)
+	{
+		return error{"bad_crash_message", "another layout"};
+	}
+	return message_of(layout, {document[1], document[2], document[3]}, words);
+}
+} // namespace larkrack
--- a/src/entry_node/entry_node.cpp
+++ b/src/entry_node/entry_node.cpp
@@ -89,8 +89,18 @@
           {
 	          send_datagram(_bytes, _ip);
           }),
+      m_crashes(
+          m_context, m_clock, m_fleet, m_backends, region_name(_settings.place.region), m_log,
+          [this](const std::vector<std::uint8_t>& _bytes, const std::string& _ip)
+          {
+	          send_datagram(_bytes, _ip);
+          },
+          [this](const request_block& _block)
+          {
+	          write_block(_block);
+          }),
       m_forwarder(m_context, m_clock, _dialect.headers(), _settings.place, _settings.bounds, m_backends,
-          m_fleet, m_quotas, m_rollouts, m_limits, m_log, m_metrics),
+          m_fleet, m_quotas, m_rollouts, m_limits, m_crashes, m_log, m_metrics),
       m_replica(
           m_clock, _dialect.codec(), m_backends, m_log,
           [this](std::shared_ptr<const routing_table> _routes)
@@ -148,6 +158,7 @@
       m_peer_caller(m_context.get_executor())
 {
 	m_replica.set_rollouts(&m_rollouts);
+	m_replica.set_blocks(&m_crashes);
 	m_callers.set_head_check(
 	    [this](const caller_request& _request)
 	    {
@@ -319,6 +330,15 @@
 	    });
 }
 
+void entry_node::write_block(const request_block& _block)
+{
+	start(m_context,
+	    [this, _block](const yield_context& _yield)
+	    {
+		    m_sync.write_block(_block, _yield);
+	    });
+}
+
 void entry_node::write_rollout_status(const rollout_status& _status, std::int64_t _expected_revision)
 {
 	start(m_context,
@@ -335,6 +355,7 @@
 	m_fleet.tick();
 	m_quotas.tick();
 	m_limits.tick();
+	m_crashes.tick();
 	m_rollouts.tick();
 	m_packed_pages.tick(m_clock.steady());
 	// A part of the backend servers is enough to serve by: keys that run where they are not known are late,
--- a/src/entry_node/entry_node_answers.cpp
+++ b/src/entry_node/entry_node_answers.cpp
@@ -153,6 +153,11 @@
 	    static_cast<double>(m_backends.limited()));
 	gauge("limit_refusals", "Requests that the limit of a backend server kept from it.",
 	    static_cast<double>(m_limits.refused()));
+	gauge("blocked_requests",
+	    "Requests that are sent to no backend server, since some have ended under them.",
+	    static_cast<double>(m_crashes.blocked()));
+	gauge("block_refusals", "Requests that were refused because they are blocked.",
+	    static_cast<double>(m_crashes.refused()));
 	gauge("nodes", "Other nodes that were heard of.", static_cast<double>(m_fleet.members().size()));
 	gauge("config_version", "Version of the configuration in force.",
 	    m_forwarder.routes() ? static_cast<double>(m_forwarder.routes()->version()) : 0.0);
--- a/src/entry_node/entry_node_p.h
+++ b/src/entry_node/entry_node_p.h
@@ -112,6 +112,8 @@
 	/// @returns Version of the configuration in force; 0 when there is none.
 	std::uint64_t routes_version() const;
 
+	/// Puts what is known of a request that ends backend servers into the store.
+	void write_block(const request_block& _block);
 	void write_rollout_status(const rollout_status& _status, std::int64_t _expected_revision);
 	void answer_readiness(const std::shared_ptr<caller_session>& _session);
 	void answer_lookup(const std::shared_ptr<caller_session>& _session, const caller_request& _request);
@@ -136,6 +138,7 @@
 	customer_quotas m_quotas;
 	rollouts m_rollouts;
 	backend_limits m_limits;
+	crash_guard m_crashes;
 	forwarder m_forwarder;
 	state_replica m_replica;
 	std::unique_ptr<store_base> m_store;
--- a/src/entry_node/entry_node_peers.cpp
+++ b/src/entry_node/entry_node_peers.cpp
@@ -76,6 +76,15 @@
 		}
 		return;
 	}
+	if (is_crash_message(m_heartbeat_buffer.data(), _size))
+	{
+		result<crash_message> decoded = decode_crash_message(m_heartbeat_buffer.data(), _size);
+		if (const crash_message* one = value_of(decoded))
+		{
+			m_crashes.on_message(*one, m_heartbeat_sender.address().to_string());
+		}
+		return;
+	}
 	if (is_domain_digest(m_heartbeat_buffer.data(), _size))
 	{
 		take_digest(_size);
--- a/src/entry_node/forwarded_request.cpp
+++ b/src/entry_node/forwarded_request.cpp
@@ -69,6 +69,14 @@
 void forwarded_request::go_on()
 {
 	admit();
+	if (!hold_if_blocked())
+	{
+		send_or_wait();
+	}
+}
+
+void forwarded_request::send_or_wait()
+{
 	if (!try_send())
 	{
 		wait_for_slot();
@@ -253,6 +261,7 @@
 {
 	leave_queue();
 	give_token_back();
+	give_look_back();
 	m_state = state::ended;
 	m_deadline_timer.cancel();
 	m_wait_timer.cancel();
--- a/src/entry_node/forwarded_request_attempts.cpp
+++ b/src/entry_node/forwarded_request_attempts.cpp
@@ -58,9 +58,8 @@
 
 bool forwarded_request::try_send()
 {
-	if (state::waiting == m_state && !key_holds())
+	if (state::waiting == m_state && refuse_after_wait())
 	{
-		refuse_key();
 		return true;
 	}
 	service_steering& steering = m_owner.service_of(m_service).steering;
@@ -192,6 +191,7 @@
 		return;
 	}
 	note_attempt(*backend, end_of(_result));
+	note_exchange(backend, _result);
 	if (version_side::target == m_versions.side)
 	{
 		m_versions.side = version_side::others; // A resend stays clear of what may be a bad version.
@@ -221,11 +221,13 @@
 	{
 		m_kept_answer = std::move(_result.response);
 	}
-	if (may_resend_free(_rule, m_history) && key_holds() && try_send())
+	const bool ended_server = _result.connection_broke && !m_context.crashes.may_resend(fingerprint());
+	const bool may_resend = key_holds() && !ended_server && look_state::used != m_look;
+	if (may_resend && may_resend_free(_rule, m_history) && try_send())
 	{
 		return;
 	}
-	if (resend_price::never != _rule.price && key_holds() && pay_for_resend() && try_send())
+	if (may_resend && resend_price::never != _rule.price && pay_for_resend() && try_send())
 	{
 		return;
 	}
--- /dev/null
+++ b/src/entry_node/forwarded_request_blocks.cpp
@@ -0,0 +1,134 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "entry_node/forwarded_request_p.h"
+#include "entry_node/upstream_request_bytes_p.h"
+#include "steering/request_times_p.h"
+
+namespace larkrack
+{
+namespace
+{
+/// Seconds after which the caller of a blocked request may come back: it stays blocked until a release or an
+/// operator changes that, so that sooner is in vain.
+constexpr double k_blocked_retry_after_s = 30.0;
+
+std::string_view to_view(beast::string_view _text)
+{
+	return {_text.data(), _text.size()};
+}
+} // namespace
+
+std::uint64_t forwarded_request::head_hash() const
+{
+	return request_head_hash(to_view(m_request.method_string()), to_view(m_request[http::field::host]),
+	    to_view(m_request.target()));
+}
+
+const request_fingerprint& forwarded_request::fingerprint()
+{
+	if (!m_fingerprint)
+	{
+		const std::uint64_t head = head_hash();
+		const std::uint64_t sender =
+		    nullptr == m_customer ? m_session->address_hash() : request_sender_hash(m_customer->name.text);
+		const affinity_key key = key_of_request();
+		m_fingerprint = request_fingerprint{head, request_content_hash(head, m_request.body()),
+		    request_caller_hash(sender, key.any() ? key.hash : 0)};
+	}
+	return *m_fingerprint;
+}
+
+bool forwarded_request::hold_if_blocked()
+{
+	crash_gate_base& crashes = m_context.crashes;
+	if (!crashes.blocks_any() || !crashes.concerns(head_hash()))
+	{
+		return false;
+	}
+	switch (crashes.decide(fingerprint(), m_service))
+	{
+	case block_decision::open:
+		return false;
+	case block_decision::refuse:
+		refuse_blocked();
+		return true;
+	case block_decision::may_ask:
+		break;
+	}
+	leave_queue();
+	m_state = state::fresh;
+	crashes.ask_for_look(fingerprint(), m_service,
+	    [self = shared_from_this()](bool _granted)
+	    {
+		    self->on_look_decided(_granted);
+	    });
+	return true;
+}
+
+void forwarded_request::on_look_decided(bool _granted)
+{
+	if (_granted)
+	{
+		m_look = look_state::granted;
+	}
+	if (state::ended == m_state)
+	{
+		give_look_back();
+		return;
+	}
+	if (!_granted)
+	{
+		refuse(reason::ends_backends);
+		return;
+	}
+	m_key = {}; // Not beside others of its key: one of them may be at fault.
+	send_or_wait();
+}
+
+void forwarded_request::refuse_blocked()
+{
+	answer(
+	    refusal_answer(k_status_refused, k_blocked_retry_after_s), outcome::not_run, reason::ends_backends);
+}
+
+void forwarded_request::note_exchange(const backend_ptr& _backend, const exchange_result& _result)
+{
+	crash_gate_base& crashes = m_context.crashes;
+	const bool ran = exchange_outcome::answered == _result.end || exchange_outcome::lost == _result.end;
+	if (look_state::granted == m_look && ran)
+	{
+		m_look = look_state::used;
+	}
+	if (_result.connection_broke)
+	{
+		crashes.on_connection_broken(_backend, fingerprint());
+		return;
+	}
+	const bool cheap = m_request.body().empty();
+	if (exchange_outcome::answered == _result.end && (cheap || crashes.concerns(head_hash())))
+	{
+		crashes.on_answered(fingerprint());
+	}
+}
+
+void forwarded_request::give_look_back()
+{
+	const bool under_way = m_exchange && m_exchange->sent();
+	if (look_state::granted == m_look && !under_way)
+	{
+		m_context.crashes.on_look_returned(fingerprint());
+	}
+	m_look = look_state::none;
+}
+
+bool forwarded_request::refuse_after_wait()
+{
+	if (!key_holds())
+	{
+		refuse_key();
+		return true;
+	}
+	return look_state::none == m_look && hold_if_blocked();
+}
+} // namespace larkrack
--- a/src/entry_node/forwarded_request_p.h
+++ b/src/entry_node/forwarded_request_p.h
@@ -13,13 +13,12 @@
 /// | fresh | no route, no configuration, node stopping, no customer, quota used up | ended |
 /// | fresh | a backend server has room | sent |
 /// | fresh | none has | waiting |
-/// | fresh, waiting | the backend server for it names a limit, and a token may come | asking |
-/// | asking | a token came | sent |
-/// | asking | none came | as fresh, without that backend server |
-/// | waiting | tried again, and a backend server has room | sent |
-/// | waiting | the wait is over, the deadline passed, or the caller left | ended |
-/// | sent | the attempt ended and another one follows | sent |
-/// | sent | answered, no other attempt follows, the deadline passed, or the caller left | ended |
+/// | fresh, waiting | it is blocked, since backend servers have ended under it | ended, or as fresh once it
+/// is let through | | fresh, waiting | the backend server for it names a limit, and a token may come | asking
+/// | | asking | a token came | sent | | asking | none came | as fresh, without that backend server | |
+/// waiting | tried again, and a backend server has room | sent | | waiting | the wait is over, the deadline
+/// passed, or the caller left | ended | | sent | the attempt ended and another one follows | sent | | sent |
+/// answered, no other attempt follows, the deadline passed, or the caller left | ended |
 #pragma once
 
 #include "entry_node/forwarder_p.h"
@@ -50,6 +49,14 @@
 		ended,   ///< The caller has its answer, or left.
 	};
 
+	/// Of a request that is blocked.
+	enum class look_state
+	{
+		none,    ///< It is not let through.
+		granted, ///< It is, alone; no backend server has got it yet.
+		used,    ///< A backend server has got it.
+	};
+
 	/// Finds the customer by the API key, and the home regions that bind.
 	/// @returns Nothing when the request may go on.
 	std::optional<reason> check_customer();
@@ -65,6 +72,22 @@
 	void go_on();
 	/// Decides on service, key, region and deadline.
 	void admit();
+	/// Sends it, or waits for a slot.
+	void send_or_wait();
+	/// @returns What stays the same when this request comes again; worked out when it is first asked for.
+	const request_fingerprint& fingerprint();
+	std::uint64_t head_hash() const;
+	/// @returns Whether it is blocked, since backend servers have ended under it: it is then refused, or asks
+	/// to be let through.
+	bool hold_if_blocked();
+	void on_look_decided(bool _granted);
+	void refuse_blocked();
+	/// Tells those who watch for requests that end backend servers how an exchange ended.
+	void note_exchange(const backend_ptr& _backend, const exchange_result& _result);
+	/// Gives a look back that reached no backend server.
+	void give_look_back();
+	/// @returns Whether a request that has waited was refused, by what has changed meanwhile.
+	bool refuse_after_wait();
 	std::chrono::milliseconds timeout() const;
 	affinity_key key_of_request() const;
 	backend_choice choose_backend_in(const region_name& _region, service_steering& _steering);
@@ -120,6 +143,8 @@
 	std::vector<backend_id> m_without_token; ///< Whose limit had no token for it.
 	attempt_history m_history;
 	state m_state = state::fresh;
+	std::optional<request_fingerprint> m_fingerprint;
+	look_state m_look = look_state::none;
 	bool m_has_token = false;   ///< Of the customer's quota.
 	bool m_only_limits = false; ///< At the last try, spent limits alone kept it from being sent.
 };
--- a/src/entry_node/forwarder.cpp
+++ b/src/entry_node/forwarder.cpp
@@ -26,11 +26,11 @@
 forwarder::forwarder(asio::io_context& _context, const clock_base& _clock, header_names _names,
     const placement& _placement, shared_bounds _bounds, backend_registry& _backends,
     const fleet_view_base& _fleet, quota_gate_base& _quotas, rollout_gate_base& _rollouts,
-    limit_gate_base& _limits, entry_log& _log, metrics& _metrics)
+    limit_gate_base& _limits, crash_gate_base& _crashes, entry_log& _log, metrics& _metrics)
     : m_context{_context, _clock, std::move(_names), region_name(_placement.region),
-          domain_name(_placement.domain), _backends, _fleet, _quotas, _rollouts, _limits, _log, _metrics,
-          std::minstd_rand(static_cast<unsigned>(_clock.steady().time_since_epoch().count())), {}, {}, {},
-          false},
+          domain_name(_placement.domain), _backends, _fleet, _quotas, _rollouts, _limits, _crashes, _log,
+          _metrics, std::minstd_rand(static_cast<unsigned>(_clock.steady().time_since_epoch().count())), {},
+          {}, {}, false},
       m_bounds(_bounds)
 {
 }
--- a/src/entry_node/forwarder_p.h
+++ b/src/entry_node/forwarder_p.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include "entry_node/backend_limits_p.h"
+#include "entry_node/crash_guard_p.h"
 #include "entry_node/customer_quotas_p.h"
 #include "entry_node/entry_log_p.h"
 #include "entry_node/rollouts_p.h"
@@ -61,6 +62,7 @@
 	quota_gate_base& quotas;
 	rollout_gate_base& rollouts;
 	limit_gate_base& limits;
+	crash_gate_base& crashes;
 	entry_log& log;
 	metrics& exported;
 	std::minstd_rand random;
@@ -92,7 +94,7 @@
 	forwarder(asio::io_context& _context, const clock_base& _clock, header_names _names,
 	    const placement& _placement, shared_bounds _bounds, backend_registry& _backends,
 	    const fleet_view_base& _fleet, quota_gate_base& _quotas, rollout_gate_base& _rollouts,
-	    limit_gate_base& _limits, entry_log& _log, metrics& _metrics);
+	    limit_gate_base& _limits, crash_gate_base& _crashes, entry_log& _log, metrics& _metrics);
 	~forwarder() override;
 
 	/// Takes a request of a caller.
--- a/src/entry_node/http_listener.cpp
+++ b/src/entry_node/http_listener.cpp
@@ -3,6 +3,8 @@
 
 #include "entry_node/http_listener_p.h"
 
+#include "steering/request_fingerprint_p.h"
+
 namespace larkrack
 {
 namespace
@@ -35,10 +37,20 @@
 	}
 	return _request.version() <= 11 && _request.count(http::field::host) <= 1;
 }
+
+std::uint64_t hash_of(const asio::ip::address& _address)
+{
+	const auto hash = [](const auto& _bytes)
+	{
+		return request_sender_hash({reinterpret_cast<const char*>(_bytes.data()), _bytes.size()});
+	};
+	return _address.is_v4() ? hash(_address.to_v4().to_bytes()) : hash(_address.to_v6().to_bytes());
+}
 } // namespace
 
-caller_session::caller_session(tcp::socket _socket, http_listener& _listener)
-    : m_socket(std::move(_socket)), m_listener(_listener), m_timer(m_socket.get_executor())
+caller_session::caller_session(tcp::socket _socket, const tcp::endpoint& _caller, http_listener& _listener)
+    : m_socket(std::move(_socket)), m_listener(_listener), m_address_hash(hash_of(_caller.address())),
+      m_timer(m_socket.get_executor())
 {
 }
 
@@ -374,7 +386,7 @@
 
 void http_listener::accept()
 {
-	m_acceptor.async_accept(
+	m_acceptor.async_accept(m_caller,
 	    [this](beast::error_code _error, tcp::socket _socket)
 	    {
 		    if (!m_acceptor.is_open())
@@ -397,7 +409,7 @@
 		    }
 		    if (m_sessions.size() < m_max_connections)
 		    {
-			    std::make_shared<caller_session>(std::move(_socket), *this)->start();
+			    std::make_shared<caller_session>(std::move(_socket), m_caller, *this)->start();
 		    }
 		    accept();
 	    });
--- a/src/entry_node/http_listener_p.h
+++ b/src/entry_node/http_listener_p.h
@@ -36,7 +36,7 @@
 class caller_session : public std::enable_shared_from_this<caller_session>
 {
 public:
-	caller_session(tcp::socket _socket, http_listener& _listener);
+	caller_session(tcp::socket _socket, const tcp::endpoint& _caller, http_listener& _listener);
 
 	/// Reads the first request.
 	void start();
@@ -52,6 +52,11 @@
 	void close();
 	/// Closes the connection if no request is on it.
 	void close_if_idle();
+	/// @returns Hash of the caller's address, without the port.
+	std::uint64_t address_hash() const
+	{
+		return m_address_hash;
+	}
 	/// @returns Whether a request waits for its answer.
 	bool busy() const
 	{
@@ -79,6 +84,7 @@
 
 	tcp::socket m_socket;
 	http_listener& m_listener;
+	std::uint64_t m_address_hash;
 	asio::steady_timer m_timer;
 	beast::flat_buffer m_buffer;
 	std::optional<http::request_parser<http::string_body>> m_parser;
@@ -152,6 +158,7 @@
 	void accept();
 
 	tcp::acceptor m_acceptor;
+	tcp::endpoint m_caller; ///< Of the connection that is being accepted.
 	asio::steady_timer m_accept_pause;
 	request_handler m_handler;
 	head_check m_head_check;
--- a/src/entry_node/state_replica.cpp
+++ b/src/entry_node/state_replica.cpp
@@ -231,6 +231,9 @@
 	case record_kind::rollout_order:
 		put_rollout_order(_value);
 		break;
+	case record_kind::block:
+		put_block(_value);
+		break;
 	case record_kind::rollout_status:
 		put_rollout_status(_value);
 		break;
@@ -366,6 +369,9 @@
 	case record_kind::evacuation:
 		update_evacuations();
 		break;
+	case record_kind::block:
+		remove_block(_gone.key);
+		break;
 	case record_kind::rollout_order:
 	case record_kind::rollout_status:
 		remove_rollout(_gone.key);
@@ -377,6 +383,32 @@
 	}
 }
 
+void state_replica::put_block(const store_value& _value)
+{
+	const result<request_block> decoded = m_codec.decode_block(_value);
+	if (const auto* refused = std::get_if<error>(&decoded))
+	{
+		m_log.write(log_line(event::request_blocked)
+		                .text("state", "refused")
+		                .text("key", _value.key)
+		                .text("why", refused->message));
+		return;
+	}
+	if (nullptr != m_blocks)
+	{
+		m_blocks->on_block(std::get<request_block>(decoded));
+	}
+}
+
+void state_replica::remove_block(const std::string& _key)
+{
+	const result<request_fingerprint> request = m_codec.blocked_request_of(_key);
+	if (nullptr != m_blocks && std::holds_alternative<request_fingerprint>(request))
+	{
+		m_blocks->on_block_gone(std::get<request_fingerprint>(request));
+	}
+}
+
 void state_replica::put_rollout_order(const store_value& _value)
 {
 	const result<rollout_order> decoded = m_codec.decode_rollout(_value);
--- a/src/entry_node/state_replica_p.h
+++ b/src/entry_node/state_replica_p.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include "entry_node/backend_registry_p.h"
+#include "entry_node/crash_guard_p.h"
 #include "entry_node/entry_log_p.h"
 #include "entry_node/rollouts_p.h"
 #include "steering/entry_removal_p.h"
@@ -35,6 +36,7 @@
 	node,           ///< One node of larkrack.
 	rollout_order,  ///< An operator's order to move a service to another version.
 	rollout_status, ///< How far such a roll-out is, as nodes wrote it down.
+	block,          ///< A request that ends backend servers.
 };
 
 /// Knows the keys of a platform and the form of their values.
@@ -58,6 +60,11 @@
 	virtual result<rollout_status> decode_rollout_status(const store_value& _value) const = 0;
 	/// @returns What writes a state of a roll-out.
 	virtual store_write rollout_status_write(const rollout_status& _status) const = 0;
+	virtual result<request_block> decode_block(const store_value& _value) const = 0;
+	/// @returns The request that a key of that kind is about, or an error.
+	virtual result<request_fingerprint> blocked_request_of(const std::string& _key) const = 0;
+	/// @returns What writes what is known of a request, or deletes it once the request is cleared.
+	virtual store_write block_write(const request_block& _block) const = 0;
 };
 
 /// Changes of the store's keys between two revisions.
@@ -108,6 +115,11 @@
 	{
 		m_rollouts = _rollouts;
 	}
+	/// Names who is told of blocked requests; nobody until then.
+	void set_blocks(block_keys_base* _blocks)
+	{
+		m_blocks = _blocks;
+	}
 	/// Takes all keys as they are at a revision.
 	void replace(const std::vector<store_value>& _values, std::int64_t _revision);
 	/// @param[in] _after Key behind which the page begins; empty: the first page.
@@ -188,6 +200,8 @@
 	void put_rollout_order(const store_value& _value);
 	void put_rollout_status(const store_value& _value);
 	void remove_rollout(const std::string& _key);
+	void put_block(const store_value& _value);
+	void remove_block(const std::string& _key);
 
 	const clock_base& m_clock;
 	const record_codec_base& m_codec;
@@ -209,6 +223,7 @@
 	std::int64_t m_revision = 0;
 	std::optional<copy_in_progress> m_copy;
 	rollout_keys_base* m_rollouts = nullptr;
+	block_keys_base* m_blocks = nullptr;
 	entry_removal m_removal;
 };
 } // namespace larkrack
--- a/src/entry_node/store_sync.cpp
+++ b/src/entry_node/store_sync.cpp
@@ -141,6 +141,12 @@
 	}
 }
 
+void store_sync::write_block(const request_block& _block, const yield_context& _yield)
+{
+	// Whether it was done is told by the watch; crash_guard writes again what does not come back.
+	m_store.txn("block", {}, {m_codec.block_write(_block)}, _yield);
+}
+
 watch_end store_sync::watch(const yield_context& _yield)
 {
 	return m_store.watch(
--- a/src/entry_node/store_sync_p.h
+++ b/src/entry_node/store_sync_p.h
@@ -68,6 +68,9 @@
 	/// in.
 	void write_rollout_status(
 	    const rollout_status& _status, std::int64_t _expected_revision, const yield_context& _yield);
+	/// Writes what is known of a request that ends backend servers, or takes it away; each node that counts
+	/// writes the same.
+	void write_block(const request_block& _block, const yield_context& _yield);
 	const store_health& health() const
 	{
 		return m_health;
--- a/src/entry_node/upstream.cpp
+++ b/src/entry_node/upstream.cpp
@@ -210,6 +210,7 @@
 		    {
 			    const bool closed =
 			        http::error::end_of_stream == _error || asio::error::connection_reset == _error;
+			    self->m_connection_broke = closed;
 			    self->fail(exchange_outcome::lost, closed ? "closed" : "broken_answer", backend_signal::lost);
 			    return;
 		    }
@@ -332,6 +333,7 @@
 	m_handler = nullptr;
 	_result.connect_time = m_connect_time;
 	_result.limit = m_limit;
+	_result.connection_broke = m_connection_broke;
 	handler(std::move(_result));
 }
 
--- a/src/entry_node/upstream_p.h
+++ b/src/entry_node/upstream_p.h
@@ -75,6 +75,7 @@
 	exchange_outcome end = exchange_outcome::not_sent;
 	std::optional<caller_response> response; ///< Set when answered.
 	const char* detail = "";                 ///< What went wrong, for the log.
+	bool connection_broke = false;           ///< Lost: the backend server's end of it was closed or reset.
 	std::optional<limit_word> limit;         ///< What the backend server said of its limit, if anything.
 	/// Time that a new connection needed to come up; nothing when none was made.
 	std::optional<steady_time::duration> connect_time;
@@ -143,6 +144,7 @@
 	bool m_sent = false;
 	bool m_written = false; ///< The whole request has left.
 	bool m_done = false;
+	bool m_connection_broke = false; ///< By the other end, before an answer began.
 	steady_time m_connecting_since{};
 	std::optional<steady_time::duration> m_connect_time;
 	std::optional<limit_word> m_limit;
--- /dev/null
+++ b/src/steering/crash_evidence.cpp
@@ -0,0 +1,141 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "steering/crash_evidence_p.h"
+
+#include <algorithm>
+#include <set>
+
+namespace larkrack
+{
+namespace
+{
+/// @returns How many different backend servers ended, of those ends that meet a condition.
+template <typename Condition>
+std::size_t lives_of(const std::deque<backend_end>& _ends, Condition _condition)
+{
+	std::set<std::uint32_t> lives;
+	for (const backend_end& one : _ends)
+	{
+		if (_condition(one))
+		{
+			lives.insert(one.life);
+		}
+	}
+	return lives.size();
+}
+
+bool counts_for_all(const backend_end& _end)
+{
+	return !_end.caller_only;
+}
+} // namespace
+
+std::optional<request_fingerprint> crash_evidence::on_end(
+    const request_fingerprint& _request, const backend_end& _end)
+{
+	const auto [it, is_new] = m_by_content.try_emplace(_request.content);
+	suspect& suspected = it->second;
+	if (is_new)
+	{
+		suspected.head = _request.head;
+		++m_heads[_request.head];
+		m_order.push_back(_request.content);
+	}
+	const bool known = std::any_of(suspected.ends.begin(), suspected.ends.end(),
+	    [&_end](const backend_end& _other)
+	    {
+		    return _other.life == _end.life && _other.caller == _end.caller;
+	    });
+	if (!known)
+	{
+		suspected.ends.push_back(_end);
+	}
+	if (suspected.ends.size() > k_most_ends)
+	{
+		suspected.ends.pop_front();
+	}
+	std::optional<request_fingerprint> blamed;
+	if (ends_of(_request) >= k_blamed_ends)
+	{
+		blamed = _request;
+	}
+	else if (lives_of(suspected.ends, counts_for_all) >= k_blamed_ends)
+	{
+		blamed = request_fingerprint{_request.head, _request.content, k_any_caller};
+	}
+	if (m_by_content.size() > k_most_suspects)
+	{
+		forget(m_by_content.find(m_order.front()));
+	}
+	return blamed;
+}
+
+void crash_evidence::on_served(const request_fingerprint& _request)
+{
+	const auto it = m_by_content.find(_request.content);
+	if (m_by_content.end() == it)
+	{
+		return;
+	}
+	// What serves one caller may still end servers for another one, but not for all.
+	std::deque<backend_end>& ends = it->second.ends;
+	ends.erase(std::remove_if(ends.begin(), ends.end(),
+	               [&_request](const backend_end& _end)
+	               {
+		               return k_any_caller == _request.caller || _end.caller == _request.caller;
+	               }),
+	    ends.end());
+	for (backend_end& one : ends)
+	{
+		one.caller_only = true;
+	}
+	if (ends.empty())
+	{
+		forget(it);
+	}
+}
+
+std::size_t crash_evidence::ends_of(const request_fingerprint& _request) const
+{
+	const auto it = m_by_content.find(_request.content);
+	if (m_by_content.end() == it)
+	{
+		return 0;
+	}
+	return lives_of(it->second.ends,
+	    [&_request](const backend_end& _end)
+	    {
+		    return _end.caller == _request.caller;
+	    });
+}
+
+void crash_evidence::tick(steady_time _now)
+{
+	for (auto it = m_by_content.begin(); it != m_by_content.end();)
+	{
+		const auto next = std::next(it);
+		std::deque<backend_end>& ends = it->second.ends;
+		while (!ends.empty() && _now - ends.front().at > k_end_kept)
+		{
+			ends.pop_front();
+		}
+		if (ends.empty())
+		{
+			forget(it);
+		}
+		it = next;
+	}
+}
+
+void crash_evidence::forget(std::map<std::uint64_t, suspect>::iterator _suspect)
+{
+	const auto head = m_heads.find(_suspect->second.head);
+	if (0 == --head->second)
+	{
+		m_heads.erase(head);
+	}
+	m_order.erase(std::find(m_order.begin(), m_order.end(), _suspect->first));
+	m_by_content.erase(_suspect);
+}
+} // namespace larkrack
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -135,6 +135,53 @@
 	int given_back = 0;
 };
 
+/// Blocks nothing, and keeps what is told of requests.
+class scripted_crashes : public crash_gate_base
+{
+public:
+	bool concerns(std::uint64_t) const override
+	{
+		return true;
+	}
+	bool blocks_any() const override
+	{
+		return block_decision::open != decision;
+	}
+	block_decision decide(const request_fingerprint& _request, const service_name&) override
+	{
+		decided.push_back(_request);
+		return decision;
+	}
+	void ask_for_look(const request_fingerprint&, const service_name&, look_handler _decided) override
+	{
+		waiting = std::move(_decided);
+	}
+	void on_look_returned(const request_fingerprint&) override
+	{
+		++looks_returned;
+	}
+	void on_connection_broken(const backend_ptr&, const request_fingerprint& _request) override
+	{
+		broken.push_back(_request);
+	}
+	bool may_resend(const request_fingerprint&) const override
+	{
+		return resends;
+	}
+	void on_answered(const request_fingerprint& _request) override
+	{
+		answered.push_back(_request);
+	}
+
+	block_decision decision = block_decision::open;
+	bool resends = true;
+	look_handler waiting;
+	int looks_returned = 0;
+	std::vector<request_fingerprint> decided;
+	std::vector<request_fingerprint> broken;
+	std::vector<request_fingerprint> answered;
+};
+
 /// Backend server that answers each request with the next text of its script, as raw bytes.
 class scripted_backend
 {
@@ -328,7 +375,7 @@
 		    0.2 / k_retry_used_part, 50.0 / k_retry_used_part, std::chrono::milliseconds(10000)};
 		m_forwarder = std::make_unique<forwarder>(*m_context, m_clock, header_names(),
 		    placement{"n1", "east-a", "east"}, bounds, *m_registry, m_fleet, m_quotas, m_rollouts, m_limits,
-		    *m_log, m_metrics);
+		    m_crashes, *m_log, m_metrics);
 		m_listener = std::make_unique<http_listener>(
 		    *m_context,
 		    [this](const std::shared_ptr<caller_session>& _session, caller_request&& _request)
@@ -419,6 +466,7 @@
 	scripted_quotas m_quotas;
 	scripted_rollouts m_rollouts;
 	scripted_limits m_limits;
+	scripted_crashes m_crashes;
 	std::unique_ptr<backend_registry> m_registry;
 	std::unique_ptr<entry_log> m_log;
 	metrics m_metrics;
--- a/tests/forms/daemon_log_forms_test.cpp
+++ b/tests/forms/daemon_log_forms_test.cpp
@@ -139,6 +139,8 @@
 1914 rollout_changed info
 1915 rollout_refused warning
 1916 backend_limited info
+1917 backend_ended warning
+1918 request_blocked warning
 )",
 		    table);
 	}
--- a/tests/forms/event_catalogue_form_test.cpp
+++ b/tests/forms/event_catalogue_form_test.cpp
@@ -91,6 +91,10 @@
 		    {1915, "rollout_refused", severity::warning, "A key about a roll-out is none; nothing moves."},
 		    {1916, "backend_limited", severity::info,
 		        "A backend server names another limit of its requests, or none."},
+		    {1917, "backend_ended", severity::warning,
+		        "A backend server ended with requests of this node on it."},
+		    {1918, "request_blocked", severity::warning,
+		        "What is known of a request that ends backend servers has changed."},
 		};
 		CPPUNIT_ASSERT_EQUAL(std::size(known), event_catalogue().size());
 		for (std::size_t i = 0; i < std::size(known); ++i)
--- a/tests/node_group_fixture.h
+++ b/tests/node_group_fixture.h
@@ -34,6 +34,10 @@
 		}
 		m_ring.build(names);
 	}
+	quota_holders holders_of(std::uint64_t _thing) const override
+	{
+		return holders_in(region_name(), _thing);
+	}
 	quota_holders holders_in(const region_name&, std::uint64_t _thing) const override
 	{
 		const ring_owners owners = m_ring.owners_of(_thing);
@@ -69,14 +73,18 @@
 	using sender = backend_limits::sender;
 
 	group_node(asio::io_context& _context, const clock_base& _clock, std::size_t _number,
-	    const std::vector<backend_record>& _records, sender _send)
+	    const std::vector<backend_record>& _records, const sender& _send)
 	    : m_clock(_clock), m_fleet(_number),
 	      m_registry(std::unordered_map<std::string, std::string>{{"east-a", "east"}}),
-	      m_log(name_of(_number), -1),
-	      m_limits(_context, _clock, m_fleet, m_registry, placement{name_of(_number), "east-a", "east"},
-	          m_log, std::move(_send)),
+	      m_log(name_of(_number), -1), m_limits(_context, _clock, m_fleet, m_registry,
+	                                       placement{name_of(_number), "east-a", "east"}, m_log, _send),
+	      m_crashes(_context, _clock, m_fleet, m_registry, region_name("east"), m_log, _send,
+	          [](const request_block&)
+	          {
+	          }),
 	      m_forwarder(_context, _clock, header_names(), placement{name_of(_number), "east-a", "east"},
-	          shared_bounds(), m_registry, m_fleet, m_quotas, m_rollouts, m_limits, m_log, m_metrics),
+	          shared_bounds(), m_registry, m_fleet, m_quotas, m_rollouts, m_limits, m_crashes, m_log,
+	          m_metrics),
 	      m_listener(
 	          _context,
 	          [this](const std::shared_ptr<caller_session>& _session, caller_request&& _request)
@@ -102,12 +110,19 @@
 	}
 	void take(const std::vector<std::uint8_t>& _bytes, const std::string& _sender)
 	{
+		if (is_crash_message(_bytes.data(), _bytes.size()))
+		{
+			result<crash_message> told = decode_crash_message(_bytes.data(), _bytes.size());
+			m_crashes.on_message(*value_of(told), _sender);
+			return;
+		}
 		result<limit_message> decoded = decode_limit_message(_bytes.data(), _bytes.size(), m_clock.steady());
 		m_limits.on_message(*value_of(decoded), _sender);
 	}
 	void tick()
 	{
 		m_limits.tick();
+		m_crashes.tick();
 		m_forwarder.tick();
 	}
 
@@ -119,6 +134,7 @@
 	backend_registry m_registry;
 	entry_log m_log;
 	backend_limits m_limits;
+	crash_guard m_crashes;
 	metrics m_metrics;
 	forwarder m_forwarder;
 	http_listener m_listener;
--- a/tests/state_replica_test.cpp
+++ b/tests/state_replica_test.cpp
@@ -81,6 +81,18 @@
 	{
 		return {};
 	}
+	result<request_block> decode_block(const store_value&) const override
+	{
+		return error{"bad_block", "there are none here"};
+	}
+	result<request_fingerprint> blocked_request_of(const std::string&) const override
+	{
+		return error{"bad_block", "there are none here"};
+	}
+	store_write block_write(const request_block&) const override
+	{
+		return {};
+	}
 };
 
 class state_replica_test : public CppUnit::TestFixture
