Count the time for which a VM is suspended, and that requests lie unread

What callers saw: after a node had stood still, backend servers worked for callers that had left.

Cause: a request's time counted from its reading, also when it had lain in the socket; and the steady clock stands still while a VM is suspended. Class: a duration that another party times as well, on a clock that stops.

What changes: larkrack-edge takes CLOCK_BOOTTIME behind the clock interface. What is past its deadline by the clock is ended before it waits, asks or is sent again, since timers are late by the suspension.

--- a/src/base/clock.cpp
+++ b/src/base/clock.cpp
@@ -3,6 +3,8 @@
 
 #include "base/clock_p.h"
 
+#include <ctime>
+
 namespace larkrack
 {
 steady_time clock_system::steady() const
@@ -10,6 +12,15 @@
 	return std::chrono::time_point_cast<std::chrono::microseconds>(std::chrono::steady_clock::now());
 }
 
+steady_time clock_boottime::steady() const
+{
+	timespec now{};
+	clock_gettime(CLOCK_BOOTTIME, &now); // It fails on no kernel that this runs on.
+	return steady_time(
+	    std::chrono::seconds(now.tv_sec) +
+	    std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::nanoseconds(now.tv_nsec)));
+}
+
 wall_time clock_system::wall() const
 {
 	return std::chrono::time_point_cast<std::chrono::microseconds>(std::chrono::system_clock::now());
--- a/src/base/clock_p.h
+++ b/src/base/clock_p.h
@@ -14,7 +14,7 @@
 
 namespace larkrack
 {
-/// A point on a clock that never jumps back and counts the time for which the VM is suspended; microseconds.
+/// A point on a clock that never jumps back; microseconds.
 using steady_time = std::chrono::time_point<std::chrono::steady_clock, std::chrono::microseconds>;
 /// A point on the wall clock; microseconds since 1970.
 using wall_time = std::chrono::time_point<std::chrono::system_clock, std::chrono::microseconds>;
@@ -27,8 +27,7 @@
 	{
 		return "clock";
 	}
-	/// @returns Time for intervals. After a suspension it is ahead of timers, which do not fire for it: what
-	/// is due by this clock is looked at before anything is sent.
+	/// @returns Time for intervals.
 	virtual steady_time steady() const = 0;
 	/// @returns Time that can be compared between VMs, within the assumed skew.
 	virtual wall_time wall() const = 0;
@@ -42,6 +41,14 @@
 	wall_time wall() const override;
 };
 
+/// The clock of the operating system that counts the time for which the VM is suspended. Timers do not: after
+/// a suspension they fire late by it, so what is due by this clock is looked at before anything is sent.
+class clock_boottime : public clock_system
+{
+public:
+	steady_time steady() const override;
+};
+
 /// @returns Microseconds since the clock's start.
 template <typename Time>
 std::int64_t to_us(Time _time)
--- a/src/entry_node/entry_node_p.h
+++ b/src/entry_node/entry_node_p.h
@@ -130,7 +130,7 @@
 	std::string m_settings_path;
 	const platform_dialect_base& m_dialect;
 	asio::io_context m_context;
-	clock_system m_clock;
+	clock_boottime m_clock;
 	entry_log m_log;
 	metrics m_metrics;
 	backend_registry m_backends;
--- a/src/entry_node/forwarded_request.cpp
+++ b/src/entry_node/forwarded_request.cpp
@@ -20,7 +20,8 @@
     std::shared_ptr<caller_session> _session, caller_request&& _request)
     : m_context(_context), m_owner(_owner), m_session(std::move(_session)), m_request(std::move(_request)),
       m_request_id(m_request[_context.names.request_id]), m_routes(_context.routes),
-      m_arrived_at(_context.clock.steady()), m_deadline_timer(_context.io), m_wait_timer(_context.io)
+      m_arrived_at(_context.gap.arrival(_context.clock.steady())), m_deadline_timer(_context.io),
+      m_wait_timer(_context.io)
 {
 }
 
@@ -69,7 +70,7 @@
 void forwarded_request::go_on()
 {
 	admit();
-	if (!hold_if_blocked())
+	if (!end_if_due() && !hold_if_blocked())
 	{
 		send_or_wait();
 	}
@@ -106,7 +107,7 @@
 	steering.retries.earn(m_arrived_at);
 	m_planned = choose_region(
 	    m_key, *m_route, m_context.region, m_context.distances, steering.shares, m_context.random);
-	m_deadline_timer.expires_after(longest);
+	m_deadline_timer.expires_after(m_deadline - m_context.clock.steady());
 	m_deadline_timer.async_wait(
 	    [self = shared_from_this()](beast::error_code _error)
 	    {
@@ -176,6 +177,16 @@
 	}
 }
 
+bool forwarded_request::end_if_due()
+{
+	if (m_context.clock.steady() < m_deadline)
+	{
+		return false;
+	}
+	end_with(answer_at_deadline(m_history, false));
+	return true;
+}
+
 void forwarded_request::on_deadline()
 {
 	if (state::ended != m_state)
--- a/src/entry_node/forwarded_request_attempts.cpp
+++ b/src/entry_node/forwarded_request_attempts.cpp
@@ -124,8 +124,9 @@
 void forwarded_request::on_token(const backend_ptr& _backend, quota_answer _answer)
 {
 	const bool granted = quota_answer::granted == _answer;
+	const steady_time now = m_context.clock.steady();
 	const bool goes_there =
-	    state::asking == m_state && granted && key_holds() && _backend->usable(m_context.clock.steady());
+	    state::asking == m_state && granted && key_holds() && _backend->usable(now) && now < m_deadline;
 	if (goes_there)
 	{
 		send_to(_backend);
@@ -135,7 +136,7 @@
 	{
 		m_context.limits.give_back(*_backend);
 	}
-	if (state::asking != m_state)
+	if (state::asking != m_state || end_if_due())
 	{
 		return;
 	}
@@ -222,7 +223,8 @@
 		m_kept_answer = std::move(_result.response);
 	}
 	const bool ended_server = _result.connection_broke && !m_context.crashes.may_resend(fingerprint());
-	const bool may_resend = key_holds() && !ended_server && look_state::used != m_look;
+	const bool in_time = m_context.clock.steady() < m_deadline;
+	const bool may_resend = in_time && key_holds() && !ended_server && look_state::used != m_look;
 	if (may_resend && may_resend_free(_rule, m_history) && try_send())
 	{
 		return;
--- a/src/entry_node/forwarded_request_blocks.cpp
+++ b/src/entry_node/forwarded_request_blocks.cpp
@@ -129,6 +129,6 @@
 		refuse_key();
 		return true;
 	}
-	return look_state::none == m_look && hold_if_blocked();
+	return end_if_due() || (look_state::none == m_look && hold_if_blocked());
 }
 } // namespace larkrack
--- a/src/entry_node/forwarded_request_p.h
+++ b/src/entry_node/forwarded_request_p.h
@@ -98,6 +98,9 @@
 	void wait_for_slot();
 	void leave_queue();
 
+	/// Ends it if its deadline is over by the clock: the timer is late after the VM was suspended.
+	/// @returns Whether it has ended.
+	bool end_if_due();
 	void on_wait_over();
 	void on_deadline();
 	void on_caller_left();
--- a/src/entry_node/forwarder.cpp
+++ b/src/entry_node/forwarder.cpp
@@ -30,7 +30,7 @@
     : m_context{_context, _clock, std::move(_names), region_name(_placement.region),
           domain_name(_placement.domain), _backends, _fleet, _quotas, _rollouts, _limits, _crashes, _log,
           _metrics, std::minstd_rand(static_cast<unsigned>(_clock.steady().time_since_epoch().count())), {},
-          {}, {}, false},
+          {}, {}, {}, false},
       m_bounds(_bounds)
 {
 }
@@ -101,6 +101,7 @@
 void forwarder::tick()
 {
 	const steady_time now = m_context.clock.steady();
+	m_context.gap.on_turn(now);
 	const double passed_s = steady_time{} == m_ticked_at
 	                            ? k_rate_memory_s
 	                            : std::chrono::duration<double>(now - m_ticked_at).count();
--- a/src/entry_node/forwarder_p.h
+++ b/src/entry_node/forwarder_p.h
@@ -16,6 +16,7 @@
 #include "entry_node/rollouts_p.h"
 #include "entry_node/upstream_p.h"
 #include "steering/fleet_view_p.h"
+#include "steering/loop_gap_p.h"
 #include "steering/service_split_p.h"
 #include "steering/service_steering_p.h"
 #include "steering/slot_queue_p.h"
@@ -69,6 +70,7 @@
 	std::shared_ptr<const routing_table> routes; ///< In force for new requests; null: none yet.
 	region_distances distances;
 	forwarder_counters counters;
+	loop_gap gap;
 	bool stopping = false; ///< New requests are refused.
 };
 
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -13,6 +13,24 @@
 
 namespace larkrack
 {
+/// The clock of the operating system, ahead by the time for which the VM was suspended; timers know nothing
+/// of it.
+class clock_suspended : public clock_system
+{
+public:
+	steady_time steady() const override
+	{
+		return clock_system::steady() + m_ahead;
+	}
+	void suspend(std::chrono::milliseconds _time)
+	{
+		m_ahead += _time;
+	}
+
+private:
+	std::chrono::milliseconds m_ahead{0};
+};
+
 /// No other nodes.
 class fleet_view_alone : public fleet_view_base
 {
@@ -389,6 +407,7 @@
 	void tearDown() override
 	{
 		m_context->stop();
+		m_crashes.waiting = nullptr; // It holds a request, which needs the context.
 		m_backends.clear();
 		m_listener.reset();
 		m_forwarder.reset();
@@ -461,7 +480,7 @@
 	}
 
 	std::unique_ptr<asio::io_context> m_context;
-	clock_system m_clock;
+	clock_suspended m_clock;
 	fleet_view_alone m_fleet;
 	scripted_quotas m_quotas;
 	scripted_rollouts m_rollouts;
