--- a/src/entry_node/crash_guard.cpp
+++ b/src/entry_node/crash_guard.cpp
@@ -17,7 +17,7 @@
 constexpr std::chrono::milliseconds k_longest_question{150};
 /// Time from a message to the first time that it is sent again; each further one takes four times as long.
 constexpr std::chrono::milliseconds k_first_repeat{400};
-constexpr int k_repeat_factor = 4;
+constexpr int k_repeat_factor = 4; ///< See above.
 constexpr int k_news_repeats = 2;   ///< Of what all nodes are told.
 constexpr int k_report_repeats = 1; ///< Of what those that count are told.
 /// Messages that are sent again later, at most: more requests end servers than can be told.
@@ -321,6 +321,7 @@
 		m_unwritten[_block.request] = {_block.number, m_clock.steady() + k_write_again};
 		m_write(_block);
 	}
+	object_if_popular(_block); // Last: the word that it is cleared has to follow.
 }
 
 bool crash_guard::take_block(const request_block& _block)
@@ -329,6 +330,7 @@
 	if (is_new)
 	{
 		on_block_changed(_block);
+		object_if_popular(_block);
 	}
 	return is_new;
 }
@@ -346,7 +348,11 @@
 		m_seen.on_served(_block.request);
 		m_counted.on_served(_block.request);
 	}
-	else if (is_popular(_block.request))
+}
+
+void crash_guard::object_if_popular(const request_block& _block)
+{
+	if (_block.blocked && is_popular(_block.request))
 	{
 		send_to_counters(served_report{_block.request}, _block.request);
 	}
--- a/src/entry_node/crash_guard_p.h
+++ b/src/entry_node/crash_guard_p.h
@@ -172,6 +172,8 @@
 	bool take_block(const request_block& _block);
 	/// Follows a change of what is known of a request.
 	void on_block_changed(const request_block& _block);
+	/// Says that a request was served here lately, so that it is not to blame.
+	void object_if_popular(const request_block& _block);
 	void tell_region(const request_block& _block);
 	std::optional<request_block> grant_look(const request_fingerprint& _request, std::uint32_t _versions);
 	void answer_look(const request_fingerprint& _request, bool _granted);
--- a/tests/crash_model_test.cpp
+++ b/tests/crash_model_test.cpp
@@ -33,6 +33,9 @@
 constexpr std::size_t k_blamed = 3; ///< Ends after which the request has shown what it does.
 constexpr std::size_t k_sends_after = 3; ///< In all, later than k_contact after that.
 
+constexpr std::uint64_t k_crashing = 100; ///< The first of the crashing requests.
+constexpr std::uint64_t k_innocent = 5;
+
 enum class crash_way
 {
 	counted,  ///< As the program does.
@@ -74,7 +77,7 @@
 			{
 				for (int i = 0; i < _crashing; ++i)
 				{
-					arrive(any_node(), static_cast<std::uint64_t>(100 + i));
+					arrive(any_node(), k_crashing + static_cast<std::uint64_t>(i));
 				}
 			}
 		}
@@ -450,9 +453,6 @@
 	bool m_store_down = false;
 };
 
-constexpr std::uint64_t k_crashing = 100; ///< The first of the crashing requests.
-constexpr std::uint64_t k_innocent = 5;
-
 const char* name_of(crash_way _way)
 {
 	return crash_way::counted == _way ? "counted" : crash_way::told_all == _way ? "told to all" : "alone";
@@ -587,7 +587,8 @@
 	{
 		crash_model model(crash_way::counted, 9, 0.0, 6);
 		model.run(ms(8000), ms(500), 100);
-		CPPUNIT_ASSERT_MESSAGE(std::to_string(model.ended()), model.ended() <= 100 * 2 * k_blamed);
+		CPPUNIT_ASSERT_MESSAGE(
+		    std::to_string(model.ended()), model.ended() <= std::size_t(100) * 2 * k_blamed);
 	}
 
 	/// Guards against an innocent request that is held off for what another one did beside it.
@@ -628,7 +629,7 @@
 		crash_model model(crash_way::counted, 30, 0.0, 8);
 		for (int i = 0; i < 100; ++i)
 		{
-			model.serve(i % 30, static_cast<std::uint64_t>(1000 + i));
+			model.serve(i % 30, 1000 + static_cast<std::uint64_t>(i));
 			model.run(ms(50), ms(0));
 		}
 		CPPUNIT_ASSERT_EQUAL(std::size_t(0), model.datagrams());
--- a/tests/forms/platform_keys_form_test.cpp
+++ b/tests/forms/platform_keys_form_test.cpp
@@ -33,6 +33,8 @@
 	CPPUNIT_TEST(rollout_order_is_read);
 	CPPUNIT_TEST(rollout_order_that_is_none_is_refused);
 	CPPUNIT_TEST(rollout_status_written_is_read_back);
+	CPPUNIT_TEST(block_written_is_read_back);
+	CPPUNIT_TEST(block_that_is_absurd_is_refused);
 	CPPUNIT_TEST(headers_have_the_names_of_the_platform);
 	CPPUNIT_TEST(lookup_target_is_read);
 	CPPUNIT_TEST(lookup_answer_has_the_known_text);
@@ -371,6 +373,47 @@
 		}
 	}
 
+	void block_written_is_read_back()
+	{
+		const platform_codec codec;
+		request_block block;
+		block.request = {0x1122334455667788, 0x99aabbccddeeff01, 0x0a0b0c0d};
+		block.number = 3;
+		block.looks = 1;
+		block.versions = 7;
+		const store_write write = codec.block_write(block);
+		CPPUNIT_ASSERT_EQUAL(std::string("status/blocked/99aabbccddeeff01-0a0b0c0d"), write.key);
+		CPPUNIT_ASSERT_EQUAL(
+		    std::string(R"({"Change":3,"Head":"1122334455667788","Looks":1,"Versions":7})"), *write.value);
+		CPPUNIT_ASSERT(record_kind::block == codec.kind_of(write.key));
+		const auto decoded = codec.decode_block({write.key, *write.value, 11, 0});
+		const auto& same = std::get<request_block>(decoded);
+		CPPUNIT_ASSERT(same.request == block.request && same.request.head == block.request.head);
+		CPPUNIT_ASSERT(same.blocked && 3 == same.number && 1 == same.looks && 7 == same.versions);
+		block.blocked = false;
+		CPPUNIT_ASSERT(!codec.block_write(block).value);
+	}
+
+	void block_that_is_absurd_is_refused()
+	{
+		const platform_codec codec;
+		const std::string value = R"({"Change":3,"Head":"1122334455667788","Looks":1,"Versions":7})";
+		for (const char* name :
+		    {"", "99", "99-", "-1", "99-1-", "xyz-1", "99aabbccddeeff0199-1", "99-112233445"})
+		{
+			const std::string key = std::string("status/blocked/") + name;
+			CPPUNIT_ASSERT_MESSAGE(
+			    name, std::holds_alternative<error>(codec.decode_block({key, value, 3, 0})));
+		}
+		for (const char* absurd : {"", "7", "{}", R"({"Head":""})", R"({"Head":"xyz"})", R"({"Head":7})"})
+		{
+			CPPUNIT_ASSERT_MESSAGE(absurd,
+			    std::holds_alternative<error>(codec.decode_block({"status/blocked/99-1", absurd, 3, 0})));
+		}
+		const auto by_hand = codec.decode_block({"status/blocked/99-0", R"({"Head":"99"})", 3, 0});
+		CPPUNIT_ASSERT_EQUAL(k_most_looks, std::get<request_block>(by_hand).looks);
+	}
+
 	void rollout_status_written_is_read_back()
 	{
 		const platform_codec codec;
--- a/tests/forms/programs.py
+++ b/tests/forms/programs.py
@@ -60,6 +60,8 @@
 METRIC_TYPES = """\
 larkrack_attempts gauge Requests sent to backend servers since the start.
 larkrack_backend_servers gauge Backend servers in the registry.
+larkrack_block_refusals gauge Requests that were refused because they are blocked.
+larkrack_blocked_requests gauge Requests that are sent to no backend server, since some have ended under them.
 larkrack_caller_connections gauge Open connections of callers.
 larkrack_callers_left gauge Callers that left before their answer.
 larkrack_config_version gauge Version of the configuration in force.
