--- a/src/entry_node/crash_guard.cpp
+++ b/src/entry_node/crash_guard.cpp
@@ -17,7 +17,7 @@
 constexpr std::chrono::milliseconds k_longest_question{150};
 /// Time from a message to the first time that it is sent again; each further one takes four times as long.
 constexpr std::chrono::milliseconds k_first_repeat{400};
-constexpr int k_repeat_factor = 4; ///< See above.
+constexpr int k_repeat_factor = 4;  ///< See above.
 constexpr int k_news_repeats = 2;   ///< Of what all nodes are told.
 constexpr int k_report_repeats = 1; ///< Of what those that count are told.
 /// Messages that are sent again later, at most: more requests end servers than can be told.
