Hear what backend servers say of rest and of leaving, and log it

On call, nothing told whether a node had heard that a backend server wants rest or leaves: attempt_failed looks the same with and without the word, so the hypotheses of the incident could not be told apart. Events 1919 and 1920 and three metrics tell it now.

All headers by which a backend server speaks of itself are decoded in one place (answer_words), once for each answer, also for answers to another request and for those whose body breaks off; backend_words follows them. An answer of another backend server (421) is no longer taken for a report of load.

--- a/include/larkrack/outcome.h
+++ b/include/larkrack/outcome.h
@@ -44,6 +44,7 @@
 	over_quota,         ///< The customer asks for more than its quota.
 	quota_unknown,      ///< No entry VM that lends the customer's tokens answers.
 	ends_backends,      ///< Backend servers have ended under the same request again and again.
+	resting,            ///< All backend servers that could serve it have asked for rest.
 };
 
 /// @returns Name used in headers, logs and histories.
--- a/src/base/events_p.h
+++ b/src/base/events_p.h
@@ -78,7 +78,9 @@
 	X(1915, rollout_refused, warning, "A key about a roll-out is none; nothing moves.")                      \
 	X(1916, backend_limited, info, "A backend server names another limit of its requests, or none.")         \
 	X(1917, backend_ended, warning, "A backend server ended with requests of this node on it.")              \
-	X(1918, request_blocked, warning, "What is known of a request that ends backend servers has changed.")
+	X(1918, request_blocked, warning, "What is known of a request that ends backend servers has changed.")   \
+	X(1919, backend_resting, info, "A backend server wants no requests from this node for some time.")       \
+	X(1920, backend_leaving, info, "A backend server said beside an answer that it leaves.")
 
 /// Numbered log event.
 enum class event : std::uint16_t
--- a/src/base/outcome.cpp
+++ b/src/base/outcome.cpp
@@ -63,6 +63,8 @@
 		return "quota_unknown";
 	case reason::ends_backends:
 		return "ends_backends";
+	case reason::resting:
+		return "resting";
 	}
 	return "none";
 }
--- /dev/null
+++ b/src/entry_node/answer_words.cpp
@@ -0,0 +1,77 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "entry_node/answer_words_p.h"
+
+#include "steering/backend_rest_p.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <string>
+
+namespace larkrack
+{
+namespace
+{
+namespace http = boost::beast::http;
+using head_of_answer = http::response_header<>;
+
+std::string_view to_view(boost::beast::string_view _text)
+{
+	return {_text.data(), _text.size()};
+}
+
+std::optional<backend_load> load_beside(const head_of_answer& _head, const header_names& _names)
+{
+	const std::string text(_head[_names.load]);
+	backend_load load;
+	if (3 == std::sscanf(text.c_str(), "%d,%d,%d", &load.running, &load.waiting, &load.slots))
+	{
+		return load;
+	}
+	return std::nullopt;
+}
+
+std::optional<limit_word> limit_beside(
+    const head_of_answer& _head, const header_names& _names, bool _ran, steady_time _now)
+{
+	const auto named = _head.find(_names.limit);
+	if (_head.end() != named)
+	{
+		return parse_limit(to_view(named->value()), _now);
+	}
+	return _ran ? std::optional<limit_word>(limit_word{std::nullopt, _now}) : std::nullopt;
+}
+
+/// @returns The longest, where several stand beside the answer.
+std::optional<steady_time::duration> rest_beside(const head_of_answer& _head)
+{
+	std::optional<steady_time::duration> longest;
+	const auto named = _head.equal_range(http::field::retry_after);
+	for (auto it = named.first; it != named.second; ++it)
+	{
+		longest = std::max(longest, parse_rest(to_view(it->value())));
+	}
+	return longest;
+}
+} // namespace
+
+answer_words words_beside(
+    const head_of_answer& _head, const header_names& _names, bool _ran, steady_time _now)
+{
+	answer_words words;
+	if (http::status::misdirected_request == _head.result())
+	{
+		return words;
+	}
+	words.load = load_beside(_head, _names);
+	words.limit = limit_beside(_head, _names, _ran, _now);
+	if (http::status::service_unavailable == _head.result())
+	{
+		words.rest = rest_beside(_head);
+	}
+	const auto leaving = _head.find(_names.leaving);
+	words.leaving = _head.end() != leaving && "0" != leaving->value();
+	return words;
+}
+} // namespace larkrack
--- a/src/entry_node/backend_registry.cpp
+++ b/src/entry_node/backend_registry.cpp
@@ -175,6 +175,15 @@
 	    }));
 }
 
+std::size_t backend_registry::said_leaving() const
+{
+	return static_cast<std::size_t>(std::count_if(m_by_id.begin(), m_by_id.end(),
+	    [](const auto& _entry)
+	    {
+		    return _entry.second->said_leaving;
+	    }));
+}
+
 backend_ptr backend_registry::find(const backend_id& _id) const
 {
 	const auto it = m_by_id.find(_id);
--- a/src/entry_node/backend_registry_p.h
+++ b/src/entry_node/backend_registry_p.h
@@ -108,6 +108,8 @@
 	backend_server* find_life(std::uint32_t _hash) const;
 	/// @returns How many name a limit; goes through all.
 	std::size_t limited() const;
+	/// @returns How many have said beside an answer that they leave; goes through all.
+	std::size_t said_leaving() const;
 	std::size_t size() const
 	{
 		return m_by_id.size();
--- /dev/null
+++ b/src/entry_node/backend_words.cpp
@@ -0,0 +1,78 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "entry_node/backend_words_p.h"
+
+namespace larkrack
+{
+backend_words::backend_words(const clock_base& _clock, limit_gate_base& _limits, entry_log& _log)
+    : m_clock(_clock), m_limits(_limits), m_log(_log)
+{
+}
+
+void backend_words::on_words(const backend_ptr& _backend, const answer_words& _words)
+{
+	if (_words.limit)
+	{
+		m_limits.on_word(*_backend, *_words.limit);
+	}
+	if (_words.rest)
+	{
+		hear_rest(_backend, *_words.rest);
+	}
+	if (_words.leaving)
+	{
+		hear_leaving(*_backend);
+	}
+}
+
+void backend_words::hear_rest(const backend_ptr& _backend, steady_time::duration _rest)
+{
+	++m_rests_asked;
+	const steady_time now = m_clock.steady();
+	const steady_time before = _backend->rest.until();
+	if (!_backend->rest.hear(_rest, now))
+	{
+		return;
+	}
+	const bool rested = m_resting.erase({before, _backend.get()}) > 0;
+	m_resting.emplace(rest_end{_backend->rest.until(), _backend.get()}, _backend);
+	if (!rested)
+	{
+		log_rest(*_backend, "begins", to_ms(_rest));
+	}
+}
+
+void backend_words::hear_leaving(backend_server& _backend)
+{
+	if (_backend.said_leaving)
+	{
+		return;
+	}
+	_backend.said_leaving = true;
+	m_log.write(log_line(event::backend_leaving)
+	                .text("backend", _backend.registered.id.text)
+	                .text("service", _backend.registered.service.text));
+}
+
+void backend_words::tick()
+{
+	const steady_time now = m_clock.steady();
+	while (!m_resting.empty() && m_resting.begin()->first.first <= now)
+	{
+		const backend_ptr backend = m_resting.begin()->second;
+		m_resting.erase(m_resting.begin());
+		log_rest(*backend, "ends", std::chrono::milliseconds(0));
+	}
+}
+
+void backend_words::log_rest(
+    const backend_server& _backend, const char* _state, std::chrono::milliseconds _rest)
+{
+	m_log.write(log_line(event::backend_resting)
+	                .text("backend", _backend.registered.id.text)
+	                .text("service", _backend.registered.service.text)
+	                .text("state", _state)
+	                .number("rest_ms", _rest.count()));
+}
+} // namespace larkrack
--- /dev/null
+++ b/src/entry_node/backend_words_p.h
@@ -0,0 +1,52 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// What follows when a backend server says something of itself beside an answer.
+///
+/// Owns the log of rests and of backend servers that leave. Relies on upstream_exchange to hand in all
+/// words, on backend_limits for those of limits, and on the forwarder to call tick().
+#pragma once
+
+#include "entry_node/backend_limits_p.h"
+#include "entry_node/upstream_p.h"
+
+#include <map>
+
+namespace larkrack
+{
+/// Hears backend servers for all requests of a node.
+class backend_words : public answer_listener_base
+{
+public:
+	backend_words(const clock_base& _clock, limit_gate_base& _limits, entry_log& _log);
+
+	void on_words(const backend_ptr& _backend, const answer_words& _words) override;
+	/// Logs which rests are over.
+	void tick();
+	/// @returns Backend servers that want no requests from this node now.
+	std::size_t resting() const
+	{
+		return m_resting.size();
+	}
+	/// @returns Answers that asked for rest, since the start.
+	std::uint64_t rests_asked() const
+	{
+		return m_rests_asked;
+	}
+
+private:
+	/// By the end of the rest; the second part tells rests that end together apart.
+	using rest_end = std::pair<steady_time, const backend_server*>;
+
+	void hear_rest(const backend_ptr& _backend, steady_time::duration _rest);
+	void hear_leaving(backend_server& _backend);
+	void log_rest(const backend_server& _backend, const char* _state, std::chrono::milliseconds _rest);
+
+	const clock_base& m_clock;
+	limit_gate_base& m_limits;
+	entry_log& m_log;
+	std::map<rest_end, backend_ptr> m_resting;
+	std::uint64_t m_rests_asked = 0;
+};
+} // namespace larkrack
--- a/src/entry_node/entry_node_answers.cpp
+++ b/src/entry_node/entry_node_answers.cpp
@@ -153,6 +153,12 @@
 	    static_cast<double>(m_backends.limited()));
 	gauge("limit_refusals", "Requests that the limit of a backend server kept from it.",
 	    static_cast<double>(m_limits.refused()));
+	gauge("resting_backends", "Backend servers that have asked this node for rest.",
+	    static_cast<double>(m_forwarder.words().resting()));
+	gauge("rests_asked", "Answers of backend servers that asked for rest.",
+	    static_cast<double>(m_forwarder.words().rests_asked()));
+	gauge("leaving_backends", "Backend servers that said beside an answer that they leave.",
+	    static_cast<double>(m_backends.said_leaving()));
 	gauge("blocked_requests",
 	    "Requests that are sent to no backend server, since some have ended under them.",
 	    static_cast<double>(m_crashes.blocked()));
--- a/src/entry_node/forwarded_request_attempts.cpp
+++ b/src/entry_node/forwarded_request_attempts.cpp
@@ -166,8 +166,8 @@
 	m_context.backends.note_sent(*_backend);
 	m_sent_at = m_context.clock.steady();
 	++m_context.counters.attempts;
-	m_exchange = std::make_shared<upstream_exchange>(m_context.io, m_context.clock, m_context.names, _backend,
-	    std::move(request), connect_timeout(_backend->region == m_context.region),
+	m_exchange = std::make_shared<upstream_exchange>(m_context.io, m_context.clock, m_context.names,
+	    m_context.words, _backend, std::move(request), connect_timeout(_backend->region == m_context.region),
 	    [self = shared_from_this()](exchange_result&& _result)
 	    {
 		    self->on_result(std::move(_result));
@@ -183,10 +183,6 @@
 	{
 		m_context.distances.add_connect_time(backend->region, *_result.connect_time);
 	}
-	if (_result.limit)
-	{
-		m_context.limits.on_word(*backend, *_result.limit);
-	}
 	if (state::ended == m_state)
 	{
 		return;
--- a/src/entry_node/forwarder_p.h
+++ b/src/entry_node/forwarder_p.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include "entry_node/backend_limits_p.h"
+#include "entry_node/backend_words_p.h"
 #include "entry_node/crash_guard_p.h"
 #include "entry_node/customer_quotas_p.h"
 #include "entry_node/entry_log_p.h"
@@ -64,6 +65,7 @@
 	rollout_gate_base& rollouts;
 	limit_gate_base& limits;
 	crash_gate_base& crashes;
+	answer_listener_base& words;
 	entry_log& log;
 	metrics& exported;
 	std::minstd_rand random;
@@ -120,6 +122,11 @@
 	/// @returns Requests with an affinity key that this node sends to each region, and apart those that may
 	/// run in one region only.
 	rate_by_service_and_region sent_per_s() const;
+	/// @returns What backend servers said beside their answers.
+	const backend_words& words() const
+	{
+		return m_words;
+	}
 	const forwarder_counters& counters() const
 	{
 		return m_context.counters;
@@ -146,6 +153,7 @@
 	}
 	void update(const service_name& _name, service_steering& _steering, steady_time _now);
 
+	backend_words m_words;
 	request_context m_context;
 	shared_bounds m_bounds;
 	std::map<service_name, forwarded_service> m_services;
--- a/src/entry_node/upstream.cpp
+++ b/src/entry_node/upstream.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cstdio>
 
 namespace larkrack
 {
@@ -34,9 +33,9 @@
 /// Late answers to earlier requests that are passed over in one exchange: a stuck peer must not hold it.
 constexpr int k_foreign_answers = 2;
 
-bool has(const caller_response& _response, const std::string& _name)
+bool has(const http::response_header<>& _head, const std::string& _name)
 {
-	return _response.end() != _response.find(_name);
+	return _head.end() != _head.find(_name);
 }
 
 std::chrono::milliseconds keep_alive_of(const caller_response& _response)
@@ -122,11 +121,11 @@
 }
 
 upstream_exchange::upstream_exchange(asio::io_context& _context, const clock_base& _clock,
-    const header_names& _names, backend_ptr _backend, upstream_request _request,
-    std::chrono::milliseconds _connect_timeout, handler _handler)
-    : m_context(_context), m_clock(_clock), m_names(_names), m_backend(std::move(_backend)),
-      m_request(std::move(_request)), m_connect_timeout(_connect_timeout), m_handler(std::move(_handler)),
-      m_timer(_context)
+    const header_names& _names, answer_listener_base& _listener, backend_ptr _backend,
+    upstream_request _request, std::chrono::milliseconds _connect_timeout, handler _handler)
+    : m_context(_context), m_clock(_clock), m_names(_names), m_listener(_listener),
+      m_backend(std::move(_backend)), m_request(std::move(_request)), m_connect_timeout(_connect_timeout),
+      m_handler(std::move(_handler)), m_timer(_context)
 {
 }
 
@@ -211,6 +210,7 @@
 			    const bool closed =
 			        http::error::end_of_stream == _error || asio::error::connection_reset == _error;
 			    self->m_connection_broke = closed;
+			    self->take_words_of_part();
 			    self->fail(exchange_outcome::lost, closed ? "closed" : "broken_answer", backend_signal::lost);
 			    return;
 		    }
@@ -218,10 +218,10 @@
 	    });
 }
 
-bool upstream_exchange::is_ours(const caller_response& _response) const
+bool upstream_exchange::is_ours(const http::response_header<>& _head) const
 {
-	const auto id = _response.find(m_names.request_id);
-	return _response.end() == id || id->value() == m_request.request_id;
+	const auto id = _head.find(m_names.request_id);
+	return _head.end() == id || id->value() == m_request.request_id;
 }
 
 void upstream_exchange::on_answer()
@@ -232,25 +232,20 @@
 		read(); // An interim answer; the final one follows.
 		return;
 	}
+	take_words(m_parser->get());
 	if (!is_ours(m_parser->get()))
 	{
 		pass_over_foreign();
 		return;
 	}
 	caller_response response = m_parser->release();
-	take_load(response);
 	const bool wrong_server = http::status::misdirected_request == response.result();
 	const bool not_run = wrong_server || has(response, m_names.not_run);
-	// What neither signs nor names the request may come from anything that listens at the address.
-	if (!not_run && !has(response, m_names.signature) && !has(response, m_names.request_id))
+	if (!wrong_server && !is_from_backend(response))
 	{
 		fail(exchange_outcome::lost, "unsigned_answer", backend_signal::lost);
 		return;
 	}
-	if (!wrong_server)
-	{
-		take_limit(response, !not_run);
-	}
 	if (!m_parser->need_eof() && m_parser->keep_alive())
 	{
 		keep_connection(response);
@@ -277,30 +272,45 @@
 	fail(exchange_outcome::lost, "foreign_answer", backend_signal::lost);
 }
 
-void upstream_exchange::take_load(const caller_response& _response)
+bool upstream_exchange::is_from_backend(const http::response_header<>& _head) const
 {
-	const std::string value(_response[m_names.load]);
-	backend_load load;
-	if (3 == std::sscanf(value.c_str(), "%d,%d,%d", &load.running, &load.waiting, &load.slots))
-	{
-		// The exchange that ends now is no longer among those that run.
-		--m_backend->load.in_flight;
-		m_backend->load.on_report(load, m_clock.steady());
-		++m_backend->load.in_flight;
-	}
+	return has(_head, m_names.not_run) || has(_head, m_names.signature) || has(_head, m_names.request_id);
 }
 
-void upstream_exchange::take_limit(const caller_response& _response, bool _ran)
+void upstream_exchange::take_words(const http::response_header<>& _head)
 {
-	const auto named = _response.find(m_names.limit);
-	if (_response.end() != named)
+	if (!is_from_backend(_head))
 	{
-		m_limit = parse_limit({named->value().data(), named->value().size()}, m_clock.steady());
+		return;
 	}
-	else if (_ran)
+	answer_words words = words_beside(_head, m_names, !has(_head, m_names.not_run), m_clock.steady());
+	if (!is_ours(_head))
 	{
-		m_limit = limit_word{std::nullopt, m_clock.steady()};
+		// It was said before: load and limit may have changed since, what ends later or never holds.
+		words.load.reset();
+		words.limit.reset();
 	}
+	if (words.load)
+	{
+		take_load(*words.load);
+	}
+	m_listener.on_words(m_backend, words);
+}
+
+void upstream_exchange::take_words_of_part()
+{
+	if (m_parser && m_parser->is_header_done())
+	{
+		take_words(m_parser->get());
+	}
+}
+
+void upstream_exchange::take_load(const backend_load& _load)
+{
+	// The exchange that ends now is no longer among those that run.
+	--m_backend->load.in_flight;
+	m_backend->load.on_report(_load, m_clock.steady());
+	++m_backend->load.in_flight;
 }
 
 void upstream_exchange::keep_connection(const caller_response& _response)
@@ -332,7 +342,6 @@
 	const auto handler = std::move(m_handler);
 	m_handler = nullptr;
 	_result.connect_time = m_connect_time;
-	_result.limit = m_limit;
 	_result.connection_broke = m_connection_broke;
 	handler(std::move(_result));
 }
--- a/src/entry_node/upstream_p.h
+++ b/src/entry_node/upstream_p.h
@@ -8,7 +8,9 @@
 /// for the entry and on its caller for retries: nothing is sent twice here.
 #pragma once
 
+#include "entry_node/answer_words_p.h"
 #include "entry_node/backend_registry_p.h"
+#include "entry_node/header_names_p.h"
 #include "entry_node/http_listener_p.h"
 
 #include <optional>
@@ -16,21 +18,6 @@
 
 namespace larkrack
 {
-/// Names of the headers that callers, nodes and backend servers exchange. Set once, at the start.
-struct header_names
-{
-	std::string request_id = "Larkrack-Request-Id";
-	std::string timeout_ms = "Larkrack-Deadline-Ms"; ///< Milliseconds that remain.
-	std::string target_id = "Larkrack-Backend";      ///< Only this backend server may run the request.
-	std::string not_run = "Larkrack-Shed";           ///< The backend server did not run the request.
-	std::string load = "Larkrack-Load";              ///< Running, waiting, slots.
-	std::string limit = "Larkrack-Limit"; ///< Requests a second that it takes from all nodes together.
-	std::string affinity_cookie = "Larkrack-Affinity";
-	std::string signature = "Larkrack-Signature"; ///< Stands in each answer of a backend server that ran.
-	std::string api_key = "Larkrack-Api-Key";     ///< Of a caller; never passed on.
-	std::string customer = "Larkrack-Customer"; ///< Name of the customer that holds the key; set by the node.
-};
-
 /// Connection to a backend server, for one exchange at a time.
 class upstream_connection : public std::enable_shared_from_this<upstream_connection>
 {
@@ -76,7 +63,6 @@
 	std::optional<caller_response> response; ///< Set when answered.
 	const char* detail = "";                 ///< What went wrong, for the log.
 	bool connection_broke = false;           ///< Lost: the backend server's end of it was closed or reset.
-	std::optional<limit_word> limit;         ///< What the backend server said of its limit, if anything.
 	/// Time that a new connection needed to come up; nothing when none was made.
 	std::optional<steady_time::duration> connect_time;
 };
@@ -90,16 +76,25 @@
 	bool at_most_once = false; ///< A connection that may be stale is not used.
 };
 
+/// Is told what a backend server says of itself beside its answers.
+class answer_listener_base
+{
+public:
+	virtual ~answer_listener_base() = default;
+	virtual void on_words(const backend_ptr& _backend, const answer_words& _words) = 0;
+};
+
 /// Sends one request to one backend server.
 class upstream_exchange : public std::enable_shared_from_this<upstream_exchange>
 {
 public:
 	using handler = std::function<void(exchange_result&&)>;
 
+	/// @param[in] _listener Outlives the exchange.
 	/// @param[in] _connect_timeout Longest time for a new connection to come up.
 	upstream_exchange(asio::io_context& _context, const clock_base& _clock, const header_names& _names,
-	    backend_ptr _backend, upstream_request _request, std::chrono::milliseconds _connect_timeout,
-	    handler _handler);
+	    answer_listener_base& _listener, backend_ptr _backend, upstream_request _request,
+	    std::chrono::milliseconds _connect_timeout, handler _handler);
 	/// Starts it. The handler is called once, unless it is cancelled before.
 	void start();
 	/// Gives it up: the connection is closed, which stops the work of the backend server.
@@ -123,17 +118,22 @@
 	void pass_over_foreign();
 	void fail(exchange_outcome _end, const char* _detail, backend_signal _signal);
 	void finish(exchange_result&& _result, backend_signal _signal);
-	bool is_ours(const caller_response& _response) const;
-	void take_load(const caller_response& _response);
-	/// @param[in] _ran Whether the backend server ran the request; one that turned it away need not say
-	/// whether its limit goes on.
-	void take_limit(const caller_response& _response, bool _ran);
+	bool is_ours(const http::response_header<>& _head) const;
+	/// @returns Whether an answer signs, or names a request. Others may come from anything that listens at
+	/// the address.
+	bool is_from_backend(const http::response_header<>& _head) const;
+	/// Takes what stands beside an answer, also one that is not passed on.
+	void take_words(const http::response_header<>& _head);
+	/// Takes what stands beside an answer whose body did not come whole.
+	void take_words_of_part();
+	void take_load(const backend_load& _load);
 	void keep_connection(const caller_response& _response);
 	void close_connection();
 
 	asio::io_context& m_context;
 	const clock_base& m_clock;
 	const header_names& m_names;
+	answer_listener_base& m_listener;
 	backend_ptr m_backend;
 	upstream_request m_request;
 	std::chrono::milliseconds m_connect_timeout;
@@ -147,7 +147,6 @@
 	bool m_connection_broke = false; ///< By the other end, before an answer began.
 	steady_time m_connecting_since{};
 	std::optional<steady_time::duration> m_connect_time;
-	std::optional<limit_word> m_limit;
 	int m_foreign_answers = 0;
 };
 } // namespace larkrack
--- /dev/null
+++ b/src/steering/backend_rest.cpp
@@ -0,0 +1,36 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "steering/backend_rest_p.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+namespace larkrack
+{
+std::optional<steady_time::duration> parse_rest(std::string_view _text)
+{
+	double seconds = 0.0;
+	const char* end = _text.data() + _text.size();
+	const auto [read_to, failure] = std::from_chars(_text.data(), end, seconds, std::chars_format::fixed);
+	const bool readable = std::errc() == failure && end == read_to;
+	if (!readable || !std::isfinite(seconds) || seconds < 0.0)
+	{
+		return std::nullopt;
+	}
+	const std::chrono::duration<double> rest(seconds);
+	const std::chrono::duration<double> longest(k_longest_rest);
+	return std::chrono::ceil<steady_time::duration>(std::min(rest, longest));
+}
+
+bool backend_rest::hear(steady_time::duration _rest, steady_time _now)
+{
+	if (_now + _rest <= std::max(m_until, _now))
+	{
+		return false;
+	}
+	m_until = _now + _rest;
+	return true;
+}
+} // namespace larkrack
--- a/src/steering/backend_state_p.h
+++ b/src/steering/backend_state_p.h
@@ -12,6 +12,7 @@
 #pragma once
 
 #include "steering/backend_limit_p.h"
+#include "steering/backend_rest_p.h"
 #include "steering/load_estimate_p.h"
 #include "steering/names_p.h"
 #include "steering/outlier_ejection_p.h"
@@ -55,6 +56,8 @@
 	load_estimate load;        ///< Requests that it holds.
 	outlier_ejection ejection; ///< Its failures.
 	named_limit limit;         ///< What it takes a second from all nodes, if it says so.
+	backend_rest rest;         ///< Time for which it wants nothing from this node.
+	bool said_leaving = false; ///< Beside an answer to this node, whatever its entry says.
 
 	/// @returns Whether it is meant to get new requests, failures left aside.
 	bool accepts_new_requests() const
--- a/tests/forms/daemon_log_forms_test.cpp
+++ b/tests/forms/daemon_log_forms_test.cpp
@@ -141,6 +141,8 @@
 1916 backend_limited info
 1917 backend_ended warning
 1918 request_blocked warning
+1919 backend_resting info
+1920 backend_leaving info
 )",
 		    table);
 	}
--- a/tests/forms/event_catalogue_form_test.cpp
+++ b/tests/forms/event_catalogue_form_test.cpp
@@ -95,6 +95,10 @@
 		        "A backend server ended with requests of this node on it."},
 		    {1918, "request_blocked", severity::warning,
 		        "What is known of a request that ends backend servers has changed."},
+		    {1919, "backend_resting", severity::info,
+		        "A backend server wants no requests from this node for some time."},
+		    {1920, "backend_leaving", severity::info,
+		        "A backend server said beside an answer that it leaves."},
 		};
 		CPPUNIT_ASSERT_EQUAL(std::size(known), event_catalogue().size());
 		for (std::size_t i = 0; i < std::size(known); ++i)
--- a/tests/forms/platform_keys_form_test.cpp
+++ b/tests/forms/platform_keys_form_test.cpp
@@ -451,6 +451,7 @@
 		CPPUNIT_ASSERT_EQUAL(std::string("Not-Executed"), names.not_run);
 		CPPUNIT_ASSERT_EQUAL(std::string("Server-Load"), names.load);
 		CPPUNIT_ASSERT_EQUAL(std::string("Server-Limit"), names.limit);
+		CPPUNIT_ASSERT_EQUAL(std::string("Server-Leaving"), names.leaving);
 		CPPUNIT_ASSERT_EQUAL(std::string("Affinity-Key"), names.affinity_cookie);
 		CPPUNIT_ASSERT_EQUAL(std::string("Response-Signature"), names.signature);
 	}
--- a/tests/forms/programs.py
+++ b/tests/forms/programs.py
@@ -66,6 +66,7 @@
 larkrack_callers_left gauge Callers that left before their answer.
 larkrack_config_version gauge Version of the configuration in force.
 larkrack_in_flight gauge Requests whose answer is due.
+larkrack_leaving_backends gauge Backend servers that said beside an answer that they leave.
 larkrack_limit_refusals gauge Requests that the limit of a backend server kept from it.
 larkrack_limited_backends gauge Backend servers that name a limit of their requests.
 larkrack_log_lines_dropped gauge Lines of the log that were dropped.
@@ -76,6 +77,8 @@
 larkrack_request_seconds histogram Time from taking a request to the end of its answer, in seconds.
 larkrack_requests_taken gauge Requests taken since the start.
 larkrack_requests_total counter Requests by service, outcome and reason.
+larkrack_resting_backends gauge Backend servers that have asked this node for rest.
+larkrack_rests_asked gauge Answers of backend servers that asked for rest.
 larkrack_retries_denied gauge Retries that the budget did not allow.
 larkrack_retries_total counter Second tries of this entry VM.
 larkrack_store_calls gauge Calls to the store by use.
