Send nothing to a backend server while it rests

What callers saw: in the incident seven of 24 servers of a service turned all requests away for nine seconds and asked for rest. Nodes sent on as before; a request was turned away, sent again, turned away by another one of the seven, and its caller got 503: over a tenth of two classes was not served. Two servers that had asked for 3 s got 31 and 32 requests of one node in that time; 2 are allowed.

Cause: Retry-After beside an answer was passed over. A turned-away request made the server count as full for 0.1 s, then it was chosen again. Class: a word that a backend server says beside its answer, which only those parts hear that happen to read it.

Why it works: the end of the rest is a part of the backend server's state beside its ejection, and usable() asks for both. All who choose ask it: first sends, resends, requests that wait for a slot or a token, looks at blocked requests. A request that was aimed before the word came and waits for its connection is asked once more when that is up (wants_requests), keeps the connection for others and goes elsewhere at no cost.

For callers: while all that could serve a request rest beyond its wait, it is refused at once, with the end of the first rest and the usual spread as the time to come back. When a rest ends, one request goes there; 0.1 s later, when it would have been turned away, more, within an even share for a second.

--- a/src/entry_node/backend_words.cpp
+++ b/src/entry_node/backend_words.cpp
@@ -5,8 +5,10 @@
 
 namespace larkrack
 {
-backend_words::backend_words(const clock_base& _clock, limit_gate_base& _limits, entry_log& _log)
-    : m_clock(_clock), m_limits(_limits), m_log(_log)
+backend_words::backend_words(asio::io_context& _context, const clock_base& _clock, limit_gate_base& _limits,
+    entry_log& _log, std::function<void()> _on_rest_end)
+    : m_clock(_clock), m_limits(_limits), m_log(_log), m_on_rest_end(std::move(_on_rest_end)),
+      m_timer(_context)
 {
 }
 
@@ -41,6 +43,24 @@
 	{
 		log_rest(*_backend, "begins", to_ms(_rest));
 	}
+	wait_for_next();
+}
+
+void backend_words::wait_for_next()
+{
+	if (m_resting.empty())
+	{
+		return;
+	}
+	m_timer.expires_after(m_resting.begin()->first.first - m_clock.steady());
+	m_timer.async_wait(
+	    [this](beast::error_code _error)
+	    {
+		    if (!_error)
+		    {
+			    end_rests();
+		    }
+	    });
 }
 
 void backend_words::hear_leaving(backend_server& _backend)
@@ -55,7 +75,7 @@
 	                .text("service", _backend.registered.service.text));
 }
 
-void backend_words::tick()
+void backend_words::end_rests()
 {
 	const steady_time now = m_clock.steady();
 	while (!m_resting.empty() && m_resting.begin()->first.first <= now)
@@ -64,6 +84,8 @@
 		m_resting.erase(m_resting.begin());
 		log_rest(*backend, "ends", std::chrono::milliseconds(0));
 	}
+	wait_for_next();
+	m_on_rest_end();
 }
 
 void backend_words::log_rest(
--- a/src/entry_node/forwarded_request.cpp
+++ b/src/entry_node/forwarded_request.cpp
@@ -145,6 +145,11 @@
 		refuse(reason::no_headroom); // A slot that becomes free would not help it.
 		return;
 	}
+	if (rests_beyond_wait())
+	{
+		refuse(reason::resting);
+		return;
+	}
 	m_state = state::waiting;
 	++m_context.counters.queued;
 	m_owner.service_of(m_service).waiting.add(m_route->priority, shared_from_this());
@@ -213,7 +218,17 @@
 
 void forwarded_request::refuse(reason _reason)
 {
-	answer(refusal_answer(k_status_refused, retry_after_s(m_context.random)), outcome::not_run, _reason);
+	answer(refusal_answer(k_status_refused, come_back_s()), outcome::not_run, _reason);
+}
+
+double forwarded_request::come_back_s() const
+{
+	const double usual_s = retry_after_s(m_context.random);
+	if (!m_only_rests)
+	{
+		return usual_s;
+	}
+	return retry_after_rest_s(to_s(m_back_at - m_context.clock.steady()), usual_s);
 }
 
 void forwarded_request::end_with(const final_answer& _end)
--- a/src/entry_node/forwarded_request_attempts.cpp
+++ b/src/entry_node/forwarded_request_attempts.cpp
@@ -25,6 +25,12 @@
 	return attempt_end::lost;
 }
 
+/// @returns Whether a request that found no backend server for that reason may find one a moment later.
+bool slot_may_come_after(backend_choice_reason _why)
+{
+	using why = backend_choice_reason;
+	return why::limit_spent != _why && why::none_usable != _why && why::all_resting != _why;
+}
 } // namespace
 
 backend_choice forwarded_request::choose_backend_in(const region_name& _region, service_steering& _steering)
@@ -36,6 +42,7 @@
 	query.key = m_key;
 	query.key_part = _steering.keys.part_of(m_key);
 	query.own_portion = _steering.own_portion(_region);
+	query.region_per_s = _steering.sent_per_s(_region, m_key);
 	query.tried = &m_tried;
 	query.versions = m_versions;
 	query.sharers = m_context.fleet.sharers();
@@ -66,13 +73,14 @@
 	region_shares& shares = steering.shares.of(m_planned.rule);
 	const std::vector<std::string>& homes = m_homes.regions;
 	bool slot_may_come = false;
+	m_back_at = {};
 	for (const region_name& region : regions_to_try(m_planned.region, shares.shares(), homes))
 	{
 		const backend_choice choice = choose_backend_in(region, steering);
 		if (nullptr == choice.backend)
 		{
-			slot_may_come = slot_may_come || (backend_choice_reason::limit_spent != choice.why &&
-			                                     backend_choice_reason::none_usable != choice.why);
+			note_none(choice);
+			slot_may_come = slot_may_come || slot_may_come_after(choice.why);
 			continue;
 		}
 		if (region != m_planned.region)
@@ -107,9 +115,28 @@
 		return try_send();
 	}
 	m_only_limits = !slot_may_come && !m_without_token.empty();
+	m_only_rests = !slot_may_come && steady_time{} != m_back_at;
+	if (state::waiting == m_state && rests_beyond_wait())
+	{
+		refuse(reason::resting);
+		return true;
+	}
 	return false;
 }
 
+void forwarded_request::note_none(const backend_choice& _choice)
+{
+	if (backend_choice_reason::all_resting == _choice.why)
+	{
+		m_back_at = steady_time{} == m_back_at ? _choice.back_at : std::min(m_back_at, _choice.back_at);
+	}
+}
+
+bool forwarded_request::rests_beyond_wait() const
+{
+	return m_only_rests && m_back_at > m_context.clock.steady() + longest_wait(m_route->objective);
+}
+
 void forwarded_request::ask_for_token(const backend_ptr& _backend)
 {
 	m_state = state::asking;
@@ -183,6 +210,10 @@
 	{
 		m_context.distances.add_connect_time(backend->region, *_result.connect_time);
 	}
+	if (_result.withheld && backend->limit.limited())
+	{
+		m_context.limits.give_back(*backend);
+	}
 	if (state::ended == m_state)
 	{
 		return;
--- a/src/entry_node/forwarded_request_p.h
+++ b/src/entry_node/forwarded_request_p.h
@@ -91,6 +91,10 @@
 	std::chrono::milliseconds timeout() const;
 	affinity_key key_of_request() const;
 	backend_choice choose_backend_in(const region_name& _region, service_steering& _steering);
+	/// Takes note of why a region has no backend server for it.
+	void note_none(const backend_choice& _choice);
+	/// @returns Whether rests alone kept it from being sent, and the first one ends when it waits no longer.
+	bool rests_beyond_wait() const;
 	/// Waits for a token of a backend server's limit.
 	void ask_for_token(const backend_ptr& _backend);
 	void on_token(const backend_ptr& _backend, quota_answer _answer);
@@ -111,6 +115,8 @@
 	bool pay_for_resend();
 
 	void refuse(reason _reason);
+	/// @returns Seconds after which its caller may come back.
+	double come_back_s() const;
 	void refuse_over_quota();
 	void end_with(const final_answer& _end);
 	void answer(caller_response&& _response, outcome _outcome, reason _reason);
@@ -150,5 +156,7 @@
 	look_state m_look = look_state::none;
 	bool m_has_token = false;   ///< Of the customer's quota.
 	bool m_only_limits = false; ///< At the last try, spent limits alone kept it from being sent.
+	bool m_only_rests = false;  ///< The same of backend servers that asked for rest.
+	steady_time m_back_at{};    ///< End of the first of these rests to end; the epoch: none was met.
 };
 } // namespace larkrack
--- a/src/entry_node/forwarder.cpp
+++ b/src/entry_node/forwarder.cpp
@@ -27,13 +27,15 @@
     const placement& _placement, shared_bounds _bounds, backend_registry& _backends,
     const fleet_view_base& _fleet, quota_gate_base& _quotas, rollout_gate_base& _rollouts,
     limit_gate_base& _limits, crash_gate_base& _crashes, entry_log& _log, metrics& _metrics)
-    : m_words(_clock, _limits, _log), m_context{_context, _clock, std::move(_names),
-                                          region_name(_placement.region), domain_name(_placement.domain),
-                                          _backends, _fleet, _quotas, _rollouts, _limits, _crashes, m_words,
-                                          _log, _metrics,
-                                          std::minstd_rand(static_cast<unsigned>(
-                                              _clock.steady().time_since_epoch().count())),
-                                          {}, {}, {}, {}, false},
+    : m_words(_context, _clock, _limits, _log,
+          [this]
+          {
+	          pump();
+          }),
+      m_context{_context, _clock, std::move(_names), region_name(_placement.region),
+          domain_name(_placement.domain), _backends, _fleet, _quotas, _rollouts, _limits, _crashes, m_words,
+          _log, _metrics, std::minstd_rand(static_cast<unsigned>(_clock.steady().time_since_epoch().count())),
+          {}, {}, {}, {}, false},
       m_bounds(_bounds)
 {
 }
@@ -105,7 +107,6 @@
 {
 	const steady_time now = m_context.clock.steady();
 	m_context.gap.on_turn(now);
-	m_words.tick();
 	const double passed_s = steady_time{} == m_ticked_at
 	                            ? k_rate_memory_s
 	                            : std::chrono::duration<double>(now - m_ticked_at).count();
--- a/src/entry_node/upstream.cpp
+++ b/src/entry_node/upstream.cpp
@@ -174,10 +174,25 @@
 		    self->m_connect_time = self->m_clock.steady() - self->m_connecting_since;
 		    beast::error_code ignored; // Without the option small packets are only slower.
 		    self->m_connection->socket.set_option(tcp::no_delay(true), ignored);
-		    self->write();
+		    self->write_if_wanted();
 	    });
 }
 
+void upstream_exchange::write_if_wanted()
+{
+	if (m_backend->wants_requests(m_clock.steady()))
+	{
+		write();
+		return;
+	}
+	m_connection->rest(k_rest_default, m_clock.steady());
+	m_connection.reset();
+	exchange_result result;
+	result.detail = "not_wanted";
+	result.withheld = true;
+	finish(std::move(result), backend_signal::not_tried);
+}
+
 void upstream_exchange::write()
 {
 	m_sent = true;
--- a/src/entry_node/upstream_p.h
+++ b/src/entry_node/upstream_p.h
@@ -62,6 +62,7 @@
 	exchange_outcome end = exchange_outcome::not_sent;
 	std::optional<caller_response> response; ///< Set when answered.
 	const char* detail = "";                 ///< What went wrong, for the log.
+	bool withheld = false;                   ///< Not sent: the backend server wanted none any more.
 	bool connection_broke = false;           ///< Lost: the backend server's end of it was closed or reset.
 	/// Time that a new connection needed to come up; nothing when none was made.
 	std::optional<steady_time::duration> connect_time;
@@ -111,6 +112,8 @@
 
 private:
 	void connect();
+	/// Sends it on a connection that came up, unless the backend server wants no requests any more.
+	void write_if_wanted();
 	void write();
 	void read();
 	void on_answer();
--- a/src/steering/backend_choice.cpp
+++ b/src/steering/backend_choice.cpp
@@ -98,16 +98,32 @@
 	std::vector<candidate> m_heap;
 };
 
-candidate_order in_order(const backend_query& _query, steady_time _now)
+/// @returns Whether a rest alone keeps requests from it.
+bool only_rests(const backend_state& _backend, steady_time _now)
+{
+	return _backend.rest.resting(_now) && _backend.accepts_new_requests() && !_backend.ejection.ejected(_now);
+}
+
+/// @param[out] _back_at End of the first rest to end among those that only rest; not set when none does.
+candidate_order in_order(const backend_query& _query, steady_time _now, steady_time& _back_at)
 {
 	std::vector<candidate> order;
 	for (backend_state* backend : *_query.candidates)
 	{
 		const bool takes_part = _query.versions.admits(backend->registered.version);
-		if (takes_part && backend->region == _query.region && backend->usable(_now))
+		if (!takes_part || backend->region != _query.region)
+		{
+			continue;
+		}
+		if (backend->usable(_now))
 		{
 			order.push_back({rank_of(*backend, _query, _now), backend});
 		}
+		else if (only_rests(*backend, _now))
+		{
+			const steady_time until = backend->rest.until();
+			_back_at = steady_time{} == _back_at ? until : std::min(_back_at, until);
+		}
 	}
 	return candidate_order(std::move(order));
 }
@@ -124,9 +140,10 @@
 	bool foreign = false; ///< Not one of the key's own.
 };
 
+/// @param[in] _share_per_s This node's even share of requests for each backend server.
 /// @returns What keeps a request from a backend server, its limit left aside.
 std::optional<backend_choice_reason> obstacle(backend_state& _backend, const backend_query& _query,
-    const key_place& _place, const warmup_sharing_base& _warmup, steady_time _now)
+    const key_place& _place, double _share_per_s, const warmup_sharing_base& _warmup, steady_time _now)
 {
 	using why = backend_choice_reason;
 	if (_place.foreign && _backend.estimated_load(_now) > k_idle_part * _backend.registered.slots)
@@ -145,6 +162,10 @@
 	{
 		return why::no_connection;
 	}
+	if (!_backend.rest.may_return(_share_per_s, _now))
+	{
+		return why::returning;
+	}
 	if (!grant_cold(_backend, _query, _warmup, _now))
 	{
 		return why::cold_budget;
@@ -168,11 +189,17 @@
     const backend_query& _query, const warmup_sharing_base& _warmup, steady_time _now)
 {
 	using why = backend_choice_reason;
-	candidate_order order = in_order(_query, _now);
+	backend_choice none;
+	candidate_order order = in_order(_query, _now, none.back_at);
+	if (0 == order.left())
+	{
+		none.why = steady_time{} == none.back_at ? why::none_usable : why::all_resting;
+		return none;
+	}
+	const double share_per_s = _query.region_per_s / static_cast<double>(order.left());
 	const auto own = static_cast<std::size_t>(
 	    k_key_servers +
 	    std::ceil(k_key_servers_by_share * _query.key_part * static_cast<double>(order.left())));
-	backend_choice none;
 	std::size_t passed = 0; ///< Those without a token left aside: the next one takes their place.
 	while (order.left() > 0)
 	{
@@ -183,7 +210,7 @@
 			continue;
 		}
 		const key_place place{_query.key.any() && 0 == passed, _query.key.any() && passed >= own};
-		if (const std::optional<why> kept = obstacle(backend, _query, place, _warmup, _now))
+		if (const std::optional<why> kept = obstacle(backend, _query, place, share_per_s, _warmup, _now))
 		{
 			none.why = *kept;
 			++passed;
--- a/src/steering/backend_choice_p.h
+++ b/src/steering/backend_choice_p.h
@@ -21,6 +21,7 @@
 /// - a connection: an idle one, or fewer than this node's part of the limit;
 /// - slow start: a cold one gets requests of its own region's nodes only, within a token bucket at this
 ///   node's part of what it bears (shared_budgets_p.h);
+/// - its return from a rest: one request, then an even share for a moment (backend_rest_p.h);
 /// - a token, where it names a limit (backend_limit_p.h). Without one the next backend server takes its place
 ///   in the order. Requests without a key go to those with a limit last.
 ///
@@ -105,8 +106,9 @@
 	region_name own_region;                                  ///< Region of this node.
 	domain_name nearest_domain; ///< Failure domain that is preferred; empty: none.
 	affinity_key key;
-	double key_part = 0.0;    ///< Part of the service's requests that have this key.
-	slot_portion own_portion; ///< Slots that this node may use whatever other nodes do.
+	double key_part = 0.0;     ///< Part of the service's requests that have this key.
+	slot_portion own_portion;  ///< Slots that this node may use whatever other nodes do.
+	double region_per_s = 0.0; ///< Requests a second that this node sends to the region.
 	service_limits limits;
 	sharing sharers;                                ///< Nodes among which the connections are divided.
 	const std::vector<backend_id>* tried = nullptr; ///< By this request before.
@@ -125,10 +127,12 @@
 	idle_for_key,   ///< Chosen: not the key's own, but nearly idle.
 	least_load,     ///< Chosen: there is no key.
 	none_usable,    ///< None: the region has no usable backend server.
+	all_resting,    ///< None: all that are usable but for that have asked for rest.
 	not_own_of_key, ///< None: those that are not the key's own are too busy.
 	all_tried,      ///< None: this request was sent to all others before.
 	no_slot,        ///< None: no free slot.
 	no_connection,  ///< None: this node's part of the connections is in use.
+	returning,      ///< None: others go first to one that has rested.
 	cold_budget,    ///< None: the rate of a cold backend server is spent, or other nodes have it.
 	limit_spent,    ///< None: the limits that all candidates name are spent.
 	awaits_token,   ///< Chosen, once a token of its limit comes.
@@ -140,6 +144,7 @@
 	backend_state* backend = nullptr; ///< Null: none.
 	/// When there is none, what kept the request from the last candidate in order.
 	backend_choice_reason why = backend_choice_reason::none_usable;
+	steady_time back_at{}; ///< When all rest: the end of the first rest to end.
 };
 
 /// Chooses a backend server. What it grants is counted against the budget of a cold one.
--- a/src/steering/backend_rest.cpp
+++ b/src/steering/backend_rest.cpp
@@ -31,6 +31,28 @@
 		return false;
 	}
 	m_until = _now + _rest;
+	m_returning = true;
+	m_returned_at = {};
 	return true;
 }
+
+bool backend_rest::may_return(double _share_per_s, steady_time _now)
+{
+	if (!m_returning)
+	{
+		return true;
+	}
+	if (steady_time{} == m_returned_at)
+	{
+		m_returned_at = _now;
+		m_share = {};
+		return true;
+	}
+	if (_now - m_returned_at >= k_return_time)
+	{
+		m_returning = false;
+		return true;
+	}
+	return _now - m_returned_at >= k_look_time && m_share.take(_share_per_s, 1.0, _now);
+}
 } // namespace larkrack
--- a/src/steering/backend_state_p.h
+++ b/src/steering/backend_state_p.h
@@ -5,7 +5,7 @@
 /// What decisions need to know of one backend server; its address and connections are not among it.
 ///
 /// Decides whether a backend server is meant to get new requests (its registration, evacuations, slow
-/// start) and whether it gets them now (outlier ejection besides). How many requests it holds:
+/// start) and whether it gets them now (its rests and outlier ejection besides). How many requests it holds:
 /// load_estimate_p.h.
 ///
 /// Relies on: backend_registry, which owns the objects and puts in what the platform's registry says.
@@ -64,10 +64,15 @@
 	{
 		return !gone && !evacuated && !registered.draining;
 	}
+	/// @returns Whether it wants requests of this node now, failures left aside.
+	bool wants_requests(steady_time _now) const
+	{
+		return accepts_new_requests() && !rest.resting(_now);
+	}
 	/// @returns Whether new requests may be sent to it now.
 	bool usable(steady_time _now) const
 	{
-		return accepts_new_requests() && !ejection.ejected(_now);
+		return wants_requests(_now) && !ejection.ejected(_now);
 	}
 	/// @returns Whether it is in slow start: it bears a small rate of requests only.
 	bool cold(steady_time _now) const
--- a/src/steering/outlier_ejection.cpp
+++ b/src/steering/outlier_ejection.cpp
@@ -29,7 +29,7 @@
 		m_failures = 0;
 		return {};
 	}
-	if (backend_signal::refused == _signal)
+	if (backend_signal::refused == _signal || backend_signal::not_tried == _signal)
 	{
 		return {};
 	}
--- a/src/steering/outlier_ejection_p.h
+++ b/src/steering/outlier_ejection_p.h
@@ -9,7 +9,7 @@
 /// Rule (passive outlier ejection): a connection that can not be had ejects at once, lost answers after
 /// three in a row. The time doubles with each further failure in a row, up to a bound; the backend server
 /// returns by itself when it is over, and the next answer sets the count to zero. A refusal for want of a
-/// slot is no failure.
+/// slot is no failure, and neither is a rest, which runs beside an ejection: the longer of the two holds.
 ///
 /// Why not another way:
 /// - active health checks: each takes a slot, and answers, refusals and lost connections tell more
@@ -29,6 +29,7 @@
 {
 	answered,    ///< It answered.
 	refused,     ///< It said that it did not run the request.
+	not_tried,   ///< Nothing was sent to it, since it wants nothing.
 	unreachable, ///< No connection could be had, or another backend server has the address.
 	lost,        ///< The connection broke, or the answer did.
 };
--- a/src/steering/request_times.cpp
+++ b/src/steering/request_times.cpp
@@ -38,4 +38,9 @@
 {
 	return std::uniform_real_distribution<double>(k_retry_after_first_s, k_retry_after_last_s)(_random);
 }
+
+double retry_after_rest_s(double _left_s, double _usual_s)
+{
+	return std::max(_left_s, k_retry_after_first_s) + _usual_s - k_retry_after_first_s;
+}
 } // namespace larkrack
--- a/src/steering/request_times_p.h
+++ b/src/steering/request_times_p.h
@@ -10,7 +10,8 @@
 /// Rule: the deadline is the arrival plus the smaller of the stated timeout (or the default) and the route's.
 /// What the deadline does to a request that was sent, and to one that was not, stands in attempt_rules_p.h
 /// (answer_at_deadline). A connection gets a short time within the region and a longer one to another region.
-/// Refused callers come back after a random time, so that they do not return all at once.
+/// Refused callers come back after a random time, so that they do not return all at once; while all backend
+/// servers rest, not before the first one is back.
 ///
 /// Other ways: none was measured.
 ///
@@ -52,4 +53,8 @@
 std::chrono::milliseconds connect_timeout(bool _same_region);
 /// @returns Seconds after which a refused caller may come back.
 double retry_after_s(std::minstd_rand& _random);
+/// @param[in] _left_s Until the first backend server that it may go to has rested.
+/// @param[in] _usual_s What another refused caller would be told, for the spread.
+/// @returns Seconds after which a caller may come back that all its backend servers turned away.
+double retry_after_rest_s(double _left_s, double _usual_s);
 } // namespace larkrack
--- a/src/steering/service_steering.cpp
+++ b/src/steering/service_steering.cpp
@@ -70,6 +70,12 @@
 	return rates;
 }
 
+double service_steering::sent_per_s(const region_name& _region, affinity_key _key) const
+{
+	const region_shares& in_force = _key.any() ? shares.of_keys : shares.by_demand;
+	return in_force.share_of(_region) * demand.requests_per_s();
+}
+
 slot_portion service_steering::own_portion(const region_name& _region) const
 {
 	const auto portion = m_own_portions.find(_region);
--- a/src/steering/service_steering_p.h
+++ b/src/steering/service_steering_p.h
@@ -77,6 +77,8 @@
 	void tick(double _passed_s);
 	/// @returns Requests a second that may run in one region only, by that region.
 	rate_by_region bound_per_s() const;
+	/// @returns About the requests a second that this node sends to a region, those like one with that key.
+	double sent_per_s(const region_name& _region, affinity_key _key) const;
 
 	service_shares shares;
 	retry_budget retries;
