Send nothing more to a backend server whose answer says that it leaves

What callers would see: requests that reach a backend server which is about to end, and die with it, where its entry says nothing (it still says ready, it is not read yet, the store is away).

Cause: only the entry in the registry told that a backend server leaves; the header beside its answers was passed over.

Why it works: accepts_new_requests(), which all who choose a backend server ask, takes either word. That of an answer holds for the life of the backend server and is never taken back, so that an entry written late can't reopen it; a new life is free of it.

--- a/src/steering/backend_state_p.h
+++ b/src/steering/backend_state_p.h
@@ -59,10 +59,12 @@
 	backend_rest rest;         ///< Time for which it wants nothing from this node.
 	bool said_leaving = false; ///< Beside an answer to this node, whatever its entry says.
 
+	/// Its entry and its answers may differ on whether it leaves: either word is enough. The one of an answer
+	/// holds for its life, the one of an entry until the next entry.
 	/// @returns Whether it is meant to get new requests, failures left aside.
 	bool accepts_new_requests() const
 	{
-		return !gone && !evacuated && !registered.draining;
+		return !gone && !evacuated && !registered.draining && !said_leaving;
 	}
 	/// @returns Whether it wants requests of this node now, failures left aside.
 	bool wants_requests(steady_time _now) const
