Hear the last words of exchanges that nobody waits for any longer

What callers would see: a caller leaves, or the deadline passes, while the answer that turns its request away is on its way; the node closed the connection, never heard the rest that it was asked for, and went on sending to a backend server that had asked for quiet.

Cause: the connection of a cancelled exchange was closed at once. Now it is listened to: until 150 ms after the request was sent when the caller left (turned away means at once, and the furthest round trip takes 70 ms), 150 ms longer after the deadline, when the backend server ends the request by itself. Of what is heard, rest and leaving are taken; load and limit are not, the exchange is counted no more.

Evidence: resting_requests_test word_is_heard_that_crosses_a_leaving_caller_or_the_deadline fails with a listening time of 0 (12 of 13) and passes with it (13).

--- a/src/entry_node/forwarded_request.cpp
+++ b/src/entry_node/forwarded_request.cpp
@@ -293,7 +293,8 @@
 	m_wait_timer.cancel();
 	if (m_exchange)
 	{
-		m_exchange->cancel();
+		const steady_time now = m_context.clock.steady();
+		m_exchange->cancel(time_for_last_words(to_ms(now - m_sent_at), now >= m_deadline));
 		m_exchange.reset();
 	}
 	m_session->on_leave(nullptr);
--- a/src/entry_node/upstream.cpp
+++ b/src/entry_node/upstream.cpp
@@ -224,8 +224,13 @@
 		    {
 			    const bool closed =
 			        http::error::end_of_stream == _error || asio::error::connection_reset == _error;
-			    self->m_connection_broke = closed;
 			    self->take_words_of_part();
+			    if (self->m_cancelled)
+			    {
+				    self->end_listening();
+				    return;
+			    }
+			    self->m_connection_broke = closed;
 			    self->fail(exchange_outcome::lost, closed ? "closed" : "broken_answer", backend_signal::lost);
 			    return;
 		    }
@@ -248,6 +253,11 @@
 		return;
 	}
 	take_words(m_parser->get());
+	if (m_cancelled)
+	{
+		end_listening();
+		return;
+	}
 	if (!is_ours(m_parser->get()))
 	{
 		pass_over_foreign();
@@ -299,9 +309,9 @@
 		return;
 	}
 	answer_words words = words_beside(_head, m_names, !has(_head, m_names.not_run), m_clock.steady());
-	if (!is_ours(_head))
+	if (!is_ours(_head) || m_cancelled)
 	{
-		// It was said before: load and limit may have changed since, what ends later or never holds.
+		// Load and limit may have changed since, or are counted no more; a rest and a leaving hold.
 		words.load.reset();
 		words.limit.reset();
 	}
@@ -371,16 +381,36 @@
 	}
 }
 
-void upstream_exchange::cancel()
+void upstream_exchange::cancel(std::chrono::milliseconds _listen)
 {
-	if (m_done)
+	if (m_done || m_cancelled)
 	{
 		return;
 	}
-	m_done = true;
 	m_handler = nullptr;
-	m_timer.cancel();
+	take_words_of_part();
 	--m_backend->load.in_flight;
+	m_cancelled = true;
+	if (!m_sent || _listen <= std::chrono::milliseconds(0))
+	{
+		end_listening();
+		return;
+	}
+	m_timer.expires_after(_listen);
+	m_timer.async_wait(
+	    [self = shared_from_this()](beast::error_code _error)
+	    {
+		    if (!_error && !self->m_done)
+		    {
+			    self->end_listening();
+		    }
+	    });
+}
+
+void upstream_exchange::end_listening()
+{
+	m_done = true;
+	m_timer.cancel();
 	close_connection();
 }
 } // namespace larkrack
--- a/src/entry_node/upstream_p.h
+++ b/src/entry_node/upstream_p.h
@@ -99,7 +99,8 @@
 	/// Starts it. The handler is called once, unless it is cancelled before.
 	void start();
 	/// Gives it up: the connection is closed, which stops the work of the backend server.
-	void cancel();
+	/// @param[in] _listen Time for which it stays open before, for what may stand beside an answer.
+	void cancel(std::chrono::milliseconds _listen);
 	/// @returns Whether a byte of the request may have left.
 	bool sent() const
 	{
@@ -131,6 +132,8 @@
 	void take_words_of_part();
 	void take_load(const backend_load& _load);
 	void keep_connection(const caller_response& _response);
+	/// Ends what is left of a cancelled exchange.
+	void end_listening();
 	void close_connection();
 
 	asio::io_context& m_context;
@@ -147,6 +150,7 @@
 	bool m_sent = false;
 	bool m_written = false; ///< The whole request has left.
 	bool m_done = false;
+	bool m_cancelled = false;        ///< Nobody waits for its end; it is listened to until m_done.
 	bool m_connection_broke = false; ///< By the other end, before an answer began.
 	steady_time m_connecting_since{};
 	std::optional<steady_time::duration> m_connect_time;
--- a/src/steering/request_times.cpp
+++ b/src/steering/request_times.cpp
@@ -29,6 +29,11 @@
 	return _of_route.count() > 0 ? std::min(timeout, _of_route) : timeout;
 }
 
+std::chrono::milliseconds time_for_last_words(std::chrono::milliseconds _since_sent, bool _deadline_over)
+{
+	return _deadline_over ? k_last_words : std::max(std::chrono::milliseconds(0), k_last_words - _since_sent);
+}
+
 std::chrono::milliseconds connect_timeout(bool _same_region)
 {
 	return _same_region ? k_connect_near : k_connect_far;
--- a/src/steering/request_times_p.h
+++ b/src/steering/request_times_p.h
@@ -44,6 +44,17 @@
 /// Longest such time; each caller is told one between them, so that they don't come back together.
 constexpr double k_retry_after_last_s = 0.8;
 
+/// Time in which a backend server that turns a request away has said so: a round trip to another region and
+/// a moment more. An exchange that nobody waits for any longer is listened to for so long, since what stands
+/// beside such an answer binds this node. Longer: backend servers work for callers that have left. Shorter: a
+/// rest that is asked for from far is missed.
+constexpr std::chrono::milliseconds k_last_words{150};
+
+/// @param[in] _since_sent Since the request was sent to the backend server.
+/// @param[in] _deadline_over The backend server ends the request by itself, and may say that it did not run
+/// it.
+/// @returns For how long to listen to an exchange that nobody waits for any longer.
+std::chrono::milliseconds time_for_last_words(std::chrono::milliseconds _since_sent, bool _deadline_over);
 /// @param[in] _stated Text of the caller's header; nothing when it has none. A text that is no number counts
 /// as the default.
 /// @param[in] _of_route Timeout of the route; 0: none.
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -230,6 +230,16 @@
 		       "Content-Length: " + std::to_string(_body.size()) + "\r\n\r\n" + _body;
 	}
 
+	/// Answers all requests that it holds.
+	void answer_held(const std::string& _bytes)
+	{
+		for (const session_ptr& held : std::exchange(m_held, {}))
+		{
+			beast::error_code ignored; // The node may have gone.
+			asio::write(held->socket, asio::buffer(_bytes), ignored);
+		}
+	}
+
 	std::deque<step> script; ///< When it is empty: the usual step.
 	step usual{answer("fine"), false, false, false};
 	std::vector<std::string> requests; ///< As they came, head and body.
@@ -291,6 +301,7 @@
 		}
 		if (next.hold)
 		{
+			m_held.push_back(_session);
 			read(_session);
 			return;
 		}
@@ -319,6 +330,7 @@
 	}
 
 	tcp::acceptor m_acceptor;
+	std::vector<session_ptr> m_held;
 };
 
 /// Caller that sends raw bytes and reads one answer at a time.
--- a/tests/resting_requests_test.cpp
+++ b/tests/resting_requests_test.cpp
@@ -34,6 +34,7 @@
 	CPPUNIT_TEST(look_of_a_blocked_request_is_given_back_when_all_rest);
 	CPPUNIT_TEST(word_is_heard_beside_each_kind_of_answer);
 	CPPUNIT_TEST(word_is_heard_beside_a_late_answer_to_another_request);
+	CPPUNIT_TEST(word_is_heard_that_crosses_a_leaving_caller_or_the_deadline);
 	CPPUNIT_TEST(word_of_another_backend_server_or_status_is_none);
 	CPPUNIT_TEST(rest_holds_through_a_lost_entry_and_ends_with_the_life_of_the_backend_server);
 	CPPUNIT_TEST(rest_holds_through_a_new_configuration_and_counts_a_suspension);
@@ -216,6 +217,49 @@
 		CPPUNIT_ASSERT(state_of("b1").rest.resting(m_clock.steady() + ms(29000)));
 	}
 
+	/// Guards against a rest that was asked of the node while it had just given the exchange up.
+	void word_is_heard_that_crosses_a_leaving_caller_or_the_deadline()
+	{
+		set_routes();
+		for (const bool leaves : {true, false})
+		{
+			const std::string id = leaves ? "b1" : "b2";
+			scripted_backend& backend = add_backend(id);
+			backend.script = {{"", false, false, true}};
+			raw_caller caller = call();
+			caller.send("GET /read/1 HTTP/1.1\r\nHost: shop.example\r\nLarkrack-Request-Id: r1\r\n"
+			            "Larkrack-Deadline-Ms: 60\r\n\r\n");
+			run_until(*m_context,
+			    [&]
+			    {
+				    return 1 == backend.requests.size();
+			    });
+			if (leaves)
+			{
+				caller.close();
+				run_until(*m_context,
+				    [this]
+				    {
+					    return 1 == m_forwarder->counters().left;
+				    });
+			}
+			else
+			{
+				CPPUNIT_ASSERT_EQUAL(504U, caller.receive().result_int());
+			}
+			CPPUNIT_ASSERT_EQUAL(0, state_of(id).load.in_flight);
+			backend.answer_held("HTTP/1.1 503 X\r\nLarkrack-Request-Id: r1\r\nLarkrack-Shed: 1\r\n"
+			                    "Retry-After: 30\r\nContent-Length: 0\r\n\r\n");
+			run_until(*m_context,
+			    [&]
+			    {
+				    return 1 == backend.closed_by_peer;
+			    });
+			CPPUNIT_ASSERT_MESSAGE(id, state_of(id).rest.resting(m_clock.steady()));
+			m_registry->remove(backend_id(id), m_clock.steady());
+		}
+	}
+
 	void word_of_another_backend_server_or_status_is_none()
 	{
 		set_routes();
