Let no request of a test outlive its context; tests of keys, regions and size with rests

The test program ended with a segmentation fault or hung after its last line, once in two whole runs. The tests of blocked requests cleared theirs already.

--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -419,7 +419,10 @@
 	void tearDown() override
 	{
 		m_context->stop();
-		m_crashes.waiting = nullptr; // It holds a request, which needs the context.
+		// Each may hold a request, which needs the context.
+		m_quotas.waiting = nullptr;
+		m_limits.waiting = nullptr;
+		m_crashes.waiting = nullptr;
 		m_backends.clear();
 		m_listener.reset();
 		m_forwarder.reset();
--- a/tests/steering_backend_choice_test.cpp
+++ b/tests/steering_backend_choice_test.cpp
@@ -7,6 +7,7 @@
 #include "steering/backend_choice_p.h"
 #include "steering/rendezvous_p.h"
 
+#include <iostream>
 #include <map>
 #include <set>
 
@@ -61,6 +62,9 @@
 	CPPUNIT_TEST(request_without_a_key_takes_one_with_a_limit_last);
 	CPPUNIT_TEST(request_that_may_not_wait_goes_on_where_a_token_may_come);
 	CPPUNIT_TEST(retry_takes_a_token_as_well);
+	CPPUNIT_TEST(key_of_a_resting_server_moves_to_its_next_one_and_comes_back);
+	CPPUNIT_TEST(resting_server_is_asked_for_no_token_and_no_grant_of_a_cold_one);
+	CPPUNIT_TEST(choice_among_twenty_thousand_resting_servers_costs_no_more);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -476,6 +480,64 @@
 	std::unique_ptr<backend_registry> m_registry;
 	equal_warmup_part m_part;
 	steady_time m_now{std::chrono::hours(1)};
+
+	void key_of_a_resting_server_moves_to_its_next_one_and_comes_back()
+	{
+		backend_state* home = select(query(42));
+		home->rest.hear(std::chrono::seconds(3), m_now);
+		backend_state* next = select(query(42));
+		CPPUNIT_ASSERT(nullptr != next && home != next);
+		CPPUNIT_ASSERT(next == select(query(42))); // All of its requests meet there.
+		m_now += std::chrono::seconds(3);
+		CPPUNIT_ASSERT(home == select(query(42)));
+	}
+
+	void resting_server_is_asked_for_no_token_and_no_grant_of_a_cold_one()
+	{
+		scripted_tokens tokens;
+		backend_query one = query(42);
+		one.tokens = &tokens;
+		backend_state* home = select(one);
+		home->limit.hear({2.9, m_now});
+		home->rest.hear(std::chrono::seconds(3), m_now);
+		CPPUNIT_ASSERT(home != select(one));
+		CPPUNIT_ASSERT_EQUAL(0, tokens.taken);
+		m_now += std::chrono::seconds(3);
+		CPPUNIT_ASSERT(home == select(one));
+		CPPUNIT_ASSERT_EQUAL(1, tokens.taken);
+	}
+
+	void choice_among_twenty_thousand_resting_servers_costs_no_more()
+	{
+		for (int i = 12; i < 20000; ++i)
+		{
+			put("s" + std::to_string(i), "east-a");
+		}
+		const auto time_of_a_choice = [this]
+		{
+			constexpr int k_choices = 50;
+			const auto began = std::chrono::steady_clock::now();
+			for (int i = 0; i < k_choices; ++i)
+			{
+				choose_backend(query(0), m_part, m_now);
+			}
+			return (std::chrono::steady_clock::now() - began) / k_choices;
+		};
+		const auto usable = time_of_a_choice();
+		for (backend_state* backend : m_registry->of_service(service_name("shop")))
+		{
+			backend->rest.hear(std::chrono::seconds(3), m_now);
+		}
+		m_registry->find(backend_id("s7"))->rest = {};
+		m_registry->find(backend_id("s7"))->rest.hear(std::chrono::seconds(1), m_now);
+		const backend_choice none = choose_backend(query(0), m_part, m_now);
+		CPPUNIT_ASSERT(backend_choice_reason::all_resting == none.why);
+		CPPUNIT_ASSERT(m_now + std::chrono::seconds(1) == none.back_at);
+		const auto resting = time_of_a_choice();
+		std::cout << "choice among 20,000: " << usable.count() / 1000 << " us, all resting "
+		          << resting.count() / 1000 << " us\n";
+		CPPUNIT_ASSERT(resting < usable);
+	}
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(steering_backend_choice_test);
--- a/tests/steering_service_test.cpp
+++ b/tests/steering_service_test.cpp
@@ -32,6 +32,7 @@
 	CPPUNIT_TEST(plan_lost_third_of_the_slots_is_taken_at_once);
 	CPPUNIT_TEST(plan_keyed_drained_slots_are_no_failure_ejected_ones_are);
 	CPPUNIT_TEST(plan_keyed_failure_of_a_region_without_share_moves_nothing);
+	CPPUNIT_TEST(update_region_whose_servers_all_rest_is_left_at_once_and_returned_to_at_the_permitted_pace);
 	CPPUNIT_TEST(update_keys_stay_at_home_while_home_has_room);
 	CPPUNIT_TEST(update_a_part_of_the_keys_leaves_an_overloaded_home);
 	CPPUNIT_TEST(peaks_decay_and_a_higher_rate_counts_at_once);
@@ -278,6 +279,30 @@
 		}
 	}
 
+	/// A rest of a whole region is an outage of it; its end is no reason to move all of its requests at once.
+	void update_region_whose_servers_all_rest_is_left_at_once_and_returned_to_at_the_permitted_pace()
+	{
+		shared_bounds bounds;
+		bounds.max_shift = 0.15;
+		service_steering steering(m_east, bounds);
+		const rate_by_region rates{{m_east, 20.0}, {m_west, 20.0}};
+		run_five_seconds(steering, rates);
+		for (backend_state* backend : m_backends)
+		{
+			if (m_east == backend->region)
+			{
+				backend->rest.hear(std::chrono::seconds(3), m_now);
+			}
+		}
+		m_now += std::chrono::milliseconds(100);
+		steering.update(m_backends, rates, {}, m_now);
+		CPPUNIT_ASSERT_DOUBLES_EQUAL(0.0, steering.shares.by_demand.share_of(m_east), 1e-9);
+		CPPUNIT_ASSERT_DOUBLES_EQUAL(0.0, steering.shares.of_keys.share_of(m_east), 1e-9);
+		run_five_seconds(steering, rates); // Two of them, a window, after the rests have ended.
+		const double back = steering.shares.by_demand.share_of(m_east);
+		CPPUNIT_ASSERT_MESSAGE(std::to_string(back), back > 0.0 && back <= 1.5 * bounds.max_shift);
+	}
+
 	void update_keys_stay_at_home_while_home_has_room()
 	{
 		shared_bounds bounds;
