Take only the last try's word that all rest

A request that waited while all rested, and then was kept from another region by the pace of shifts, would have told its caller the end of a rest that no longer held it: the flag of an earlier try stayed.

--- a/src/entry_node/forwarded_request_attempts.cpp
+++ b/src/entry_node/forwarded_request_attempts.cpp
@@ -74,6 +74,7 @@
 	const std::vector<std::string>& homes = m_homes.regions;
 	bool slot_may_come = false;
 	m_back_at = {};
+	m_only_rests = false; // Of the last try alone.
 	for (const region_name& region : regions_to_try(m_planned.region, shares.shares(), homes))
 	{
 		const backend_choice choice = choose_backend_in(region, steering);
