--- a/tests/steering_refusal_test.cpp
+++ b/tests/steering_refusal_test.cpp
@@ -12,6 +12,8 @@
 #include "steering/wait_forecast_p.h"
 
 #include <map>
+#include <random>
+#include <vector>
 
 namespace larkrack
 {
@@ -49,6 +51,7 @@
 	CPPUNIT_TEST_SUITE(steering_wait_forecast_test);
 	CPPUNIT_TEST(request_waits_until_its_latest_useful_start_or_is_refused_at_once);
 	CPPUNIT_TEST(regular_slots_refuse_none_that_would_succeed_and_hold_none_in_vain);
+	CPPUNIT_TEST(random_slots_hold_few_in_vain_and_stay_in_use);
 	CPPUNIT_TEST(lost_capacity_counts_within_600_ms);
 	CPPUNIT_TEST(stall_counts_without_any_event);
 	CPPUNIT_TEST(evidence_of_an_earlier_overload_fades_to_the_prior);
@@ -123,6 +126,88 @@
 		CPPUNIT_ASSERT_EQUAL(0, refused_early);
 	}
 
+	struct random_figures
+	{
+		double arrived = 0.0;
+		double in_vain = 0.0; ///< Waited until the latest start, part of the refused.
+		double served = 0.0;  ///< Part of all.
+		double would_succeed =
+		    0.0; ///< Refused at once although enough slots were freed in time, part of all.
+	};
+	/// Slots are freed at random, 50 a second; requests of one rank arrive at random.
+	static random_figures run_random(double _arrivals_per_s)
+	{
+		std::minstd_rand random(7);
+		std::exponential_distribution<double> pause(_arrivals_per_s);
+		std::vector<double> freed_s;
+		for (double t = 0.0; t < 110.0; t += std::exponential_distribution<double>(50.0)(random))
+		{
+			freed_s.push_back(t);
+		}
+		wait_forecast one = forecast();
+		std::vector<steady_time> waiting; // Latest starts, in order.
+		random_figures figures;
+		double refused = 0.0;
+		std::size_t next = 0;
+		for (double t = pause(random); t < 100.0; t += pause(random))
+		{
+			for (; next < freed_s.size() && freed_s[next] <= t; ++next)
+			{
+				const steady_time freed = at(ms(static_cast<int>(1000.0 * freed_s[next])));
+				while (!waiting.empty() && waiting.front() < freed)
+				{
+					waiting.erase(waiting.begin());
+					figures.in_vain += 1.0;
+					refused += 1.0;
+				}
+				if (!waiting.empty())
+				{
+					waiting.erase(waiting.begin());
+					one.on_sent_from_queue(freed);
+				}
+				if (waiting.empty())
+				{
+					one.on_none_waiting(freed);
+				}
+			}
+			const ms arrived(static_cast<int>(1000.0 * t));
+			figures.arrived += 1.0;
+			one.on_arrival(rank(0), at(arrived));
+			const wait_answer answer =
+			    one.decide(request(0, arrived), ahead(waiting.size()), 0.0, at(arrived));
+			if (answer.waits)
+			{
+				waiting.push_back(answer.until);
+				one.on_waits(at(arrived));
+				continue;
+			}
+			refused += 1.0;
+			const bool enough =
+			    next + waiting.size() < freed_s.size() && freed_s[next + waiting.size()] <= t + 0.3;
+			figures.would_succeed += enough ? 1.0 : 0.0;
+		}
+		figures.served = 1.0 - refused / figures.arrived;
+		figures.in_vain /= std::max(1.0, refused);
+		figures.would_succeed /= figures.arrived;
+		return figures;
+	}
+
+	/// Guards against a margin that refuses what a calm queue would serve, against slots that stay free in
+	/// overload, and against waits in vain there. Chance decides some requests either way, so the bounds are
+	/// fractions.
+	void random_slots_hold_few_in_vain_and_stay_in_use()
+	{
+		const random_figures calm = run_random(40.0);
+		CPPUNIT_ASSERT(calm.would_succeed <= 0.06);
+		CPPUNIT_ASSERT(calm.in_vain <= 0.08);
+		const random_figures full = run_random(47.5);
+		CPPUNIT_ASSERT(full.would_succeed <= 0.11);
+		CPPUNIT_ASSERT(full.in_vain <= 0.03);
+		const random_figures overload = run_random(100.0);
+		CPPUNIT_ASSERT(overload.served >= 0.48);
+		CPPUNIT_ASSERT(overload.in_vain <= 0.02);
+	}
+
 	static void send(wait_forecast& _forecast, int _from, int _until, int _step)
 	{
 		for (int t = _from; t < _until; t += _step)
