--- a/tests/refusal_model_test.cpp
+++ b/tests/refusal_model_test.cpp
@@ -562,7 +562,7 @@
 	}
 	static refusal_figures play(const char* _what, const refusal_scenario& _scenario)
 	{
-		const refusal_figures figures = refusal_model(_scenario).run();
+		refusal_figures figures = refusal_model(_scenario).run();
 		print(_what, figures);
 		return figures;
 	}
