Load level and transport of admission reports

Cause: priority orders only the queue of one node; a node without urgent requests fills the slots for which urgent ones wait at other nodes.

Admission reports travel among the rates of heartbeats under service/load and service/groups; fleet_rates keeps them out of demand and portions and returns them with their freshness. admission_report gains freshness. Not wired into forwarded_request.

--- a/src/entry_node/fleet_answers.cpp
+++ b/src/entry_node/fleet_answers.cpp
@@ -289,7 +289,7 @@
 			continue;
 		}
 		const bool is_ready = node_state::ready == member.last.state;
-		m_live.rates.add(m_self.node, member.last);
+		m_live.rates.add(m_self.node, member.last, member.heard_at);
 		m_live.ready_nodes += is_ready ? 1 : 0;
 		ready_checksum += is_ready ? k_checksum_factor * (member.name_hash + 1ULL) : 0;
 		region_checksum +=
@@ -414,4 +414,9 @@
 {
 	return live().rates.single_region_demand_of(_service);
 }
+
+std::vector<admission_report> fleet::reports_of_others(const service_name& _service) const
+{
+	return live().rates.reports_of(_service, m_clock.steady());
+}
 } // namespace larkrack
--- a/src/entry_node/fleet_p.h
+++ b/src/entry_node/fleet_p.h
@@ -147,6 +147,7 @@
 	rate_by_region demand_of_others(const service_name& _service) const override;
 	rate_by_region single_region_demand_of_others(const service_name& _service) const override;
 	slot_portion portion(const service_name& _service, const region_name& _region) const override;
+	std::vector<admission_report> reports_of_others(const service_name& _service) const override;
 	responsible_nodes responsible_for(std::uint64_t _customer) const override;
 	live_node_counts live_nodes() const override;
 	responsible_nodes responsible_in_region(const region_name& _region, std::uint64_t _thing) const override;
--- a/src/steering/admission_p.h
+++ b/src/steering/admission_p.h
@@ -131,10 +131,14 @@
 /// What one node tells the others of a service.
 struct admission_report
 {
-	rate_by_region level; ///< Load level by region, 0 to 1; a region without load is left out.
+	/// Load level by region, 0 to 1. In a report of another node, a region to which that node sends nothing
+	/// is left out, and a region without load has level 0.
+	rate_by_region level;
 	/// Running requests of the groups with the most of them.
 	std::vector<std::pair<group_id, double>> running;
 	double running_rest = 0.0; ///< Running requests of all other groups.
+	/// Weight of its levels: 1 when just received, 0 when too old to count.
+	double freshness = 1.0;
 };
 
 /// Room for a service in one region.
@@ -150,7 +154,7 @@
 struct admission_conditions
 {
 	std::map<region_name, region_room> rooms;
-	std::vector<admission_report> others; ///< Reports of the other live nodes, faded by their age.
+	std::vector<admission_report> others; ///< Reports of the other live nodes, with their freshness.
 	double service_time_s = 0.0;          ///< Mean time of an exchange with a backend server.
 	double requests_per_s = 0.0;          ///< First attempts at this node.
 };
--- a/src/steering/fleet_rates.cpp
+++ b/src/steering/fleet_rates.cpp
@@ -3,9 +3,22 @@
 
 #include "steering/fleet_rates_p.h"
 
+#include "steering/report_transport_p.h"
+
+#include <algorithm>
+
 namespace larkrack
 {
-void fleet_rates::add(const node_name& _self, const node_heartbeat& _node)
+namespace
+{
+/// @returns 1 for a report that was just received, falling linearly to 0 at k_level_lifetime.
+double freshness_at_age(steady_time::duration _age)
+{
+	return std::clamp(1.0 - to_s(_age) / to_s(k_level_lifetime), 0.0, 1.0);
+}
+} // namespace
+
+void fleet_rates::add(const node_name& _self, const node_heartbeat& _node, steady_time _heard_at)
 {
 	for (const auto& [service, per_s] : _node.requests_per_s)
 	{
@@ -14,6 +27,10 @@
 	const bool is_before = _node.node < _self;
 	for (const auto& [service, rates] : _node.sent_per_s)
 	{
+		if (is_report_name(service))
+		{
+			continue;
+		}
 		std::map<region_name, other_nodes_rates>& sums = m_sent[service];
 		for (const auto& [region, per_s] : rates)
 		{
@@ -22,6 +39,39 @@
 			sum.preceding_per_s += is_before ? per_s : 0.0;
 		}
 	}
+	add_reports(_node, _heard_at);
+}
+
+void fleet_rates::add_reports(const node_heartbeat& _node, steady_time _heard_at)
+{
+	for (const auto& [service, per_s] : _node.requests_per_s)
+	{
+		admission_report report = report_in(_node.sent_per_s, service);
+		if (!report.level.empty() || !report.running.empty() || report.running_rest > 0.0)
+		{
+			m_reports[service].push_back({std::move(report), _heard_at});
+		}
+	}
+}
+
+std::vector<admission_report> fleet_rates::reports_of(const service_name& _service, steady_time _now) const
+{
+	std::vector<admission_report> reports;
+	const auto it = m_reports.find(_service);
+	if (m_reports.end() == it)
+	{
+		return reports;
+	}
+	for (const received_report& received : it->second)
+	{
+		const double freshness = freshness_at_age(_now - received.at);
+		if (freshness > 0.0 || !received.report.running.empty() || received.report.running_rest > 0.0)
+		{
+			reports.push_back(received.report);
+			reports.back().freshness = freshness;
+		}
+	}
+	return reports;
 }
 
 rate_by_region fleet_rates::demand_of(const service_name& _service) const
--- a/src/steering/fleet_view_p.h
+++ b/src/steering/fleet_view_p.h
@@ -7,6 +7,7 @@
 /// Implemented by fleet from heartbeats; tests implement it with fixed values.
 #pragma once
 
+#include "steering/admission_p.h"
 #include "steering/backend_choice_p.h"
 #include "steering/node_heartbeat_p.h"
 
@@ -50,6 +51,12 @@
 	/// @returns This node's portion of the slots of a service's backend servers in a region, by the rates
 	/// that each node sends there.
 	virtual slot_portion portion(const service_name& _service, const region_name& _region) const = 0;
+	/// @returns Admission reports of the other live nodes about a service, with their freshness; none unless
+	/// overridden.
+	virtual std::vector<admission_report> reports_of_others(const service_name&) const
+	{
+		return {};
+	}
 	/// @param[in] _customer customer::id.
 	virtual responsible_nodes responsible_for(std::uint64_t _customer) const = 0;
 	virtual live_node_counts live_nodes() const = 0;
--- a/src/steering/rates_p.h
+++ b/src/steering/rates_p.h
@@ -21,4 +21,15 @@
 {
 	return service_name(_service.text + "/home");
 }
+/// @returns Name under which heartbeats hold the load levels of a service, by region (report_transport_p.h).
+inline service_name load_levels_of(const service_name& _service)
+{
+	return service_name(_service.text + "/load");
+}
+/// @returns Name under which heartbeats hold the running requests of a service's groups
+/// (report_transport_p.h).
+inline service_name group_counts_of(const service_name& _service)
+{
+	return service_name(_service.text + "/groups");
+}
 } // namespace larkrack
