Ask an admission object whether a request waits or is refused

Change: arrival_admission is the present rule (slot_queue by route priority, max_slot_wait, retry_after_s) behind admission_base. forwarded_service owns one admission, made by admission_factory; forwarder finds waiting requests by their number. forwarded_request describes itself once and tells admission of its arrival, sends and end. admission_base gets uses_conditions(), true by default: without it no time is read for admission and tick() is not called, so that arrival_admission adds no reading of the clock and no draw of the random generator.

Without remove() in leave_queue() 6 of the requests' tests fail.

--- a/src/entry_node/forwarded_request.cpp
+++ b/src/entry_node/forwarded_request.cpp
@@ -17,11 +17,11 @@
 } // namespace
 
 forwarded_request::forwarded_request(request_context& _context, request_owner_base& _owner,
-    std::shared_ptr<caller_session> _session, caller_request&& _request)
-    : m_context(_context), m_owner(_owner), m_session(std::move(_session)), m_request(std::move(_request)),
-      m_request_id(m_request[_context.names.request_id]), m_routes(_context.routes),
-      m_arrived_at(_context.gap.arrival(_context.clock.steady())), m_deadline_timer(_context.io),
-      m_wait_timer(_context.io)
+    request_number _number, std::shared_ptr<caller_session> _session, caller_request&& _request)
+    : m_context(_context), m_owner(_owner), m_number(_number), m_session(std::move(_session)),
+      m_request(std::move(_request)), m_request_id(m_request[_context.names.request_id]),
+      m_routes(_context.routes), m_arrived_at(_context.gap.arrival(_context.clock.steady())),
+      m_deadline_timer(_context.io), m_wait_timer(_context.io)
 {
 }
 
@@ -78,6 +78,10 @@
 
 void forwarded_request::send_or_enqueue()
 {
+	if (nullptr == m_admission && !admit())
+	{
+		return;
+	}
 	if (!try_send())
 	{
 		join_queue();
@@ -120,13 +124,17 @@
 
 std::chrono::milliseconds forwarded_request::timeout() const
 {
-	std::optional<std::string_view> stated_ms;
+	return request_timeout(stated_timeout(), m_route->timeout);
+}
+
+std::optional<std::string_view> forwarded_request::stated_timeout() const
+{
 	const auto field = m_request.find(m_context.names.timeout_ms);
-	if (m_request.end() != field)
+	if (m_request.end() == field)
 	{
-		stated_ms.emplace(field->value().data(), field->value().size());
+		return std::nullopt;
 	}
-	return request_timeout(stated_ms, m_route->timeout);
+	return std::string_view(field->value().data(), field->value().size());
 }
 
 affinity_key forwarded_request::key_of_request() const
@@ -138,50 +146,6 @@
 	return make_affinity_key(cookie_value(m_request, m_context.names.affinity_cookie), m_route->path_prefix);
 }
 
-void forwarded_request::join_queue()
-{
-	if (m_only_limited)
-	{
-		refuse(reason::no_headroom); // A free slot would not help: limits are used up.
-		return;
-	}
-	if (rest_exceeds_wait())
-	{
-		refuse(reason::resting);
-		return;
-	}
-	m_state = state::queued;
-	++m_context.counters.queued;
-	m_owner.service_entry(m_service).waiting.add(m_route->priority, shared_from_this());
-	m_wait_timer.expires_after(max_slot_wait(m_route->objective));
-	m_wait_timer.async_wait(
-	    [self = shared_from_this()](beast::error_code _error)
-	    {
-		    if (!_error)
-		    {
-			    self->on_wait_over();
-		    }
-	    });
-}
-
-void forwarded_request::leave_queue()
-{
-	if (state::queued != m_state)
-	{
-		return;
-	}
-	m_wait_timer.cancel();
-	m_owner.service_entry(m_service).waiting.remove(m_route->priority, shared_from_this());
-}
-
-void forwarded_request::on_wait_over()
-{
-	if (state::queued == m_state)
-	{
-		refuse(reason::no_headroom);
-	}
-}
-
 bool forwarded_request::end_if_deadline_over()
 {
 	if (m_context.clock.steady() < m_deadline)
@@ -218,17 +182,21 @@
 
 void forwarded_request::refuse(reason _reason)
 {
-	respond(make_refusal(k_status_refused, refusal_retry_after_s()), outcome::not_run, _reason);
+	refuse(_reason, refusal_retry_after_s(retry_after_s(m_context.random)));
+}
+
+void forwarded_request::refuse(reason _reason, double _retry_after_s)
+{
+	respond(make_refusal(k_status_refused, _retry_after_s), outcome::not_run, _reason);
 }
 
-double forwarded_request::refusal_retry_after_s() const
+double forwarded_request::refusal_retry_after_s(double _default_s) const
 {
-	const double default_s = retry_after_s(m_context.random);
 	if (!m_only_resting)
 	{
-		return default_s;
+		return _default_s;
 	}
-	return retry_after_rest_s(to_s(m_first_return_at - m_context.clock.steady()), default_s);
+	return retry_after_rest_s(to_s(m_first_return_at - m_context.clock.steady()), _default_s);
 }
 
 void forwarded_request::finish_with(const final_response& _end)
@@ -288,6 +256,7 @@
 	leave_queue();
 	give_token_back();
 	return_trial();
+	report_end();
 	m_state = state::ended;
 	m_deadline_timer.cancel();
 	m_wait_timer.cancel();
@@ -298,6 +267,7 @@
 		m_exchange.reset();
 	}
 	m_session->set_disconnect_handler(nullptr);
-	m_owner.remove(shared_from_this());
+	const request_ptr self = shared_from_this(); // Keeps the request alive while the owner removes it.
+	m_owner.remove(m_number);
 }
 } // namespace larkrack
--- /dev/null
+++ b/src/entry_node/forwarded_request_admission.cpp
@@ -0,0 +1,134 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "entry_node/forwarded_request_p.h"
+#include "entry_node/upstream_request_bytes_p.h"
+#include "steering/rendezvous_p.h"
+#include "steering/request_times_p.h"
+
+namespace larkrack
+{
+bool forwarded_request::admit()
+{
+	m_admission = m_owner.service_entry(m_service).admission.get();
+	m_admission_request = make_admission_request();
+	const admission_decision decision = m_admission->on_arrival(m_admission_request, admission_time());
+	if (admission_verdict::refused == decision.verdict)
+	{
+		refuse_by(decision);
+		return false;
+	}
+	return true;
+}
+
+admission_request forwarded_request::make_admission_request() const
+{
+	admission_request request;
+	request.number = m_number;
+	request.rank.of_route = m_route->priority;
+	if (nullptr == m_customer)
+	{
+		request.group.value = rendezvous_weight(m_context.domain.text, 0);
+	}
+	else
+	{
+		request.rank.of_customer = m_customer->priority;
+		request.group.value = m_customer->id;
+		request.weight = m_customer->limit.limited() ? m_customer->limit.per_s : 1.0;
+	}
+	request.route = rendezvous_weight(m_route->name, 0);
+	request.region = m_region_choice.region;
+	request.objective = m_route->objective;
+	if (const std::optional<std::string_view> stated = stated_timeout())
+	{
+		request.stated_timeout = parse_timeout(*stated);
+	}
+	request.arrived_at = m_arrived_at;
+	request.deadline = m_deadline;
+	request.bytes = m_request.body().size();
+	return request;
+}
+
+steady_time forwarded_request::admission_time() const
+{
+	return m_admission->uses_conditions() ? m_context.clock.steady() : m_arrived_at;
+}
+
+void forwarded_request::join_queue()
+{
+	if (m_only_limited)
+	{
+		refuse(reason::no_headroom); // A free slot would not help: limits are used up.
+		return;
+	}
+	if (rest_exceeds_wait())
+	{
+		refuse(reason::resting);
+		return;
+	}
+	const steady_time now = admission_time();
+	const admission_decision decision = m_admission->on_no_slot(m_admission_request, now);
+	if (admission_verdict::refused == decision.verdict)
+	{
+		refuse_by(decision);
+		return;
+	}
+	m_state = state::queued;
+	++m_context.counters.queued;
+	m_wait_timer.expires_after(decision.wait_until - now);
+	m_wait_timer.async_wait(
+	    [self = shared_from_this()](beast::error_code _error)
+	    {
+		    if (!_error)
+		    {
+			    self->on_wait_over();
+		    }
+	    });
+}
+
+void forwarded_request::leave_queue()
+{
+	if (state::queued != m_state)
+	{
+		return;
+	}
+	m_wait_timer.cancel();
+	m_admission->remove(m_admission_request);
+}
+
+void forwarded_request::on_wait_over()
+{
+	if (state::queued == m_state)
+	{
+		refuse_by(m_admission->on_wait_over(m_admission_request, admission_time()));
+	}
+}
+
+void forwarded_request::refuse_by(const admission_decision& _decision)
+{
+	refuse(_decision.why, refusal_retry_after_s(_decision.retry_after_s));
+}
+
+void forwarded_request::note_attempt_end(attempt_end _end, double _service_time_s)
+{
+	if (attempt_end::served == _end || attempt_end::failed == _end)
+	{
+		m_admission_end.answered = true;
+		m_admission_end.service_time_s = _service_time_s;
+	}
+	m_admission_end.rejected = m_admission_end.rejected || attempt_end::not_run == _end;
+}
+
+void forwarded_request::report_end()
+{
+	if (nullptr == m_admission)
+	{
+		return;
+	}
+	const bool running = m_exchange && m_exchange->sent();
+	m_admission_end.sent = running || m_history.reached > 0;
+	const bool may_have_run = running || m_admission_end.answered || m_history.may_have_run;
+	m_admission_end.rejected = m_admission_end.rejected && !may_have_run;
+	m_admission->on_end(m_admission_request, m_admission_end, admission_time());
+}
+} // namespace larkrack
--- a/src/entry_node/forwarded_request_attempts.cpp
+++ b/src/entry_node/forwarded_request_attempts.cpp
@@ -4,6 +4,7 @@
 #include "entry_node/forwarded_request_p.h"
 #include "entry_node/upstream_request_bytes_p.h"
 #include "steering/request_times_p.h"
+#include "steering/slot_queue_p.h"
 
 namespace larkrack
 {
@@ -195,6 +196,7 @@
 	m_tried.push_back(_backend->registered.id);
 	m_context.backends.mark_in_use(*_backend);
 	m_sent_at = m_context.clock.steady();
+	m_admission->on_sent(m_admission_request, m_sent_at);
 	++m_context.counters.attempts;
 	m_exchange =
 	    std::make_shared<upstream_exchange>(m_context.io, m_context.clock, m_context.names, m_context.reports,
@@ -228,15 +230,17 @@
 	{
 		m_versions.side = version_side::others; // A retry avoids the new version, which may be faulty.
 	}
+	double service_time_s = 0.0;
 	if (exchange_outcome::answered == _result.end)
 	{
-		const double service_time_s = to_s(m_context.clock.steady() - m_sent_at);
+		service_time_s = to_s(m_context.clock.steady() - m_sent_at);
 		m_owner.service_entry(m_service).steering.demand.add_service_time(service_time_s);
 	}
 	else
 	{
 		log_failed_attempt(*backend, _result.detail);
 	}
+	note_attempt_end(end_of(_result), service_time_s);
 	apply_rule(attempt_rule_for(end_of(_result), m_route->repeat), std::move(_result));
 	m_owner.retry_waiting_requests();
 }
--- a/src/entry_node/forwarded_request_p.h
+++ b/src/entry_node/forwarded_request_p.h
@@ -3,7 +3,8 @@
 
 /// @file
 /// One request of a caller, from its arrival to its final response: its states, timers, input and
-/// output. The decisions on the way are made by src/steering.
+/// output. The decisions on the way are made by src/steering; whether the request is admitted, waits or is
+/// refused for lack of slots is decided by the admission of its service (admission_p.h).
 ///
 /// Owns the request, its timers and the running exchange. Relies on its owner (forwarder) to keep it alive
 /// until it ends, and to call try_send() again while it is queued.
@@ -11,6 +12,7 @@
 /// | state | event | next state |
 /// | --- | --- | --- |
 /// | initial | no configuration, no route, node stopping, key refused, quota used up | ended |
+/// | initial | admission refuses the request | ended |
 /// | initial | a backend server can take the request | sent |
 /// | initial | no backend server can take the request | queued |
 /// | initial, queued | blocked, since it crashed backend servers | ended, or initial if granted a trial |
@@ -33,7 +35,7 @@
 class forwarded_request : public std::enable_shared_from_this<forwarded_request>
 {
 public:
-	forwarded_request(request_context& _context, request_owner_base& _owner,
+	forwarded_request(request_context& _context, request_owner_base& _owner, request_number _number,
 	    std::shared_ptr<caller_session> _session, caller_request&& _request);
 
 	/// Finds the route and makes the first attempt.
@@ -76,8 +78,21 @@
 	void route_and_send();
 	/// Sets deadline, service, affinity key and region, and starts the deadline timer.
 	void select_service_and_region();
-	/// Sends the request, or queues it.
+	/// Asks for admission if it was not asked yet, then sends the request or queues it.
 	void send_or_enqueue();
+	/// Asks the admission of the service.
+	/// @returns Whether the request is admitted; false when it was refused.
+	bool admit();
+	/// @returns The request as admission sees it.
+	admission_request make_admission_request() const;
+	/// @returns Now, or any time when the admission does not use it.
+	steady_time admission_time() const;
+	/// Refuses the request as admission decided.
+	void refuse_by(const admission_decision& _decision);
+	/// Records for admission how an attempt ended.
+	void note_attempt_end(attempt_end _end, double _service_time_s);
+	/// Tells admission how the request ended.
+	void report_end();
 	/// @returns Hashes that stay the same when this request is repeated; computed on first use.
 	const request_fingerprint& fingerprint();
 	std::uint64_t head_hash() const;
@@ -94,6 +109,8 @@
 	/// @returns Whether the request must not be sent: it was refused, has ended, or asks for a trial.
 	bool refuse_after_wait();
 	std::chrono::milliseconds timeout() const;
+	/// @returns Text of the caller's header with its timeout; nothing when there is none.
+	std::optional<std::string_view> stated_timeout() const;
 	affinity_key key_of_request() const;
 	backend_choice choose_backend_in(const region_name& _region, service_steering& _steering);
 	/// Records why a region has no backend server for the request.
@@ -123,8 +140,10 @@
 	bool take_retry();
 
 	void refuse(reason _reason);
+	void refuse(reason _reason, double _retry_after_s);
+	/// @param[in] _default_s Retry-After unless all backend servers rest, seconds.
 	/// @returns Retry-After for a refusal, seconds.
-	double refusal_retry_after_s() const;
+	double refusal_retry_after_s(double _default_s) const;
 	void refuse_over_quota();
 	void finish_with(const final_response& _end);
 	void respond(caller_response&& _response, outcome _outcome, reason _reason);
@@ -136,6 +155,7 @@
 
 	request_context& m_context;
 	request_owner_base& m_owner;
+	request_number m_number;
 	std::shared_ptr<caller_session> m_session;
 	caller_request m_request;
 	std::string m_request_id;
@@ -159,6 +179,9 @@
 	std::vector<backend_id> m_tried;
 	std::vector<backend_id> m_without_token; ///< Backend servers whose limit had no token left.
 	attempt_history m_history;
+	admission_base* m_admission = nullptr; ///< Of m_service; null: not asked yet.
+	admission_request m_admission_request; ///< Set once m_admission is.
+	admission_end m_admission_end;         ///< What attempts have told so far.
 	state m_state = state::initial;
 	std::optional<request_fingerprint> m_fingerprint;
 	trial_state m_trial = trial_state::none;
--- a/src/entry_node/forwarder.cpp
+++ b/src/entry_node/forwarder.cpp
@@ -24,9 +24,10 @@
 } // namespace
 
 forwarder::forwarder(asio::io_context& _context, const clock_base& _clock, header_names _names,
-    const placement& _placement, shared_bounds _bounds, backend_registry& _backends,
-    const fleet_view_base& _fleet, quota_admission_base& _quotas, rollout_routing_base& _rollouts,
-    limit_admission_base& _limits, crash_admission_base& _crashes, entry_log& _log, metrics& _metrics)
+    const placement& _placement, shared_bounds _bounds, admission_factory _make_admission,
+    backend_registry& _backends, const fleet_view_base& _fleet, quota_admission_base& _quotas,
+    rollout_routing_base& _rollouts, limit_admission_base& _limits, crash_admission_base& _crashes,
+    entry_log& _log, metrics& _metrics)
     : m_reports(_context, _clock, _limits, _log,
           [this]
           {
@@ -36,7 +37,7 @@
           domain_name(_placement.domain), _backends, _fleet, _quotas, _rollouts, _limits, _crashes, m_reports,
           _log, _metrics, std::minstd_rand(static_cast<unsigned>(_clock.steady().time_since_epoch().count())),
           {}, {}, {}, {}, false},
-      m_bounds(_bounds)
+      m_bounds(_bounds), m_make_admission(std::move(_make_admission))
 {
 }
 
@@ -46,8 +47,10 @@
 {
 	++m_context.counters.requests;
 	request_owner_base& owner = *this;
-	const auto request = std::make_shared<forwarded_request>(m_context, owner, _session, std::move(_request));
-	m_requests.insert(request);
+	++m_last_number.value;
+	const auto request =
+	    std::make_shared<forwarded_request>(m_context, owner, m_last_number, _session, std::move(_request));
+	m_requests.emplace(m_last_number.value, request);
 	request->start();
 }
 
@@ -85,7 +88,8 @@
 	{
 		return it->second;
 	}
-	forwarded_service fresh{service_steering(m_context.region, m_bounds), {}};
+	forwarded_service fresh{
+	    service_steering(m_context.region, m_bounds), m_make_admission({m_context.region, m_context.random})};
 	forwarded_service& service = m_services.emplace(_service, std::move(fresh)).first->second;
 	service.steering.retries.set_nodes(m_context.fleet.sharers().nodes);
 	update(_service, service.steering, m_context.clock.steady());
@@ -169,11 +173,18 @@
 {
 	for (auto& [name, service] : m_services)
 	{
-		request_ptr first = service.waiting.first();
+		request_ptr first = first_waiting(service);
 		while (first && first->try_send())
 		{
-			first = service.waiting.first();
+			first = first_waiting(service);
 		}
 	}
 }
+
+request_ptr forwarder::first_waiting(const forwarded_service& _service) const
+{
+	const steady_time now = _service.admission->uses_conditions() ? m_context.clock.steady() : steady_time();
+	const auto found = m_requests.find(_service.admission->next(now).value);
+	return m_requests.end() == found ? nullptr : found->second;
+}
 } // namespace larkrack
--- a/src/entry_node/forwarder_p.h
+++ b/src/entry_node/forwarder_p.h
@@ -4,12 +4,13 @@
 /// @file
 /// Forwarder: all requests in flight, and the state that they share.
 ///
-/// Owns the requests, the queues of waiting requests and the steering state of each service. Feeds the
+/// Owns the requests, and the admission and the steering state of each service. Feeds the
 /// decisions of src/steering with current figures at each tick, and logs changes of shares. Relies on
 /// backend_registry for the backend servers, on the fleet view for the other nodes, and on entry_node to call
 /// tick() and retry_waiting_requests().
 #pragma once
 
+#include "entry_node/admission_factory_p.h"
 #include "entry_node/backend_limits_p.h"
 #include "entry_node/backend_words_p.h"
 #include "entry_node/crash_guard_p.h"
@@ -21,7 +22,6 @@
 #include "steering/loop_gap_p.h"
 #include "steering/service_split_p.h"
 #include "steering/service_steering_p.h"
-#include "steering/slot_queue_p.h"
 
 #include "base/metrics_p.h"
 
@@ -29,6 +29,7 @@
 
 #include <map>
 #include <random>
+#include <unordered_map>
 
 namespace larkrack
 {
@@ -45,11 +46,11 @@
 class forwarded_request;
 using request_ptr = std::shared_ptr<forwarded_request>;
 
-/// Steering state of one service, and the requests that wait for a slot.
+/// Steering state of one service, and the admission of its requests.
 struct forwarded_service
 {
 	service_steering steering;
-	slot_queue<request_ptr> waiting;
+	std::unique_ptr<admission_base> admission;
 };
 
 /// State shared by all requests of a node. Owned by the forwarder.
@@ -89,7 +90,7 @@
 	/// Tries to send queued requests again.
 	virtual void retry_waiting_requests() = 0;
 	/// Removes a request that has ended.
-	virtual void remove(const request_ptr& _request) = 0;
+	virtual void remove(request_number _number) = 0;
 };
 
 /// Owns all requests in flight.
@@ -97,9 +98,10 @@
 {
 public:
 	forwarder(asio::io_context& _context, const clock_base& _clock, header_names _names,
-	    const placement& _placement, shared_bounds _bounds, backend_registry& _backends,
-	    const fleet_view_base& _fleet, quota_admission_base& _quotas, rollout_routing_base& _rollouts,
-	    limit_admission_base& _limits, crash_admission_base& _crashes, entry_log& _log, metrics& _metrics);
+	    const placement& _placement, shared_bounds _bounds, admission_factory _make_admission,
+	    backend_registry& _backends, const fleet_view_base& _fleet, quota_admission_base& _quotas,
+	    rollout_routing_base& _rollouts, limit_admission_base& _limits, crash_admission_base& _crashes,
+	    entry_log& _log, metrics& _metrics);
 	~forwarder() override;
 
 	/// Accepts a request of a caller.
@@ -150,18 +152,22 @@
 	{
 		return m_splits[_route.name];
 	}
-	void remove(const request_ptr& _request) override
+	void remove(request_number _number) override
 	{
-		m_requests.erase(_request);
+		m_requests.erase(_number.value);
 	}
+	/// @returns The request of a service that is tried first; null when none waits.
+	request_ptr first_waiting(const forwarded_service& _service) const;
 	void update(const service_name& _name, service_steering& _steering, steady_time _now);
 
 	backend_reports m_reports;
 	request_context m_context;
 	shared_bounds m_bounds;
+	admission_factory m_make_admission;
 	std::map<service_name, forwarded_service> m_services;
-	std::map<std::string, service_split> m_splits; ///< Key: name of the route.
-	std::unordered_set<request_ptr> m_requests;
+	std::map<std::string, service_split> m_splits;             ///< Key: name of the route.
+	std::unordered_map<std::uint64_t, request_ptr> m_requests; ///< By request_number.
+	request_number m_last_number;
 	steady_time m_last_tick{};
 	steady_time m_last_plan{}; ///< Last update of the shares of regions.
 };
--- a/src/steering/admission_p.h
+++ b/src/steering/admission_p.h
@@ -160,6 +160,12 @@
 {
 public:
 	virtual ~admission_base() = default;
+	/// @returns Whether decisions depend on the time and on conditions. If they do not, callers may pass any
+	/// time, which saves readings of the clock, and never call tick().
+	virtual bool uses_conditions() const
+	{
+		return true;
+	}
 	/// Decides before the request takes a slot; never admission_verdict::waits.
 	virtual admission_decision on_arrival(const admission_request& _request, steady_time _now) = 0;
 	/// Decides about an admitted request that no backend server can take now. Queues it if it has to wait;
--- a/src/steering/request_times.cpp
+++ b/src/steering/request_times.cpp
@@ -8,24 +8,22 @@
 
 namespace larkrack
 {
-namespace
-{
-std::chrono::milliseconds parse_timeout(std::string_view _text)
+std::optional<std::chrono::milliseconds> parse_timeout(std::string_view _text)
 {
 	std::int64_t ms = 0;
 	const auto read = std::from_chars(_text.data(), _text.data() + _text.size(), ms);
 	if (read.ec != std::errc() || ms < 0)
 	{
-		return k_default_timeout;
+		return std::nullopt;
 	}
 	return std::min(std::chrono::milliseconds(ms), k_max_stated_timeout);
 }
-} // namespace
 
 std::chrono::milliseconds request_timeout(
     std::optional<std::string_view> _stated, std::chrono::milliseconds _route_timeout)
 {
-	const std::chrono::milliseconds timeout = _stated ? parse_timeout(*_stated) : k_default_timeout;
+	const std::chrono::milliseconds timeout =
+	    (_stated ? parse_timeout(*_stated) : std::nullopt).value_or(k_default_timeout);
 	return _route_timeout.count() > 0 ? std::min(timeout, _route_timeout) : timeout;
 }
 
--- a/src/steering/request_times_p.h
+++ b/src/steering/request_times_p.h
@@ -54,6 +54,9 @@
 /// may answer that it did not run the request.
 /// @returns How long to read the answer of an exchange that nobody waits for any longer.
 std::chrono::milliseconds response_drain_time(std::chrono::milliseconds _since_sent, bool _deadline_passed);
+/// @param[in] _text Text of the caller's header.
+/// @returns The stated timeout, at most k_max_stated_timeout; nothing when the text is no number.
+std::optional<std::chrono::milliseconds> parse_timeout(std::string_view _text);
 /// @param[in] _stated Text of the caller's header; nothing when there is no such header. A text that is no
 /// number counts as the default.
 /// @param[in] _route_timeout Timeout of the route; 0: none.
--- a/src/steering/slot_queue_p.h
+++ b/src/steering/slot_queue_p.h
@@ -16,8 +16,7 @@
 ///
 /// Each waiting request uses memory of the node until it ends.
 ///
-/// Owns the queue of one service. Relies on forwarder to try the first request whenever a request ended, a
-/// backend server changed, or a tick passed.
+/// Owns the queue of one service. Relies on arrival_admission to remove each request that no longer waits.
 #pragma once
 
 #include <chrono>
@@ -47,7 +46,7 @@
 }
 
 /// Requests of one service that wait for a slot.
-/// @tparam Request Pointer type of a request.
+/// @tparam Request Pointer or number of a request; a default value stands for none.
 template <typename Request>
 class slot_queue
 {
@@ -61,7 +60,7 @@
 	{
 		m_requests[_priority].remove(_request);
 	}
-	/// @returns The request that is next; null when none waits.
+	/// @returns The request that is next; the default value when none waits.
 	Request first() const
 	{
 		for (const auto& [priority, requests] : m_requests)
@@ -71,7 +70,7 @@
 				return requests.front();
 			}
 		}
-		return nullptr;
+		return Request();
 	}
 
 private:
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -13,6 +13,7 @@
 
 #include "entry_node/forwarder_p.h"
 
+#include <algorithm>
 #include <deque>
 
 namespace larkrack
@@ -207,6 +208,92 @@
 	std::vector<request_fingerprint> answered;
 };
 
+/// What a scripted_admission decides and what it was told.
+struct admission_script
+{
+	/// One end of a request.
+	struct end
+	{
+		request_number number;
+		admission_end how;
+	};
+
+	admission_decision on_arrival;
+	admission_decision on_no_slot{admission_verdict::waits};
+	std::chrono::milliseconds wait{60000}; ///< If on_no_slot waits. Longer than any test.
+	admission_decision on_wait_over{admission_verdict::refused, reason::no_headroom};
+	bool newest_first = false; ///< Which of the waiting requests is tried first.
+	admission_report report;
+
+	std::vector<admission_request> arrived;
+	std::vector<request_number> waiting; ///< In order of arrival.
+	int waits_over = 0;
+	std::vector<request_number> sent; ///< One entry for each attempt.
+	std::vector<end> ended;
+	std::vector<admission_conditions> conditions; ///< One entry for each tick.
+};
+
+/// Admission that decides on each request as its script says, and records what it is told.
+class scripted_admission : public admission_base
+{
+public:
+	explicit scripted_admission(admission_script& _script) : m_script(_script)
+	{
+	}
+	admission_decision on_arrival(const admission_request& _request, steady_time) override
+	{
+		m_script.arrived.push_back(_request);
+		return m_script.on_arrival;
+	}
+	admission_decision on_no_slot(const admission_request& _request, steady_time _now) override
+	{
+		admission_decision decision = m_script.on_no_slot;
+		if (admission_verdict::waits == decision.verdict)
+		{
+			decision.wait_until = _now + m_script.wait;
+			m_script.waiting.push_back(_request.number);
+		}
+		return decision;
+	}
+	admission_decision on_wait_over(const admission_request&, steady_time) override
+	{
+		++m_script.waits_over;
+		return m_script.on_wait_over;
+	}
+	request_number next(steady_time) const override
+	{
+		if (m_script.waiting.empty())
+		{
+			return {};
+		}
+		return m_script.newest_first ? m_script.waiting.back() : m_script.waiting.front();
+	}
+	void remove(const admission_request& _request) override
+	{
+		std::vector<request_number>& waiting = m_script.waiting;
+		waiting.erase(std::remove(waiting.begin(), waiting.end(), _request.number), waiting.end());
+	}
+	void on_sent(const admission_request& _request, steady_time) override
+	{
+		m_script.sent.push_back(_request.number);
+	}
+	void on_end(const admission_request& _request, const admission_end& _end, steady_time) override
+	{
+		m_script.ended.push_back({_request.number, _end});
+	}
+	void tick(const admission_conditions& _conditions, steady_time) override
+	{
+		m_script.conditions.push_back(_conditions);
+	}
+	admission_report report(steady_time) const override
+	{
+		return m_script.report;
+	}
+
+private:
+	admission_script& m_script;
+};
+
 /// Backend server that responds to each request with the next step of its script, as raw bytes.
 class scripted_backend
 {
@@ -412,8 +499,8 @@
 		bounds.retries = {
 		    0.2 / k_retry_used_fraction, 50.0 / k_retry_used_fraction, std::chrono::milliseconds(10000)};
 		m_forwarder = std::make_unique<forwarder>(*m_context, m_clock, header_names(),
-		    placement{"n1", "east-a", "east"}, bounds, *m_registry, m_fleet, m_quotas, m_rollouts, m_limits,
-		    m_crashes, *m_log, m_metrics);
+		    placement{"n1", "east-a", "east"}, bounds, m_make_admission, *m_registry, m_fleet, m_quotas,
+		    m_rollouts, m_limits, m_crashes, *m_log, m_metrics);
 		m_listener = std::make_unique<http_listener>(
 		    *m_context,
 		    [this](const std::shared_ptr<caller_session>& _session, caller_request&& _request)
@@ -505,6 +592,8 @@
 		return caller.receive();
 	}
 
+	/// To be set before setUp() where a test needs another admission.
+	admission_factory m_make_admission = make_admission_factory(admission_kind::arrival);
 	std::unique_ptr<asio::io_context> m_context;
 	clock_suspended m_clock;
 	fleet_view_single_node m_fleet;
--- a/tests/node_group_fixture.h
+++ b/tests/node_group_fixture.h
@@ -84,8 +84,8 @@
 	          {
 	          }),
 	      m_forwarder(_context, _clock, header_names(), placement{name_of(_number), "east-a", "east"},
-	          shared_bounds(), m_registry, m_fleet, m_quotas, m_rollouts, m_limits, m_crashes, m_log,
-	          m_metrics),
+	          shared_bounds(), make_admission_factory(admission_kind::arrival), m_registry, m_fleet, m_quotas,
+	          m_rollouts, m_limits, m_crashes, m_log, m_metrics),
 	      m_listener(
 	          _context,
 	          [this](const std::shared_ptr<caller_session>& _session, caller_request&& _request)
