Add reasons over_share and shed_by_priority; give each reason its own counter

Cause: admission by urgency refuses for reasons that have no name yet. metrics::k_reasons was 20 with 21 values of reason, so that `resting` was counted as another outcome's (docs/FINDINGS.md).

Change: two reasons; the number of counters follows the last value of reason.

Result: daemon_metrics_forms_test counts each pair of outcome and reason once.

--- a/include/larkrack/outcome.h
+++ b/include/larkrack/outcome.h
@@ -48,7 +48,11 @@
 	quota_unknown,      ///< No entry VM that lends the customer's quota tokens responds.
 	ends_backends,      ///< Backend servers have repeatedly crashed while running the same request.
 	resting,            ///< All backend servers that could serve the request have asked for a rest.
+	over_share,         ///< The customer or failure domain uses more than its fair share of scarce slots.
+	shed_by_priority,   ///< Slots are scarce, and go to more urgent requests.
 };
+/// The last value of enum reason.
+constexpr reason k_last_reason = reason::shed_by_priority;
 
 /// @returns Name in headers, logs and histories.
 const char* to_string(outcome _outcome);
--- a/src/base/metrics_p.h
+++ b/src/base/metrics_p.h
@@ -68,7 +68,8 @@
 private:
 	std::shared_ptr<prometheus::Registry> m_registry;
 	static constexpr std::size_t k_outcomes = 3; ///< Number of values of enum outcome.
-	static constexpr std::size_t k_reasons = 20; ///< Reserved number of values of enum reason.
+	/// Number of values of enum reason. A smaller number counts a reason as another outcome's.
+	static constexpr std::size_t k_reasons = static_cast<std::size_t>(k_last_reason) + 1;
 	using outcome_counters = std::array<std::atomic<prometheus::Counter*>, k_outcomes * k_reasons>;
 
 	prometheus::Family<prometheus::Counter>* m_outcomes = nullptr;
--- a/src/base/outcome.cpp
+++ b/src/base/outcome.cpp
@@ -65,6 +65,10 @@
 		return "ends_backends";
 	case reason::resting:
 		return "resting";
+	case reason::over_share:
+		return "over_share";
+	case reason::shed_by_priority:
+		return "shed_by_priority";
 	}
 	return "none";
 }
--- a/tests/forms/daemon_metrics_forms_test.cpp
+++ b/tests/forms/daemon_metrics_forms_test.cpp
@@ -14,6 +14,7 @@
 	CPPUNIT_TEST_SUITE(daemon_metrics_forms_test);
 	CPPUNIT_TEST(scrape_has_the_names_types_and_labels_of_all_metrics);
 	CPPUNIT_TEST(scrape_names_every_outcome_and_reason);
+	CPPUNIT_TEST(every_outcome_and_reason_has_a_counter_of_its_own);
 	CPPUNIT_TEST_SUITE_END();
 
 	/// @returns The scrape without the values of its samples.
@@ -155,6 +156,33 @@
 )",
 		    all);
 	}
+
+	/// With room for 20 reasons the last ones were counted as another outcome's.
+	void every_outcome_and_reason_has_a_counter_of_its_own()
+	{
+		metrics counted;
+		std::size_t expected = 0;
+		for (const outcome end : {outcome::served, outcome::not_run, outcome::unknown})
+		{
+			for (int why = 0; why <= static_cast<int>(k_last_reason); ++why)
+			{
+				counted.count_outcome("shop", end, static_cast<reason>(why));
+				++expected;
+			}
+		}
+		std::istringstream in(counted.text());
+		std::size_t found = 0;
+		for (std::string line; std::getline(in, line);)
+		{
+			if (0 == line.rfind("larkrack_requests_total", 0))
+			{
+				CPPUNIT_ASSERT_EQUAL(std::string(" 1"), line.substr(line.size() - 2));
+				++found;
+			}
+		}
+		CPPUNIT_ASSERT_EQUAL(expected, found);
+		CPPUNIT_ASSERT_EQUAL(std::string("shed_by_priority"), std::string(to_string(k_last_reason)));
+	}
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(daemon_metrics_forms_test);
