Add settings overload.admission and overload.memory_mb, and translate contracts

Cause: overload control takes effect only where settings call for it, and the platform states a list of contracts and the memory of an entry VM.

For `priority` the factory makes arrival_admission until priority_admission exists. overload.memory_mb is read and kept, not used yet.

--- a/src/entry_node/entry_node.cpp
+++ b/src/entry_node/entry_node.cpp
@@ -100,7 +100,7 @@
 	          write_block(_block);
           }),
       m_forwarder(m_context, m_clock, _dialect.headers(), _settings.place, _settings.bounds,
-          make_admission_factory(admission_kind::arrival), m_backends, m_fleet, m_quotas, m_rollouts,
+          make_admission_factory(_settings.overload.admission), m_backends, m_fleet, m_quotas, m_rollouts,
           m_limits, m_crashes, m_log, m_metrics),
       m_replica(
           m_clock, _dialect.codec(), m_backends, m_log,
--- a/src/entry_node/entry_settings.cpp
+++ b/src/entry_node/entry_settings.cpp
@@ -50,12 +50,22 @@
 			"quota_slack": {"type": "number", "minimum": 0, "description": "Further requests of a customer in any window."},
 			"expose_share": {"type": "number", "minimum": 0, "maximum": 1, "description": "Part of a service's requests that a version which is rolled out may get before it is judged."}
 		}
+	},
+	"overload": {
+		"type": "object",
+		"description": "Behaviour under overload.",
+		"properties": {
+			"admission": {"type": "string", "enum": ["arrival", "priority"], "description": "Which requests get a slot first: by route priority and arrival at this node, or by urgency over all nodes; arrival by default."},
+			"memory_mb": {"type": "integer", "minimum": 64, "description": "Memory of this process, MB; bounds the bytes held for callers. Without it there is no bound."}
+		}
 	}
 }})JSON";
 
 /// Time to live of a lookup response in seconds, unless the settings demand less. Higher: more requests
 /// still go to a node that has stopped. Lower: more lookups.
 constexpr double k_lookup_ttl_s = 1.5;
+/// Value of the setting "overload/admission" for admission by urgency over all nodes.
+constexpr const char* k_admission_priority = "priority";
 /// Default length of the quota window, in seconds.
 constexpr double k_quota_window_s = 5.0;
 /// A key of the schema is suggested for an unknown key when their edit distance is below this.
@@ -161,6 +171,19 @@
 	quotas.slack = _bounds.value("quota_slack", quotas.slack);
 	return quotas;
 }
+overload_settings overload_of(const nlohmann::json& _overload)
+{
+	overload_settings overload;
+	if (k_admission_priority == _overload.value("admission", ""))
+	{
+		overload.admission = admission_kind::priority;
+	}
+	if (_overload.contains("memory_mb"))
+	{
+		overload.memory_mb = _overload["memory_mb"].get<int>();
+	}
+	return overload;
+}
 } // namespace
 
 const nlohmann::json& schema_entry_settings()
@@ -202,6 +225,7 @@
 	    bounds["retry_ratio"], bounds["retry_slack"], to_milliseconds(bounds["retry_window_s"])};
 	settings.bounds.max_shift = bounds["max_shift"];
 	settings.quotas = quotas_of(bounds);
+	settings.overload = overload_of(_document.value("overload", nlohmann::json::object()));
 	settings.expose_share = bounds.value("expose_share", settings.expose_share);
 	settings.lookup_ttl = to_milliseconds(std::min(k_lookup_ttl_s, bounds["lookup_ttl_max_s"].get<double>()));
 	settings.grace = to_milliseconds(bounds["grace_s"]);
--- a/src/entry_node/entry_settings_p.h
+++ b/src/entry_node/entry_settings_p.h
@@ -15,6 +15,13 @@
 /// Default maximum share of a service's requests that a new version gets until the rollout has judged it.
 constexpr double k_expose_share = 0.1;
 
+/// Behaviour under overload.
+struct overload_settings
+{
+	admission_kind admission = admission_kind::arrival;
+	std::optional<int> memory_mb; ///< Memory of the process; absent: no bound.
+};
+
 /// Validated settings of one larkrack-edge process; the schema in entry_settings.cpp describes each field.
 struct entry_settings
 {
@@ -31,6 +38,7 @@
 	std::unordered_map<std::string, std::string> region_of; ///< Region by failure domain.
 	int max_descriptors = 1024;
 	shared_bounds bounds;
+	overload_settings overload;
 	quota_bounds quotas;
 	/// Maximum share of a service's requests at a version that is being judged.
 	double expose_share = k_expose_share;
--- a/tests/entry_settings_test.cpp
+++ b/tests/entry_settings_test.cpp
@@ -22,6 +22,8 @@
 	CPPUNIT_TEST(settings_all_errors_are_reported_at_once);
 	CPPUNIT_TEST(settings_invalid_address_names_the_field);
 	CPPUNIT_TEST(settings_unknown_key_suggests_the_nearest);
+	CPPUNIT_TEST(settings_overload_is_checked);
+	CPPUNIT_TEST(settings_with_contracts_are_read_at_a_reload);
 	CPPUNIT_TEST(log_with_blocked_reader_drops_and_counts_without_blocking);
 	CPPUNIT_TEST_SUITE_END();
 
@@ -96,6 +98,34 @@
 		CPPUNIT_ASSERT_EQUAL(std::string(), unknown[1].nearest);
 	}
 
+	void settings_overload_is_checked()
+	{
+		for (const char* bad : {R"({"admission": "luck"})", R"({"memory_mb": 63})", R"({"memory_mb": "160"})",
+		         R"({"memory_mb": 64.5})", R"(3)"})
+		{
+			nlohmann::json document = valid();
+			document["overload"] = nlohmann::json::parse(bad);
+			const auto parsed = parse_entry_settings(document);
+			const auto* mistakes = std::get_if<std::vector<mistake>>(&parsed);
+			CPPUNIT_ASSERT_MESSAGE(bad, nullptr != mistakes);
+			CPPUNIT_ASSERT_EQUAL_MESSAGE(bad, std::size_t{0}, mistakes->front().path.find("/overload"));
+		}
+		nlohmann::json document = valid();
+		document["overload"] = {{"admission", "arrival"}};
+		const auto parsed = parse_entry_settings(document);
+		CPPUNIT_ASSERT(admission_kind::arrival == std::get<entry_settings>(parsed).overload.admission);
+	}
+
+	/// A reload reads the file as it is, without the translation of the platform's keys.
+	void settings_with_contracts_are_read_at_a_reload()
+	{
+		nlohmann::json document = valid();
+		document["contracts"] = {"any"};
+		document["overload"] = {{"memory_mb", 160}};
+		const auto parsed = parse_entry_settings(document);
+		CPPUNIT_ASSERT(std::holds_alternative<entry_settings>(parsed));
+	}
+
 	void log_with_blocked_reader_drops_and_counts_without_blocking()
 	{
 		int ends[2];
--- a/tests/forms/entry_settings_form_test.cpp
+++ b/tests/forms/entry_settings_form_test.cpp
@@ -77,6 +77,9 @@
 		    {"/listen/readiness", false, R"({"pattern":"^([0-9.]+:[0-9]+)?$","type":"string"})"},
 		    {"/max_descriptors", false, R"({"minimum":64,"type":"integer"})"},
 		    {"/name", true, R"({"minLength":1,"type":"string"})"},
+		    {"/overload", false, R"({"type":"object"})"},
+		    {"/overload/admission", false, R"({"enum":["arrival","priority"],"type":"string"})"},
+		    {"/overload/memory_mb", false, R"({"minimum":64,"type":"integer"})"},
 		    {"/region", true, R"({"minLength":1,"type":"string"})"},
 		    {"/regions", true, R"({"additionalProperties":{"type":"string"},"type":"object"})"},
 		    {"/seeds", false, R"({"items":{"type":"string"},"type":"array"})"},
@@ -115,7 +118,8 @@
 			"regions": {"east-a": "east", "west-a": "west"}, "max_descriptors": 500,
 			"bounds": {"retry_ratio": 0.2, "retry_slack": 50, "retry_window_s": 10.5, "max_shift": 0.25,
 			"lookup_ttl_max_s": 1.25, "grace_s": 6.5, "quota_window_s": 2.5, "quota_overage": 0.1,
-			"quota_slack": 20, "expose_share": 0.25}})");
+			"quota_slack": 20, "expose_share": 0.25},
+			"overload": {"admission": "priority", "memory_mb": 160}})");
 		CPPUNIT_ASSERT_EQUAL(std::string("n1"), settings.place.node);
 		CPPUNIT_ASSERT_EQUAL(std::string("east"), settings.place.region);
 		CPPUNIT_ASSERT_EQUAL(std::string("east-a"), settings.place.domain);
@@ -138,6 +142,8 @@
 		CPPUNIT_ASSERT_EQUAL(0.1, settings.quotas.overage);
 		CPPUNIT_ASSERT_EQUAL(20.0, settings.quotas.slack);
 		CPPUNIT_ASSERT_EQUAL(0.25, settings.expose_share);
+		CPPUNIT_ASSERT(admission_kind::priority == settings.overload.admission);
+		CPPUNIT_ASSERT_EQUAL(160, settings.overload.memory_mb.value());
 	}
 
 	void settings_with_required_keys_get_the_known_defaults()
@@ -153,6 +159,8 @@
 		CPPUNIT_ASSERT(std::chrono::milliseconds(5000) == settings.quotas.window);
 		CPPUNIT_ASSERT_EQUAL(0.0, settings.quotas.overage + settings.quotas.slack);
 		CPPUNIT_ASSERT_EQUAL(0.1, settings.expose_share);
+		CPPUNIT_ASSERT(admission_kind::arrival == settings.overload.admission);
+		CPPUNIT_ASSERT(!settings.overload.memory_mb);
 	}
 
 	void template_of_the_platform_is_the_known_one()
@@ -188,7 +196,11 @@
 		"quota_overage": {{Bounds.QuotaOverage}},
 		"quota_slack": {{Bounds.QuotaSlack}}{{/Bounds.QuotaWindowS}}{{#Bounds.ExposeShare}},
 		"expose_share": {{Bounds.ExposeShare}}{{/Bounds.ExposeShare}}
-	}
+	},
+	"overload": {
+		"memory_mb": {{Limits.MemoryMb}}
+	},
+	"contracts": {{Contracts|json}}
 }
 )TEMPLATE"),
 		    text.str());
--- a/tests/forms/programs.py
+++ b/tests/forms/programs.py
@@ -137,6 +137,8 @@
             "lookup_ttl_max_s": 1,
             "grace_s": 6,
         },
+        "overload": {"memory_mb": 160},
+        "contracts": [],
     }
 
 
@@ -221,6 +223,17 @@
             "larkrack-edge: /zzzzzzzzzzzz is not known and is passed over\n",
         )
 
+    def test_contracts_are_replaced_by_the_settings_that_they_call_for(self):
+        self.write("quotas.json", {**settings(), "contracts": ["quotas", "rollouts"]})
+        self.check(["--check", "quotas.json"], 0, "quotas.json: valid\n", "")
+        self.write("text.json", {**settings(), "contracts": "quotas"})
+        self.check(
+            ["--check", "text.json"],
+            0,
+            "text.json: valid\n",
+            "larkrack-edge: /contracts is not known and is passed over\n",
+        )
+
     def test_settings_invalid_all_mistakes_are_printed(self):
         document = settings()
         document.update({"name": "", "store": "nowhere", "inner_ports": [1]})
