Tell admission the room of each region at the pace of plans

Cause: an admission that sheds load needs slots, load and rates.

Change: region_rooms sums usable and warm backend servers by region; forwarder::tick passes them with service time and rate to admissions that use conditions. Reports of other nodes are not connected yet.

--- a/src/entry_node/forwarder.cpp
+++ b/src/entry_node/forwarder.cpp
@@ -3,6 +3,7 @@
 
 #include "entry_node/caller_identity_p.h"
 #include "entry_node/forwarded_request_p.h"
+#include "steering/region_rooms_p.h"
 
 #include <algorithm>
 
@@ -132,10 +133,25 @@
 		{
 			steering.set_own_portion(region, m_context.fleet.portion(name, region));
 		}
+		update_admission(name, service, now);
 	}
 	retry_waiting_requests();
 }
 
+void forwarder::update_admission(const service_name& _name, forwarded_service& _service, steady_time _now)
+{
+	if (!_service.admission->uses_conditions())
+	{
+		return;
+	}
+	const service_steering& steering = _service.steering;
+	admission_conditions conditions;
+	conditions.rooms = region_rooms(m_context.backends.of_service(_name), steering.own_portions(), _now);
+	conditions.service_time_s = steering.demand.service_time_s();
+	conditions.requests_per_s = steering.demand.requests_per_s();
+	_service.admission->tick(conditions, _now);
+}
+
 rate_by_service forwarder::requests_per_s() const
 {
 	rate_by_service rates;
--- a/src/entry_node/forwarder_p.h
+++ b/src/entry_node/forwarder_p.h
@@ -159,6 +159,8 @@
 	/// @returns The request of a service that is tried first; null when none waits.
 	request_ptr first_waiting(const forwarded_service& _service) const;
 	void update(const service_name& _name, service_steering& _steering, steady_time _now);
+	/// Tells the admission of a service its current conditions, if it uses them.
+	void update_admission(const service_name& _name, forwarded_service& _service, steady_time _now);
 
 	backend_reports m_reports;
 	request_context m_context;
--- a/src/steering/service_steering_p.h
+++ b/src/steering/service_steering_p.h
@@ -64,6 +64,10 @@
 	    rate_by_region _per_s_elsewhere, rate_by_region _pinned_elsewhere, steady_time _now);
 	/// @returns This node's share of the slots in a region; all slots until set_own_portion() was called.
 	slot_portion own_portion(const region_name& _region) const;
+	const std::map<region_name, slot_portion>& own_portions() const
+	{
+		return m_own_portions;
+	}
 	void set_own_portion(const region_name& _region, const slot_portion& _portion)
 	{
 		m_own_portions[_region] = _portion;
--- a/tests/admission_requests_test.cpp
+++ b/tests/admission_requests_test.cpp
@@ -30,6 +30,8 @@
 	CPPUNIT_TEST(end_of_a_running_request_of_a_caller_that_leaves_is_told_once);
 	CPPUNIT_TEST(end_of_a_waiting_request_of_a_stopping_node_is_told_once);
 	CPPUNIT_TEST(request_refused_before_admission_is_not_told);
+	CPPUNIT_TEST(tick_tells_rooms_rates_and_the_service_time);
+	CPPUNIT_TEST(tick_tells_nothing_to_an_admission_without_conditions);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -328,6 +330,40 @@
 		CPPUNIT_ASSERT(m_script.arrived.empty() && m_script.ended.empty());
 	}
 
+	void tick_tells_rooms_rates_and_the_service_time()
+	{
+		set_routes();
+		add_backend("b1", 4);
+		add_backend("b2", 2);
+		ask(request("GET", "/read/1", "r1"));
+		m_registry->find(backend_id("b1"))->load.in_flight = 3;
+		m_registry->find(backend_id("b1"))->load.in_flight_elsewhere = 1;
+		m_forwarder->tick();
+		CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_script.conditions.size());
+		const admission_conditions& told = m_script.conditions[0];
+		CPPUNIT_ASSERT_EQUAL(std::size_t{1}, told.rooms.size());
+		const region_room& east = told.rooms.at(region_name("east"));
+		CPPUNIT_ASSERT_EQUAL(6.0, east.slots);
+		CPPUNIT_ASSERT_EQUAL(4.0, east.busy);
+		CPPUNIT_ASSERT_EQUAL(6.0, east.own_slots);
+		CPPUNIT_ASSERT_EQUAL(3.0, east.in_flight);
+		CPPUNIT_ASSERT(told.others.empty());
+		CPPUNIT_ASSERT(told.service_time_s > 0.0 && told.service_time_s < k_initial_service_time_s);
+		CPPUNIT_ASSERT(told.requests_per_s > 0.0);
+	}
+
+	/// Of an admission that does not use them, conditions would be computed at each tick in vain.
+	void tick_tells_nothing_to_an_admission_without_conditions()
+	{
+		m_script.uses_conditions = false;
+		set_routes();
+		add_backend("b1");
+		ask(request("GET", "/read/1", "r1"));
+		m_forwarder->tick();
+		CPPUNIT_ASSERT(m_script.conditions.empty());
+		CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_script.ended.size());
+	}
+
 private:
 	admission_script m_script;
 };
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -222,6 +222,7 @@
 	admission_decision on_no_slot{admission_verdict::waits};
 	std::chrono::milliseconds wait{60000}; ///< If on_no_slot waits. Longer than any test.
 	admission_decision on_wait_over{admission_verdict::refused, reason::no_headroom};
+	bool uses_conditions = true;
 	bool newest_first = false; ///< Which of the waiting requests is tried first.
 	admission_report report;
 
@@ -240,6 +241,10 @@
 	explicit scripted_admission(admission_script& _script) : m_script(_script)
 	{
 	}
+	bool uses_conditions() const override
+	{
+		return m_script.uses_conditions;
+	}
 	admission_decision on_arrival(const admission_request& _request, steady_time) override
 	{
 		m_script.arrived.push_back(_request);
