--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -5,6 +5,8 @@
 
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
+
 namespace larkrack
 {
 namespace
@@ -13,6 +15,13 @@
 {
 	return &prometheus::BuildCounter().Name(_name).Help(_help).Register(_registry).Add({});
 }
+
+const prometheus::Histogram::BucketBoundaries& time_buckets()
+{
+	static const prometheus::Histogram::BucketBoundaries s_bounds = {
+	    0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0};
+	return s_bounds;
+}
 } // namespace
 
 metrics::metrics() : m_registry(std::make_shared<prometheus::Registry>())
@@ -24,13 +33,45 @@
 	m_lookups = counter(*m_registry, "larkrack_lookups_total", "Look-ups answered.");
 	m_relays = counter(*m_registry, "larkrack_relays_total", "Requests sent on to another entry VM.");
 	m_retries = counter(*m_registry, "larkrack_retries_total", "Second tries of this entry VM.");
-	const prometheus::Histogram::BucketBoundaries bounds = {
-	    0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0};
 	m_seconds = &prometheus::BuildHistogram()
 	                 .Name("larkrack_request_seconds")
 	                 .Help("Time from taking a request to the end of its answer, in seconds.")
 	                 .Register(*m_registry)
-	                 .Add({}, bounds);
+	                 .Add({}, time_buckets());
+	// A family without values is not exported: these appear with the first value.
+	m_returns = &prometheus::BuildCounter()
+	                 .Name("larkrack_returns_total")
+	                 .Help("Requests whose caller returned after a refusal.")
+	                 .Register(*m_registry);
+	m_refusals = &prometheus::BuildCounter()
+	                  .Name("larkrack_admission_refusals_total")
+	                  .Help("Requests that admission refused, by urgency.")
+	                  .Register(*m_registry);
+	m_waits = &prometheus::BuildHistogram()
+	               .Name("larkrack_wait_seconds")
+	               .Help("Time for which requests waited for a slot, in seconds.")
+	               .Register(*m_registry);
+}
+
+void metrics::observe_wait(double _seconds)
+{
+	m_waits->Add({}, time_buckets()).Observe(_seconds);
+}
+
+void metrics::count_return()
+{
+	m_returns->Add({}).Increment();
+}
+
+void metrics::count_refusal(int _customer_priority, int _route_priority)
+{
+	const auto label = [](int _priority)
+	{
+		return std::to_string(std::clamp(_priority, 0, k_max_priority_label));
+	};
+	m_refusals
+	    ->Add({{"customer_priority", label(_customer_priority)}, {"route_priority", label(_route_priority)}})
+	    .Increment();
 }
 
 std::string metrics::text() const
@@ -71,11 +112,12 @@
 void metrics::set(const std::string& _name, const std::string& _help, const std::string& _label,
     const std::string& _label_value, double _value)
 {
-	prometheus::BuildGauge()
-	    .Name(_name)
-	    .Help(_help)
-	    .Register(*m_registry)
-	    .Add({{_label, _label_value}})
-	    .Set(_value);
+	set(_name, _help, {{_label, _label_value}}, _value);
+}
+
+void metrics::set(const std::string& _name, const std::string& _help,
+    const std::map<std::string, std::string>& _labels, double _value)
+{
+	prometheus::BuildGauge().Name(_name).Help(_help).Register(*m_registry).Add(_labels).Set(_value);
 }
 } // namespace larkrack
--- a/src/base/metrics_p.h
+++ b/src/base/metrics_p.h
@@ -6,7 +6,8 @@
 ///
 /// Owns: the metrics registry and all counters since the process started.
 /// Relies on: the service `operators`, which serves text() and sets the gauges at each scrape. Label values
-/// are services, outcomes, reasons and purposes of store calls, so the number of time series is bounded.
+/// are services, regions, outcomes, reasons, priorities and purposes of store calls, so the number of time
+/// series is bounded.
 #pragma once
 
 #include "base/kernel_p.h"
@@ -59,11 +60,21 @@
 	{
 		m_seconds->Observe(_seconds);
 	}
+	/// Records the time for which a request waited for a slot, in seconds.
+	void observe_wait(double _seconds);
+	/// Counts a request whose caller returned after a refusal.
+	void count_return();
+	/// Counts a request that admission refused, by its urgency. Priorities above k_max_priority_label count
+	/// as that one, so that the number of time series is bounded.
+	void count_refusal(int _customer_priority, int _route_priority);
 	/// Sets a gauge without labels.
 	void set(const std::string& _name, const std::string& _help, double _value);
 	/// Sets a gauge with one label.
 	void set(const std::string& _name, const std::string& _help, const std::string& _label,
 	    const std::string& _label_value, double _value);
+	/// Sets a gauge with several labels.
+	void set(const std::string& _name, const std::string& _help,
+	    const std::map<std::string, std::string>& _labels, double _value);
 
 private:
 	std::shared_ptr<prometheus::Registry> m_registry;
@@ -72,7 +83,13 @@
 	static constexpr std::size_t k_reasons = static_cast<std::size_t>(k_last_reason) + 1;
 	using outcome_counters = std::array<std::atomic<prometheus::Counter*>, k_outcomes * k_reasons>;
 
+	/// Highest priority that has a label value of its own.
+	static constexpr int k_max_priority_label = 9;
+
 	prometheus::Family<prometheus::Counter>* m_outcomes = nullptr;
+	prometheus::Family<prometheus::Counter>* m_returns = nullptr;
+	prometheus::Family<prometheus::Counter>* m_refusals = nullptr;
+	prometheus::Family<prometheus::Histogram>* m_waits = nullptr;
 	/// Cached counters by service, so that labels are built only once. Guarded by m_mutex.
 	std::map<std::string, std::unique_ptr<outcome_counters>> m_counters;
 	std::shared_mutex m_mutex;
--- a/src/entry_node/entry_node_answers.cpp
+++ b/src/entry_node/entry_node_answers.cpp
@@ -173,6 +173,14 @@
 	    static_cast<double>(m_replica.revision()));
 	gauge("store_reached", "Whether the store answered the last call.", m_sync.health().reached ? 1.0 : 0.0);
 	gauge("log_lines_dropped", "Lines of the log that were dropped.", static_cast<double>(m_log.dropped()));
+	for (const auto& [service, levels] : m_forwarder.load_levels())
+	{
+		for (const auto& [region, level] : levels)
+		{
+			m_metrics.set("larkrack_load_level", "Load level by service and region, 0 to 1.",
+			    {{"service", service.text}, {"region", region.text}}, level);
+		}
+	}
 	for (const auto& [use, calls] : m_store->calls())
 	{
 		m_metrics.set(
--- a/src/entry_node/forwarded_request.cpp
+++ b/src/entry_node/forwarded_request.cpp
@@ -248,6 +248,7 @@
 	{
 		line.text("customer", m_customer->name.text);
 	}
+	describe_admission(line);
 	m_context.log.write(line);
 }
 
--- a/src/entry_node/forwarded_request_admission.cpp
+++ b/src/entry_node/forwarded_request_admission.cpp
@@ -13,6 +13,11 @@
 	m_admission = m_owner.service_entry(m_service).admission.get();
 	m_admission_request = make_admission_request();
 	const admission_decision decision = m_admission->on_arrival(m_admission_request, admission_time());
+	note_decision(decision);
+	if (m_decision.returning)
+	{
+		m_context.exported_metrics.count_return();
+	}
 	if (admission_verdict::refused == decision.verdict)
 	{
 		refuse_by(decision);
@@ -68,12 +73,14 @@
 	}
 	const steady_time now = admission_time();
 	const admission_decision decision = m_admission->on_no_slot(m_admission_request, now);
+	note_decision(decision);
 	if (admission_verdict::refused == decision.verdict)
 	{
 		refuse_by(decision);
 		return;
 	}
 	m_state = state::queued;
+	m_queued_at = now;
 	++m_context.counters.queued;
 	m_wait_timer.expires_after(decision.wait_until - now);
 	m_wait_timer.async_wait(
@@ -94,18 +101,63 @@
 	}
 	m_wait_timer.cancel();
 	m_admission->remove(m_admission_request);
+	if (reports_admission())
+	{
+		m_waited = waited_time();
+		m_context.exported_metrics.observe_wait(to_s(m_waited));
+	}
 }
 
 void forwarded_request::on_wait_over()
 {
 	if (state::queued == m_state)
 	{
-		refuse_by(m_admission->on_wait_over(m_admission_request, admission_time()));
+		const admission_decision decision = m_admission->on_wait_over(m_admission_request, admission_time());
+		note_decision(decision);
+		refuse_by(decision);
+	}
+}
+
+void forwarded_request::note_decision(const admission_decision& _decision)
+{
+	const bool returning = m_decision.returning || _decision.returning;
+	m_decision = _decision;
+	m_decision.returning = returning;
+}
+
+bool forwarded_request::reports_admission() const
+{
+	return nullptr != m_admission && m_admission->uses_conditions();
+}
+
+steady_time::duration forwarded_request::waited_time() const
+{
+	return state::queued == m_state ? m_waited + (m_context.clock.steady() - m_queued_at) : m_waited;
+}
+
+void forwarded_request::describe_admission(log_line& _line) const
+{
+	if (!reports_admission())
+	{
+		return;
+	}
+	_line.number("waited_ms", to_ms(waited_time()).count())
+	    .decimal("level", m_decision.level)
+	    .decimal("share", m_decision.share)
+	    .number("return", m_decision.returning ? 1 : 0);
+	if (m_admission_request.region != m_region_choice.region)
+	{
+		_line.text("planned", m_admission_request.region.text);
 	}
 }
 
 void forwarded_request::refuse_by(const admission_decision& _decision)
 {
+	if (reports_admission())
+	{
+		m_context.exported_metrics.count_refusal(
+		    m_admission_request.rank.of_customer, m_admission_request.rank.of_route);
+	}
 	refuse(_decision.why, refusal_retry_after_s(_decision.retry_after_s));
 }
 
--- a/src/entry_node/forwarded_request_p.h
+++ b/src/entry_node/forwarded_request_p.h
@@ -87,6 +87,14 @@
 	admission_request make_admission_request() const;
 	/// @returns Now, or any time when the admission does not use it.
 	steady_time admission_time() const;
+	/// Keeps what a decision tells for the log.
+	void note_decision(const admission_decision& _decision);
+	/// @returns Whether the log and the metrics tell the decisions of admission.
+	bool reports_admission() const;
+	/// @returns Time spent in the queue so far.
+	steady_time::duration waited_time() const;
+	/// Adds the decisions of admission to the line about the end of the request.
+	void describe_admission(log_line& _line) const;
 	/// Refuses the request as admission decided.
 	void refuse_by(const admission_decision& _decision);
 	/// Records for admission how an attempt ended.
@@ -182,6 +190,9 @@
 	admission_base* m_admission = nullptr; ///< Of m_service; null: not asked yet.
 	admission_request m_admission_request; ///< Set once m_admission is.
 	admission_end m_admission_end;         ///< What attempts have told so far.
+	admission_decision m_decision;         ///< The latest one.
+	steady_time m_queued_at{};             ///< Begin of the wait in the queue.
+	steady_time::duration m_waited{0};     ///< Time of the waits in the queue that have ended.
 	state m_state = state::initial;
 	std::optional<request_fingerprint> m_fingerprint;
 	trial_state m_trial = trial_state::none;
--- a/src/entry_node/forwarder.cpp
+++ b/src/entry_node/forwarder.cpp
@@ -150,6 +150,13 @@
 	conditions.service_time_s = steering.demand.service_time_s();
 	conditions.requests_per_s = steering.demand.requests_per_s();
 	_service.admission->tick(conditions, _now);
+	for (const auto& [region, level] : _service.levels.update(_service.admission->report(_now).level))
+	{
+		m_context.log.write(log_line(event::load_level_changed)
+		                        .text("service", _name.text)
+		                        .text("region", region.text)
+		                        .decimal("level", level));
+	}
 }
 
 rate_by_service forwarder::requests_per_s() const
@@ -185,6 +192,19 @@
 	return sent;
 }
 
+rate_by_service_and_region forwarder::load_levels() const
+{
+	rate_by_service_and_region levels;
+	for (const auto& [name, service] : m_services)
+	{
+		if (!service.levels.levels().empty())
+		{
+			levels[name] = service.levels.levels();
+		}
+	}
+	return levels;
+}
+
 void forwarder::retry_waiting_requests()
 {
 	for (auto& [name, service] : m_services)
--- a/src/entry_node/forwarder_p.h
+++ b/src/entry_node/forwarder_p.h
@@ -19,6 +19,7 @@
 #include "entry_node/rollouts_p.h"
 #include "entry_node/upstream_p.h"
 #include "steering/fleet_view_p.h"
+#include "steering/load_level_log_p.h"
 #include "steering/loop_gap_p.h"
 #include "steering/service_split_p.h"
 #include "steering/service_steering_p.h"
@@ -51,6 +52,7 @@
 {
 	service_steering steering;
 	std::unique_ptr<admission_base> admission;
+	load_level_log levels{};
 };
 
 /// State shared by all requests of a node. Owned by the forwarder.
@@ -132,6 +134,8 @@
 	{
 		return m_reports;
 	}
+	/// @returns Load level of each service and region that ever had one.
+	rate_by_service_and_region load_levels() const;
 	const forwarder_counters& counters() const
 	{
 		return m_context.counters;
--- a/tests/admission_requests_test.cpp
+++ b/tests/admission_requests_test.cpp
@@ -9,6 +9,9 @@
 
 #include "steering/rendezvous_p.h"
 
+#include <fcntl.h>
+#include <unistd.h>
+
 namespace larkrack
 {
 class admission_requests_test : public entry_fixture
@@ -32,6 +35,10 @@
 	CPPUNIT_TEST(request_refused_before_admission_is_not_told);
 	CPPUNIT_TEST(tick_tells_rooms_rates_and_the_service_time);
 	CPPUNIT_TEST(tick_tells_nothing_to_an_admission_without_conditions);
+	CPPUNIT_TEST(line_of_a_refused_request_tells_the_decision_of_admission);
+	CPPUNIT_TEST(line_of_a_request_without_such_an_admission_stays_as_it_was);
+	CPPUNIT_TEST(load_level_in_another_band_is_logged_and_exported);
+	CPPUNIT_TEST(metrics_tell_waits_returns_and_refusals_by_urgency);
 	CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -42,10 +49,36 @@
 		{
 			return std::make_unique<scripted_admission>(m_script);
 		};
+		CPPUNIT_ASSERT_EQUAL(0, pipe(m_log_ends));
+		CPPUNIT_ASSERT_EQUAL(0, fcntl(m_log_ends[0], F_SETFL, O_NONBLOCK));
+		m_log_descriptor = m_log_ends[1];
 		entry_fixture::setUp();
 	}
+	void tearDown() override
+	{
+		entry_fixture::tearDown();
+		close(m_log_ends[0]);
+		close(m_log_ends[1]);
+	}
 
 protected:
+	/// @returns The lines of the log so far.
+	std::string logged()
+	{
+		m_log->flush();
+		std::string text(65536, '\0');
+		const ssize_t size = read(m_log_ends[0], text.data(), text.size());
+		text.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
+		return text;
+	}
+	static void assert_has(const std::string& _text, const std::string& _part)
+	{
+		CPPUNIT_ASSERT_MESSAGE(_part + " in " + _text, std::string::npos != _text.find(_part));
+	}
+	static void assert_lacks(const std::string& _text, const std::string& _part)
+	{
+		CPPUNIT_ASSERT_MESSAGE(_part + " in " + _text, std::string::npos == _text.find(_part));
+	}
 	/// Adds a backend server whose only slot is taken.
 	scripted_backend& add_full_backend()
 	{
@@ -364,7 +397,81 @@
 		CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_script.ended.size());
 	}
 
+	void line_of_a_refused_request_tells_the_decision_of_admission()
+	{
+		set_routes();
+		add_full_backend();
+		m_script.on_arrival.returning = true;
+		m_script.wait = std::chrono::milliseconds(20);
+		m_script.on_wait_over = refusal(9.0);
+		m_script.on_wait_over.why = reason::over_share;
+		m_script.on_wait_over.level = 0.75;
+		m_script.on_wait_over.share = 0.125;
+		ask(request("GET", "/read/1", "r1"));
+		const std::string line = logged();
+		assert_has(line, R"("reason":"over_share")");
+		assert_has(line, R"("level":0.750,"share":0.125,"return":1})");
+		const std::size_t waited = line.find(R"("waited_ms":)");
+		CPPUNIT_ASSERT(std::string::npos != waited);
+		CPPUNIT_ASSERT(std::stoi(line.substr(waited + 12)) >= 20);
+	}
+
+	void line_of_a_request_without_such_an_admission_stays_as_it_was()
+	{
+		m_script.uses_conditions = false;
+		set_routes();
+		add_full_backend();
+		m_script.on_no_slot = refusal(3.5);
+		ask(request("GET", "/read/1", "r1"));
+		const std::string line = logged();
+		assert_has(line, R"("reason":"no_headroom")");
+		for (const char* field : {"waited_ms", "level", "share", "return", "planned"})
+		{
+			assert_lacks(line, "\"" + std::string(field) + "\"");
+		}
+		for (const char* name : {"wait_seconds", "returns", "refusals", "load_level"})
+		{
+			assert_lacks(m_metrics.text(), "larkrack_" + std::string(name));
+		}
+	}
+
+	void load_level_in_another_band_is_logged_and_exported()
+	{
+		set_routes();
+		add_backend("b1");
+		ask(request("GET", "/read/1", "r1"));
+		logged();
+		m_script.report.level[region_name("east")] = 0.6;
+		m_forwarder->tick();
+		assert_has(
+		    logged(), R"("name":"load_level_changed","service":"shop","region":"east","level":0.600})");
+		m_forwarder->tick();
+		assert_lacks(logged(), "load_level_changed");
+		CPPUNIT_ASSERT_EQUAL(
+		    0.6, m_forwarder->load_levels().at(service_name("shop")).at(region_name("east")));
+		m_script.report.level.clear();
+		m_forwarder->tick();
+		assert_has(logged(), R"("level":0.000})");
+	}
+
+	void metrics_tell_waits_returns_and_refusals_by_urgency()
+	{
+		set_routes();
+		add_full_backend();
+		m_script.on_arrival.returning = true;
+		m_script.wait = std::chrono::milliseconds(20);
+		ask(request("GET", "/read/1", "r1"));
+		const std::string text = m_metrics.text();
+		assert_has(text, "larkrack_returns_total 1\n");
+		assert_has(text, "larkrack_wait_seconds_count 1\n");
+		assert_has(
+		    text, "larkrack_admission_refusals_total{customer_priority=\"0\",route_priority=\"0\"} 1\n");
+		m_metrics.count_refusal(-1, 4000000);
+		assert_has(m_metrics.text(), "{customer_priority=\"0\",route_priority=\"9\"} 1\n");
+	}
+
 private:
+	int m_log_ends[2] = {-1, -1}; ///< Of a pipe: where the log is read and written.
 	admission_script m_script;
 };
 
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -498,7 +498,7 @@
 		m_context = std::make_unique<asio::io_context>(1);
 		m_registry = std::make_unique<backend_registry>(
 		    std::unordered_map<std::string, std::string>{{"east-a", "east"}, {"west-a", "west"}});
-		m_log = std::make_unique<entry_log>("test", -1);
+		m_log = std::make_unique<entry_log>("test", m_log_descriptor);
 		shared_bounds bounds;
 		bounds.max_shift = 0.15;
 		bounds.retries = {
@@ -597,6 +597,7 @@
 		return caller.receive();
 	}
 
+	int m_log_descriptor = -1; ///< To be set before setUp() where a test reads the log.
 	/// To be set before setUp() where a test needs another admission.
 	admission_factory m_make_admission = make_admission_factory(admission_kind::arrival);
 	std::unique_ptr<asio::io_context> m_context;
--- a/tests/forms/daemon_log_forms_test.cpp
+++ b/tests/forms/daemon_log_forms_test.cpp
@@ -144,6 +144,7 @@
 1918 request_blocked warning
 1919 backend_resting info
 1920 backend_leaving info
+1921 load_level_changed info
 )",
 		    table);
 	}
--- a/tests/forms/event_catalogue_form_test.cpp
+++ b/tests/forms/event_catalogue_form_test.cpp
@@ -99,6 +99,8 @@
 		        "A backend server wants no requests from this node for some time."},
 		    {1920, "backend_leaving", severity::info,
 		        "A backend server said beside an answer that it leaves."},
+		    {1921, "load_level_changed", severity::info,
+		        "The load level of a service in a region is in another band."},
 		};
 		CPPUNIT_ASSERT_EQUAL(std::size(known), event_catalogue().size());
 		for (std::size_t i = 0; i < std::size(known); ++i)
--- a/tests/forms/programs_daemon.py
+++ b/tests/forms/programs_daemon.py
@@ -221,6 +221,11 @@
     ("larkrack-trace with less context", ["larkrack-trace", "--id=r-1", "--context_ms=300", "one.log"]),
     ("larkrack-trace of an unknown request", ["larkrack-trace", "--id=r-9", "one.log"]),
     ("larkrack-trace of failures", ["larkrack-trace", "--failed", "one.log"]),
+    ("larkrack-trace of a request shed by priority", ["larkrack-trace", "--id=u-1", "urgent.log"]),
+    ("larkrack-trace of a request over its share", ["larkrack-trace", "--id=u-2", "urgent.log"]),
+    ("larkrack-trace of a request that waited in vain", ["larkrack-trace", "--id=u-3", "urgent.log"]),
+    ("larkrack-trace of a request refused at once", ["larkrack-trace", "--id=u-4", "urgent.log"]),
+    ("larkrack-trace of a request that went elsewhere", ["larkrack-trace", "--id=u-5", "urgent.log"]),
     ("larkrack-trace of both", ["larkrack-trace", "--failed", "--id=r-1", "one.log"]),
     ("larkrack-check without arguments", ["larkrack-check"]),
     ("larkrack-check version", ["larkrack-check", "--version"]),
@@ -308,6 +313,37 @@
     (folder / "bad.json").write_text("{")
     lines = [json.dumps(line) for line in LOG]
     # A log collector may prefix a line with text of its own, and lines of other programs may stand between.
+    (folder / "urgent.log").write_text(
+        "".join(
+            json.dumps(
+                {
+                    "t_us": 5000000 + 1000000 * number,
+                    "node": "east-1",
+                    "event": 1901,
+                    "name": "request_ended",
+                    "id": "u-%d" % number,
+                    "service": "shop",
+                    "outcome": "not_run",
+                    "reason": reason,
+                    "region": "east",
+                    "ms": waited_ms,
+                    "waited_ms": waited_ms,
+                    "level": 0.5,
+                    "share": 0.125,
+                    "return": returned,
+                    **more,
+                }
+            )
+            + "\n"
+            for number, reason, waited_ms, returned, more in [
+                (1, "shed_by_priority", 0, 0, {}),
+                (2, "over_share", 30, 0, {}),
+                (3, "no_headroom", 50, 1, {}),
+                (4, "no_headroom", 0, 0, {}),
+                (5, "shed", 10, 0, {"planned": "west"}),
+            ]
+        )
+    )
     (folder / "one.log").write_text("\n".join(["no JSON", '{"other":1}', "collector " + lines[0]] + lines[1:]) + "\n")
     (folder / "two.log").write_text(json.dumps(dict(LOG[3], t_us=1400000, node="west-1", why="shed")) + "\n")
     (folder / "good.jsonl").write_text(json.dumps(RUN) + "\n" + json.dumps(REQUEST) + "\n")
--- a/tools/larkrack_trace.cpp
+++ b/tools/larkrack_trace.cpp
@@ -114,6 +114,62 @@
 	return backend.empty() || _names.end() != std::find(_names.begin(), _names.end(), backend);
 }
 
+/// @returns Why a request was refused, by the decision of admission; empty if admission did not refuse it.
+std::string refusal_of(const nlohmann::json& _end)
+{
+	const std::string why = _end.value("reason", "");
+	const std::string where = " of " + _end.value("service", "") + " in " + _end.value("region", "");
+	if ("shed_by_priority" == why)
+	{
+		return "refused: more urgent requests have the slots" + where + ", load level " +
+		       _end.value("level", nlohmann::json(0)).dump();
+	}
+	if ("over_share" == why)
+	{
+		return "refused: its customer or failure domain is above its fair share of the slots" + where +
+		       ", share " + _end.value("share", nlohmann::json(0)).dump();
+	}
+	if ("no_headroom" == why)
+	{
+		return 0 < _end.value("waited_ms", 0)
+		           ? "refused: it waited in vain for one of the slots" + where
+		           : "refused at once: a wait for one of the slots" + where + " would be in vain";
+	}
+	return "";
+}
+
+/// Prints why a request waited, was refused or went elsewhere. Only lines about admission by urgency tell it.
+void print_reasons(const std::vector<const entry*>& _request_entries)
+{
+	for (const entry* one : _request_entries)
+	{
+		if (k_event_request_ended != one->event || !one->fields.contains("waited_ms"))
+		{
+			continue;
+		}
+		const std::string region = one->fields.value("region", "");
+		if (0 != one->fields.value("return", 0))
+		{
+			std::printf("why: its caller returned after a refusal\n");
+		}
+		if (const int waited_ms = one->fields.value("waited_ms", 0); 0 < waited_ms)
+		{
+			std::printf("why: it waited %d ms, since no slot of %s was free\n", waited_ms,
+			    one->fields.value("service", "").c_str());
+		}
+		if (one->fields.contains("planned"))
+		{
+			std::printf("why: it went to %s, since no slot was free in %s\n", region.c_str(),
+			    one->fields.value("planned", "").c_str());
+		}
+		const std::string refusal = refusal_of(one->fields);
+		if (!refusal.empty())
+		{
+			std::printf("why: %s\n", refusal.c_str());
+		}
+	}
+}
+
 /// Prints the events of a request, and state events of the node that completed it.
 int print_request(const std::vector<entry>& _entries, const std::string& _id)
 {
@@ -149,6 +205,7 @@
 			print(one, origin_us);
 		}
 	}
+	print_reasons(request_entries);
 	return 0;
 }
 
