Split crash_guard.cpp by job

Change: blocked requests and their trials are in crash_guard_blocks.cpp. Code is moved only; hex_of() is declared in the header, since both files use it.

--- a/src/entry_node/crash_guard_p.h
+++ b/src/entry_node/crash_guard_p.h
@@ -28,6 +28,9 @@
 /// Cost: nothing while no backend server crashes and nothing is blocked, except for two hashes of each served
 /// request without a body. A crash costs two datagrams for each request that ran on the backend server; a
 /// block costs one datagram for each node, sent by one node of each region.
+///
+/// crash_guard.cpp holds the detection of crashes and the exchange of messages, crash_guard_blocks.cpp the
+/// blocked requests and their trials.
 #pragma once
 
 #include "entry_node/backend_registry_p.h"
@@ -82,6 +85,9 @@
 	virtual void on_block_removed(const request_fingerprint& _request) = 0;
 };
 
+/// @returns Text of a request's fingerprint in the log.
+std::string hex_of(const request_fingerprint& _request);
+
 /// The node's part in detecting and blocking requests that crash backend servers.
 class crash_guard : public crash_admission_base, public block_listener_base
 {
