--- a/src/entry_node/forwarder.cpp
+++ b/src/entry_node/forwarder.cpp
@@ -3,6 +3,7 @@
 
 #include "entry_node/caller_identity_p.h"
 #include "entry_node/forwarded_request_p.h"
+#include "steering/region_rooms_p.h"
 
 #include <algorithm>
 
@@ -24,9 +25,10 @@
 } // namespace
 
 forwarder::forwarder(asio::io_context& _context, const clock_base& _clock, header_names _names,
-    const placement& _placement, shared_bounds _bounds, backend_registry& _backends,
-    const fleet_view_base& _fleet, quota_admission_base& _quotas, rollout_routing_base& _rollouts,
-    limit_admission_base& _limits, crash_admission_base& _crashes, entry_log& _log, metrics& _metrics)
+    const placement& _placement, shared_bounds _bounds, admission_factory _make_admission,
+    backend_registry& _backends, const fleet_view_base& _fleet, quota_admission_base& _quotas,
+    rollout_routing_base& _rollouts, limit_admission_base& _limits, crash_admission_base& _crashes,
+    entry_log& _log, metrics& _metrics)
     : m_reports(_context, _clock, _limits, _log,
           [this]
           {
@@ -36,7 +38,7 @@
           domain_name(_placement.domain), _backends, _fleet, _quotas, _rollouts, _limits, _crashes, m_reports,
           _log, _metrics, std::minstd_rand(static_cast<unsigned>(_clock.steady().time_since_epoch().count())),
           {}, {}, {}, {}, false},
-      m_bounds(_bounds)
+      m_bounds(_bounds), m_make_admission(std::move(_make_admission))
 {
 }
 
@@ -46,8 +48,10 @@
 {
 	++m_context.counters.requests;
 	request_owner_base& owner = *this;
-	const auto request = std::make_shared<forwarded_request>(m_context, owner, _session, std::move(_request));
-	m_requests.insert(request);
+	++m_last_number.value;
+	const auto request =
+	    std::make_shared<forwarded_request>(m_context, owner, m_last_number, _session, std::move(_request));
+	m_requests.emplace(m_last_number.value, request);
 	request->start();
 }
 
@@ -85,7 +89,8 @@
 	{
 		return it->second;
 	}
-	forwarded_service fresh{service_steering(m_context.region, m_bounds), {}};
+	forwarded_service fresh{
+	    service_steering(m_context.region, m_bounds), m_make_admission({m_context.region, m_context.random})};
 	forwarded_service& service = m_services.emplace(_service, std::move(fresh)).first->second;
 	service.steering.retries.set_nodes(m_context.fleet.sharers().nodes);
 	update(_service, service.steering, m_context.clock.steady());
@@ -128,10 +133,32 @@
 		{
 			steering.set_own_portion(region, m_context.fleet.portion(name, region));
 		}
+		update_admission(name, service, now);
 	}
 	retry_waiting_requests();
 }
 
+void forwarder::update_admission(const service_name& _name, forwarded_service& _service, steady_time _now)
+{
+	if (!_service.admission->uses_conditions())
+	{
+		return;
+	}
+	const service_steering& steering = _service.steering;
+	admission_conditions conditions;
+	conditions.rooms = region_rooms(m_context.backends.of_service(_name), steering.own_portions(), _now);
+	conditions.service_time_s = steering.demand.service_time_s();
+	conditions.requests_per_s = steering.demand.requests_per_s();
+	_service.admission->tick(conditions, _now);
+	for (const auto& [region, level] : _service.levels.update(_service.admission->report(_now).level))
+	{
+		m_context.log.write(log_line(event::load_level_changed)
+		                        .text("service", _name.text)
+		                        .text("region", region.text)
+		                        .decimal("level", level));
+	}
+}
+
 rate_by_service forwarder::requests_per_s() const
 {
 	rate_by_service rates;
@@ -165,15 +192,35 @@
 	return sent;
 }
 
+rate_by_service_and_region forwarder::load_levels() const
+{
+	rate_by_service_and_region levels;
+	for (const auto& [name, service] : m_services)
+	{
+		if (!service.levels.levels().empty())
+		{
+			levels[name] = service.levels.levels();
+		}
+	}
+	return levels;
+}
+
 void forwarder::retry_waiting_requests()
 {
 	for (auto& [name, service] : m_services)
 	{
-		request_ptr first = service.waiting.first();
+		request_ptr first = first_waiting(service);
 		while (first && first->try_send())
 		{
-			first = service.waiting.first();
+			first = first_waiting(service);
 		}
 	}
 }
+
+request_ptr forwarder::first_waiting(const forwarded_service& _service) const
+{
+	const steady_time now = _service.admission->uses_conditions() ? m_context.clock.steady() : steady_time();
+	const auto found = m_requests.find(_service.admission->next(now).value);
+	return m_requests.end() == found ? nullptr : found->second;
+}
 } // namespace larkrack
