Admit, queue and refuse by urgency, fair share and expected wait where settings call for it

Cause: with overload.admission priority the factory still gave admission by arrival. Change: priority_admission composes load level, fair shares, forecast of waits, return detection and retry schedule behind the admission interface; a request above its share goes to the queue without trying for a slot, and a returned caller may wait for a late answer; reports travel in heartbeats.

--- a/src/base/clock_p.h
+++ b/src/base/clock_p.h
@@ -71,6 +71,12 @@
 	return std::chrono::duration<double>(_interval).count();
 }
 
+/// @returns An interval of that many seconds.
+inline steady_time::duration from_s(double _seconds)
+{
+	return std::chrono::microseconds(static_cast<std::int64_t>(1e6 * _seconds));
+}
+
 /// @returns A wall time from microseconds since 1970.
 inline wall_time from_us(std::int64_t _us)
 {
--- a/src/entry_node/admission_factory.cpp
+++ b/src/entry_node/admission_factory.cpp
@@ -4,6 +4,7 @@
 #include "entry_node/admission_factory_p.h"
 
 #include "steering/arrival_admission_p.h"
+#include "steering/priority_admission_p.h"
 
 namespace larkrack
 {
@@ -14,10 +15,10 @@
 	return std::make_unique<arrival_admission>(_surroundings.random);
 }
 
-/// Until priority_admission exists, requests are admitted by arrival.
 std::unique_ptr<admission_base> make_priority_admission(const admission_surroundings& _surroundings)
 {
-	return make_arrival_admission(_surroundings);
+	const auto seed = static_cast<std::uint32_t>(_surroundings.random());
+	return std::make_unique<priority_admission>(_surroundings.region, seed, _surroundings.weight_of);
 }
 } // namespace
 
--- a/src/entry_node/admission_factory_p.h
+++ b/src/entry_node/admission_factory_p.h
@@ -23,8 +23,9 @@
 /// What an admission needs of its node.
 struct admission_surroundings
 {
-	region_name region;       ///< Region of the node.
-	std::minstd_rand& random; ///< Random generator of the node; outlives the admission.
+	region_name region;                        ///< Region of the node.
+	std::minstd_rand& random;                  ///< Random generator of the node; outlives the admission.
+	std::function<double(group_id)> weight_of; ///< Weight of a group in fair shares; outlives the admission.
 };
 
 using admission_factory = std::function<std::unique_ptr<admission_base>(const admission_surroundings&)>;
--- a/src/entry_node/forwarded_request.cpp
+++ b/src/entry_node/forwarded_request.cpp
@@ -78,11 +78,12 @@
 
 void forwarded_request::send_or_enqueue()
 {
-	if (nullptr == m_admission && !admit())
+	const admission_verdict verdict = nullptr == m_admission ? admit() : admission_verdict::admitted;
+	if (admission_verdict::refused == verdict)
 	{
 		return;
 	}
-	if (!try_send())
+	if (admission_verdict::waits == verdict || !try_send())
 	{
 		join_queue();
 	}
--- a/src/entry_node/forwarded_request_admission.cpp
+++ b/src/entry_node/forwarded_request_admission.cpp
@@ -8,7 +8,7 @@
 
 namespace larkrack
 {
-bool forwarded_request::admit()
+admission_verdict forwarded_request::admit()
 {
 	m_admission = m_owner.service_entry(m_service).admission.get();
 	m_admission_request = make_admission_request();
@@ -21,9 +21,8 @@
 	if (admission_verdict::refused == decision.verdict)
 	{
 		refuse_by(decision);
-		return false;
 	}
-	return true;
+	return decision.verdict;
 }
 
 admission_request forwarded_request::make_admission_request() const
@@ -82,7 +81,12 @@
 	m_state = state::queued;
 	m_queued_at = now;
 	++m_context.counters.queued;
-	m_wait_timer.expires_after(decision.wait_until - now);
+	wait_until_over(decision.wait_until - now);
+}
+
+void forwarded_request::wait_until_over(steady_time::duration _wait)
+{
+	m_wait_timer.expires_after(_wait);
 	m_wait_timer.async_wait(
 	    [self = shared_from_this()](beast::error_code _error)
 	    {
@@ -110,12 +114,19 @@
 
 void forwarded_request::on_wait_over()
 {
-	if (state::queued == m_state)
+	if (state::queued != m_state)
 	{
-		const admission_decision decision = m_admission->on_wait_over(m_admission_request, admission_time());
-		note_decision(decision);
-		refuse_by(decision);
+		return;
+	}
+	const steady_time now = admission_time();
+	const admission_decision decision = m_admission->on_wait_over(m_admission_request, now);
+	note_decision(decision);
+	if (admission_verdict::waits == decision.verdict)
+	{
+		wait_until_over(decision.wait_until - now);
+		return;
 	}
+	refuse_by(decision);
 }
 
 void forwarded_request::note_decision(const admission_decision& _decision)
--- a/src/entry_node/forwarded_request_p.h
+++ b/src/entry_node/forwarded_request_p.h
@@ -80,9 +80,8 @@
 	void select_service_and_region();
 	/// Asks for admission if it was not asked yet, then sends the request or queues it.
 	void send_or_enqueue();
-	/// Asks the admission of the service.
-	/// @returns Whether the request is admitted; false when it was refused.
-	bool admit();
+	/// Asks the admission of the service, and refuses the request if it decides so.
+	admission_verdict admit();
 	/// @returns The request as admission sees it.
 	admission_request make_admission_request() const;
 	/// @returns Now, or any time when the admission does not use it.
@@ -131,6 +130,8 @@
 	void on_token(const backend_ptr& _backend, quota_answer _answer);
 	void send_to(const backend_ptr& _backend);
 	void join_queue();
+	/// Starts the timer that ends the wait in the queue.
+	void wait_until_over(steady_time::duration _wait);
 	void leave_queue();
 
 	/// Ends the request if its deadline has passed by the clock. The timer alone is not enough: it fires late
--- a/src/entry_node/forwarder.cpp
+++ b/src/entry_node/forwarder.cpp
@@ -4,6 +4,7 @@
 #include "entry_node/caller_identity_p.h"
 #include "entry_node/forwarded_request_p.h"
 #include "steering/region_rooms_p.h"
+#include "steering/report_transport_p.h"
 
 #include <algorithm>
 
@@ -90,13 +91,24 @@
 		return it->second;
 	}
 	forwarded_service fresh{
-	    service_steering(m_context.region, m_bounds), m_make_admission({m_context.region, m_context.random})};
+	    service_steering(m_context.region, m_bounds), m_make_admission({m_context.region, m_context.random,
+	                                                      [this](group_id _group)
+	                                                      {
+		                                                      return weight_of(_group);
+	                                                      }})};
 	forwarded_service& service = m_services.emplace(_service, std::move(fresh)).first->second;
 	service.steering.retries.set_nodes(m_context.fleet.sharers().nodes);
 	update(_service, service.steering, m_context.clock.steady());
 	return service;
 }
 
+double forwarder::weight_of(group_id _group) const
+{
+	const customer* found =
+	    m_context.routes ? m_context.routes->customers().find_by_id(_group.value) : nullptr;
+	return nullptr != found && found->limit.limited() ? found->limit.per_s : 1.0;
+}
+
 void forwarder::update(const service_name& _name, service_steering& _steering, steady_time _now)
 {
 	const fleet_view_base& others = m_context.fleet;
@@ -147,6 +159,7 @@
 	const service_steering& steering = _service.steering;
 	admission_conditions conditions;
 	conditions.rooms = region_rooms(m_context.backends.of_service(_name), steering.own_portions(), _now);
+	conditions.others = m_context.fleet.reports_of_others(_name);
 	conditions.service_time_s = steering.demand.service_time_s();
 	conditions.requests_per_s = steering.demand.requests_per_s();
 	_service.admission->tick(conditions, _now);
@@ -188,6 +201,10 @@
 			sent[name][region] += per_s;
 			sent[pinned_requests_of(name)][region] = per_s;
 		}
+		if (service.admission->uses_conditions())
+		{
+			add_report(name, service.admission->report(m_context.clock.steady()), sent);
+		}
 	}
 	return sent;
 }
--- a/src/entry_node/forwarder_p.h
+++ b/src/entry_node/forwarder_p.h
@@ -163,6 +163,8 @@
 	/// @returns The request of a service that is tried first; null when none waits.
 	request_ptr first_waiting(const forwarded_service& _service) const;
 	void update(const service_name& _name, service_steering& _steering, steady_time _now);
+	/// @returns Weight of a group in fair shares: the limit of the customer, requests per second; 1 without.
+	double weight_of(group_id _group) const;
 	/// Tells the admission of a service its current conditions, if it uses them.
 	void update_admission(const service_name& _name, forwarded_service& _service, steady_time _now);
 
--- a/src/steering/admission_p.h
+++ b/src/steering/admission_p.h
@@ -139,6 +139,7 @@
 	double running_rest = 0.0; ///< Running requests of all other groups.
 	/// Weight of its levels: 1 when just received, 0 when too old to count.
 	double freshness = 1.0;
+	region_name sender_region; ///< Region of the node; set by the receiver.
 };
 
 /// Room for a service in one region.
@@ -170,13 +171,13 @@
 	{
 		return true;
 	}
-	/// Decides before the request takes a slot; never admission_verdict::waits.
+	/// Decides before the request takes a slot. A request that waits goes to on_no_slot() without trying for
+	/// a slot.
 	virtual admission_decision on_arrival(const admission_request& _request, steady_time _now) = 0;
 	/// Decides about an admitted request that no backend server can take now. Queues it if it has to wait;
 	/// never admission_verdict::admitted.
 	virtual admission_decision on_no_slot(const admission_request& _request, steady_time _now) = 0;
-	/// Decides about a waiting request whose wait is over.
-	/// @returns The refusal, with its reason and retry time.
+	/// Decides about a waiting request whose wait is over: refuses it, or lets it wait until a later time.
 	virtual admission_decision on_wait_over(const admission_request& _request, steady_time _now) = 0;
 	/// @returns The waiting request that is tried first; none when no request waits.
 	virtual request_number next(steady_time _now) const = 0;
--- a/src/steering/fair_queue_p.h
+++ b/src/steering/fair_queue_p.h
@@ -143,20 +143,24 @@
 	request_number next() const
 	{
 		return next(
-		    [](group_id)
+		    [](const urgency&, group_id)
 		    {
 			    return true;
 		    });
 	}
-	/// @param[in] _may_send Decides whether a group may send now (fair_shares_p.h). Asked once for each group
-	/// that precedes the result.
+	/// @param[in] _may_send Decides by urgency and group whether a request may be sent now (fair_shares_p.h).
+	/// Asked once for each urgency and group that precedes the result.
 	/// @returns The first request of a group that may send; none if there is none.
 	template <typename Predicate>
 	request_number next(Predicate _may_send) const
 	{
 		for (const auto& [rank, level] : m_levels)
 		{
-			const request_number found = level.next(_may_send);
+			const request_number found = level.next(
+			    [&_may_send, &at = rank](group_id _group)
+			    {
+				    return _may_send(at, _group);
+			    });
 			if (found.any())
 			{
 				return found;
--- a/src/steering/fair_shares_p.h
+++ b/src/steering/fair_shares_p.h
@@ -112,6 +112,11 @@
 
 	/// @returns Whether the group may send another request now.
 	bool within_share(group_id _group, double _weight) const;
+	/// @returns The same for a group that has requests at this node.
+	bool within_share(group_id _group) const
+	{
+		return within_share(_group, weight_of(_group));
+	}
 	/// @returns Part of the region's slots that the group may take, 0 to 1; 1 while caps are not enforced.
 	double share_of(group_id _group) const;
 	/// Adds the running requests of this node to its report, while slots are short.
--- a/src/steering/fleet_rates.cpp
+++ b/src/steering/fleet_rates.cpp
@@ -49,6 +49,7 @@
 		admission_report report = report_in(_node.sent_per_s, service);
 		if (!report.level.empty() || !report.running.empty() || report.running_rest > 0.0)
 		{
+			report.sender_region = _node.region;
 			m_reports[service].push_back({std::move(report), _heard_at});
 		}
 	}
--- a/src/steering/report_transport.cpp
+++ b/src/steering/report_transport.cpp
@@ -63,16 +63,21 @@
 	return encoded;
 }
 
+double rounded_count(double _requests)
+{
+	return std::round(_requests * k_count_steps) / k_count_steps;
+}
+
 rate_by_region encoded_groups(const admission_report& _report)
 {
 	rate_by_region encoded;
 	for (const auto& [group, running] : _report.running)
 	{
-		encoded[region_name(to_hex(group))] = std::round(running);
+		encoded[region_name(to_hex(group))] = rounded_count(running);
 	}
 	if (_report.running_rest > 0.0)
 	{
-		encoded[region_name(k_rest_of_groups)] = std::round(_report.running_rest);
+		encoded[region_name(k_rest_of_groups)] = rounded_count(_report.running_rest);
 	}
 	return encoded;
 }
--- a/src/steering/report_transport_p.h
+++ b/src/steering/report_transport_p.h
@@ -22,9 +22,12 @@
 
 namespace larkrack
 {
-/// Maximum number of groups that a report lists one by one. More: larger datagrams (22 bytes each). Fewer:
-/// groups that use more than their share go unnoticed by other nodes.
-constexpr std::size_t k_max_reported_groups = 8;
+/// Maximum number of groups that a report lists one by one: those of fair_shares_p.h (k_reported_groups) and
+/// its entry for waiting requests. More: larger datagrams (22 bytes each).
+constexpr std::size_t k_max_reported_groups = 9;
+/// Steps of an encoded number of requests; a power of two, since a float holds its multiples exactly. Fewer:
+/// the waiting requests of others are forgotten too soon. More: nothing is gained.
+constexpr double k_count_steps = 16.0;
 /// Steps of an encoded level; a power of two, since a float holds its multiples exactly. Fewer: levels of
 /// single nodes are too coarse to settle on a common one. More: nothing is gained.
 constexpr double k_level_steps = 256.0;
--- a/src/steering/retry_schedule.cpp
+++ b/src/steering/retry_schedule.cpp
@@ -20,10 +20,6 @@
 /// also where a bucket's room is a fraction of a request.
 constexpr double k_turn_step = 0.6180339887498949;
 
-steady_time::duration from_s(double _seconds)
-{
-	return std::chrono::microseconds(static_cast<std::int64_t>(1e6 * _seconds));
-}
 std::size_t place_of(std::int64_t _number)
 {
 	return static_cast<std::size_t>(_number) % k_return_buckets;
--- a/src/steering/wait_forecast.cpp
+++ b/src/steering/wait_forecast.cpp
@@ -10,14 +10,6 @@
 
 namespace larkrack
 {
-namespace
-{
-steady_time::duration from_s(double _seconds)
-{
-	return std::chrono::microseconds(static_cast<std::int64_t>(1e6 * _seconds));
-}
-} // namespace
-
 void wait_forecast::tick(double _own_slots, double _service_time_s, steady_time _now)
 {
 	close_windows(_now);
--- a/tests/fair_share_model_test.cpp
+++ b/tests/fair_share_model_test.cpp
@@ -235,7 +235,7 @@
 	request_number next(const model_node& _node) const
 	{
 		return _node.queue.next(
-		    [&](group_id _group)
+		    [&](const urgency&, group_id _group)
 		    {
 			    return may_send(_node, _group);
 		    });
--- a/tests/steering_fair_queue_test.cpp
+++ b/tests/steering_fair_queue_test.cpp
@@ -178,7 +178,7 @@
 	{
 		const auto held = add(1);
 		const auto next = add(2);
-		const auto not_held = [](group_id _group)
+		const auto not_held = [](const urgency&, group_id _group)
 		{
 			return 1 != _group.value;
 		};
