Test that an admission without conditions costs no reading of the clock

Change: the scripted admission records the times that it is given; without conditions they are the arrival's.

--- a/tests/admission_requests_test.cpp
+++ b/tests/admission_requests_test.cpp
@@ -35,6 +35,7 @@
 	CPPUNIT_TEST(request_refused_before_admission_is_not_told);
 	CPPUNIT_TEST(tick_tells_rooms_rates_and_the_service_time);
 	CPPUNIT_TEST(tick_tells_nothing_to_an_admission_without_conditions);
+	CPPUNIT_TEST(admission_without_conditions_costs_no_reading_of_the_clock);
 	CPPUNIT_TEST(line_of_a_refused_request_tells_the_decision_of_admission);
 	CPPUNIT_TEST(line_of_a_request_without_such_an_admission_stays_as_it_was);
 	CPPUNIT_TEST(load_level_in_another_band_is_logged_and_exported);
@@ -397,6 +398,22 @@
 		CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_script.ended.size());
 	}
 
+	/// Each reading of the clock moves a replayed day on, so that it would no longer be the same to the
+	/// digit.
+	void admission_without_conditions_costs_no_reading_of_the_clock()
+	{
+		m_script.uses_conditions = false;
+		m_script.wait = std::chrono::milliseconds(20);
+		set_routes();
+		add_full_backend();
+		ask(request("GET", "/read/1", "r1"));
+		CPPUNIT_ASSERT_EQUAL(std::size_t{3}, m_script.times.size());
+		for (const steady_time time : m_script.times)
+		{
+			CPPUNIT_ASSERT(m_script.arrived.at(0).arrived_at == time);
+		}
+	}
+
 	void line_of_a_refused_request_tells_the_decision_of_admission()
 	{
 		set_routes();
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -232,6 +232,7 @@
 	std::vector<request_number> sent; ///< One entry for each attempt.
 	std::vector<end> ended;
 	std::vector<admission_conditions> conditions; ///< One entry for each tick.
+	std::vector<steady_time> times;               ///< Times of on_arrival, on_no_slot and on_end.
 };
 
 /// Admission that decides on each request as its script says, and records what it is told.
@@ -245,13 +246,15 @@
 	{
 		return m_script.uses_conditions;
 	}
-	admission_decision on_arrival(const admission_request& _request, steady_time) override
+	admission_decision on_arrival(const admission_request& _request, steady_time _now) override
 	{
+		m_script.times.push_back(_now);
 		m_script.arrived.push_back(_request);
 		return m_script.on_arrival;
 	}
 	admission_decision on_no_slot(const admission_request& _request, steady_time _now) override
 	{
+		m_script.times.push_back(_now);
 		admission_decision decision = m_script.on_no_slot;
 		if (admission_verdict::waits == decision.verdict)
 		{
@@ -282,8 +285,9 @@
 	{
 		m_script.sent.push_back(_request.number);
 	}
-	void on_end(const admission_request& _request, const admission_end& _end, steady_time) override
+	void on_end(const admission_request& _request, const admission_end& _end, steady_time _now) override
 	{
+		m_script.times.push_back(_now);
 		m_script.ended.push_back({_request.number, _end});
 	}
 	void tick(const admission_conditions& _conditions, steady_time) override
