--- a/tests/load_level_model_test.cpp
+++ b/tests/load_level_model_test.cpp
@@ -41,7 +41,7 @@
 constexpr ms k_start{100000};           ///< Not 0: times of 0 stand for never.
 constexpr double k_settled = 0.1;       ///< Maximum distance from the final level.
 constexpr int k_learned_requests = 100; ///< Requests of each node before the start.
-const region_name s_region("r0");       ///< Region of the slots.
+const region_name k_region("r0");       ///< Region of the slots.
 
 /// Counts of one second.
 struct second_counts
@@ -145,7 +145,7 @@
 		std::pair<double, double> range{1.0, 0.0};
 		for (std::size_t i = 0; i < live_nodes(); ++i)
 		{
-			const double level = m_nodes[i].level.level(s_region);
+			const double level = m_nodes[i].level.level(k_region);
 			range = {std::min(range.first, level), std::max(range.second, level)};
 		}
 		return range;
@@ -222,7 +222,7 @@
 		double sum = 0.0;
 		for (std::size_t i = 0; i < live_nodes(); ++i)
 		{
-			sum += m_nodes[i].level.level(s_region);
+			sum += m_nodes[i].level.level(k_region);
 		}
 		m_levels.push_back(sum / static_cast<double>(live_nodes()));
 	}
@@ -266,7 +266,7 @@
 		region_room room;
 		room.slots = k_slots;
 		room.busy = 0 == steps ? 0.0 : m_busy_history[steps > age ? steps - age : 0];
-		conditions.rooms[s_region] = room;
+		conditions.rooms[k_region] = room;
 		while (!_node.received.empty() && now() - _node.received.front().at >= ms(1000))
 		{
 			_node.received.pop_front();
@@ -274,7 +274,7 @@
 		for (const received_level& received : _node.received)
 		{
 			admission_report report;
-			report.level[s_region] = received.level;
+			report.level[k_region] = received.level;
 			report.freshness = 1.0 - to_s(now() - received.at);
 			conditions.others.push_back(std::move(report));
 		}
@@ -293,7 +293,7 @@
 		node& sender = m_nodes[_from];
 		++sender.sequence;
 		const rate_by_region levels = sender.level.reported_levels();
-		const auto it = levels.find(s_region);
+		const auto it = levels.find(k_region);
 		const received_level sent{now() + k_step, _from, levels.end() == it ? 0.0 : it->second};
 		for (std::size_t i = 0; i < live_nodes(); ++i)
 		{
@@ -341,7 +341,7 @@
 		admission_request request;
 		request.number.value = ++m_number;
 		request.rank.of_route = _rank;
-		request.region = s_region;
+		request.region = k_region;
 		_node.level.on_request(request);
 		if (!_node.level.admits(request, now()))
 		{
@@ -365,12 +365,12 @@
 		if (starts)
 		{
 			_node.level.on_attempt(
-			    s_region, _request.waits ? slot_result::taken_after_wait : slot_result::taken_at_once);
+			    k_region, _request.waits ? slot_result::taken_after_wait : slot_result::taken_at_once);
 		}
 		else if (!_request.waits)
 		{
 			_request.waits = true;
-			_node.level.on_attempt(s_region, slot_result::waits);
+			_node.level.on_attempt(k_region, slot_result::waits);
 		}
 		if (!starts)
 		{
--- a/tests/steering_load_level_test.cpp
+++ b/tests/steering_load_level_test.cpp
@@ -22,9 +22,9 @@
 {
 using ms = std::chrono::milliseconds;
 
-const service_name s_shop("shop");
-const region_name s_east("east");
-const region_name s_west("west");
+const service_name k_shop("shop");
+const region_name k_east("east");
+const region_name k_west("west");
 constexpr ms k_tick{100};
 
 admission_request request_of(int _priority, std::uint64_t _number)
@@ -32,22 +32,22 @@
 	admission_request request;
 	request.number.value = _number;
 	request.rank.of_route = _priority;
-	request.region = s_east;
+	request.region = k_east;
 	return request;
 }
 
 admission_conditions room(double _slots, double _busy)
 {
 	admission_conditions conditions;
-	conditions.rooms[s_east].slots = _slots;
-	conditions.rooms[s_east].busy = _busy;
+	conditions.rooms[k_east].slots = _slots;
+	conditions.rooms[k_east].busy = _busy;
 	return conditions;
 }
 
 admission_report report_of(double _level, double _freshness = 1.0)
 {
 	admission_report report;
-	report.level[s_east] = _level;
+	report.level[k_east] = _level;
 	report.freshness = _freshness;
 	return report;
 }
@@ -96,9 +96,9 @@
 			{
 				if (slot_result::rejected == _result)
 				{
-					m_level.on_attempt(s_east, slot_result::taken_at_once);
+					m_level.on_attempt(k_east, slot_result::taken_at_once);
 				}
-				m_level.on_attempt(s_east, _result);
+				m_level.on_attempt(k_east, _result);
 			}
 			tick(_conditions);
 		}
@@ -127,7 +127,7 @@
 	{
 		learn(3);
 		overload(room(10.0, 5.0), slot_result::taken_at_once, 50);
-		CPPUNIT_ASSERT_EQUAL(0.0, m_level.level(s_east));
+		CPPUNIT_ASSERT_EQUAL(0.0, m_level.level(k_east));
 		CPPUNIT_ASSERT(m_level.reported_levels().empty());
 		CPPUNIT_ASSERT_EQUAL(1.0, admitted(2));
 		CPPUNIT_ASSERT(m_level.admits(request_of(7, 1), m_now));
@@ -138,16 +138,16 @@
 	{
 		learn(3);
 		overload(room(10.0, 10.0), slot_result::waits, 5);
-		CPPUNIT_ASSERT(m_level.level(s_east) > 0.3);
-		CPPUNIT_ASSERT_DOUBLES_EQUAL(m_level.level(s_east), m_level.reported_levels().at(s_east), 1e-9);
+		CPPUNIT_ASSERT(m_level.level(k_east) > 0.3);
+		CPPUNIT_ASSERT_DOUBLES_EQUAL(m_level.level(k_east), m_level.reported_levels().at(k_east), 1e-9);
 	}
 
 	void level_with_servers_that_reject_all_stays_below_1()
 	{
 		learn(1);
 		overload(room(10.0, 10.0), slot_result::rejected, 300);
-		CPPUNIT_ASSERT(m_level.level(s_east) > 0.9);
-		CPPUNIT_ASSERT(m_level.level(s_east) < 1.0);
+		CPPUNIT_ASSERT(m_level.level(k_east) > 0.9);
+		CPPUNIT_ASSERT(m_level.level(k_east) < 1.0);
 		CPPUNIT_ASSERT(admitted(0) > 0.0);
 	}
 
@@ -158,11 +158,11 @@
 		{
 			for (int j = 0; j < 5; ++j)
 			{
-				m_level.on_attempt(s_east, slot_result::waits);
-				m_level.on_attempt(s_east, slot_result::taken_after_wait);
+				m_level.on_attempt(k_east, slot_result::waits);
+				m_level.on_attempt(k_east, slot_result::taken_after_wait);
 			}
 			tick(room(10.0, 10.0));
-			CPPUNIT_ASSERT_EQUAL(0.0, m_level.level(s_east));
+			CPPUNIT_ASSERT_EQUAL(0.0, m_level.level(k_east));
 		}
 	}
 
@@ -170,27 +170,27 @@
 	void level_in_overload_with_free_room_afterwards_falls_to_0_within_two_seconds()
 	{
 		overload(room(10.0, 10.0), slot_result::waits, 2);
-		CPPUNIT_ASSERT(m_level.level(s_east) > 0.4);
+		CPPUNIT_ASSERT(m_level.level(k_east) > 0.4);
 		overload(room(10.0, 6.0), slot_result::taken_at_once, 20);
-		CPPUNIT_ASSERT_EQUAL(0.0, m_level.level(s_east));
+		CPPUNIT_ASSERT_EQUAL(0.0, m_level.level(k_east));
 	}
 
 	void level_at_its_highest_with_free_room_falls_within_two_seconds()
 	{
 		overload(room(10.0, 10.0), slot_result::waits, 100);
-		CPPUNIT_ASSERT(m_level.level(s_east) > 0.9);
+		CPPUNIT_ASSERT(m_level.level(k_east) > 0.9);
 		overload(room(10.0, 1.0), slot_result::taken_at_once, 20);
-		CPPUNIT_ASSERT_EQUAL(0.0, m_level.level(s_east));
+		CPPUNIT_ASSERT_EQUAL(0.0, m_level.level(k_east));
 	}
 
 	/// Guards against a level that stays when nothing is attempted and the estimated load is wrong.
 	void level_without_attempts_falls()
 	{
 		overload(room(10.0, 10.0), slot_result::waits, 4);
-		const double before = m_level.level(s_east);
+		const double before = m_level.level(k_east);
 		tick(room(10.0, 10.0), 600);
 		CPPUNIT_ASSERT(before > 0.3);
-		CPPUNIT_ASSERT_EQUAL(0.0, m_level.level(s_east));
+		CPPUNIT_ASSERT_EQUAL(0.0, m_level.level(k_east));
 	}
 
 	/// Guards against the levels of nodes that are gone.
@@ -199,22 +199,22 @@
 		admission_conditions conditions = room(10.0, 10.0);
 		conditions.others = {report_of(0.5), report_of(0.7), report_of(0.0, 0.0)};
 		tick(conditions, 20);
-		CPPUNIT_ASSERT_DOUBLES_EQUAL(0.6, m_level.level(s_east), 0.02);
+		CPPUNIT_ASSERT_DOUBLES_EQUAL(0.6, m_level.level(k_east), 0.02);
 		conditions.others = {report_of(0.9, 0.0)};
 		tick(conditions, 1);
-		CPPUNIT_ASSERT_DOUBLES_EQUAL(0.6, m_level.level(s_east), 0.05);
+		CPPUNIT_ASSERT_DOUBLES_EQUAL(0.6, m_level.level(k_east), 0.05);
 		admission_report elsewhere;
-		elsewhere.level[s_west] = 0.0;
+		elsewhere.level[k_west] = 0.0;
 		conditions.others = {elsewhere};
 		tick(conditions, 1);
-		CPPUNIT_ASSERT_DOUBLES_EQUAL(0.6, m_level.level(s_east), 0.05);
+		CPPUNIT_ASSERT_DOUBLES_EQUAL(0.6, m_level.level(k_east), 0.05);
 	}
 
 	void level_of_a_region_without_room_is_forgotten()
 	{
 		overload(room(10.0, 10.0), slot_result::waits, 4);
 		tick({});
-		CPPUNIT_ASSERT_EQUAL(0.0, m_level.level(s_east));
+		CPPUNIT_ASSERT_EQUAL(0.0, m_level.level(k_east));
 		CPPUNIT_ASSERT(m_level.reported_levels().empty());
 	}
 
@@ -224,7 +224,7 @@
 		admission_conditions conditions = room(10.0, 10.0);
 		conditions.others.assign(200, report_of(0.5));
 		tick(conditions, 50);
-		CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, m_level.level(s_east), 0.01);
+		CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, m_level.level(k_east), 0.01);
 		CPPUNIT_ASSERT_EQUAL(1.0, admitted(0));
 		CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, admitted(1), 0.06);
 		CPPUNIT_ASSERT_EQUAL(0.0, admitted(2));
@@ -296,7 +296,7 @@
 	static admission_report loaded()
 	{
 		admission_report report;
-		report.level = {{s_east, 0.5}, {s_west, 0.0001}};
+		report.level = {{k_east, 0.5}, {k_west, 0.0001}};
 		report.running = {{group_id{0xfeedbeef12345678}, 3.0}, {group_id{7}, 1.0}};
 		report.running_rest = 12.0;
 		return report;
@@ -307,12 +307,12 @@
 		node_heartbeat one;
 		one.node = node_name(_name);
 		one.domain = domain_name("east-a");
-		one.region = s_east;
+		one.region = k_east;
 		one.ip = "10.0.0." + _name.substr(1);
 		one.incarnation = 1;
 		one.state = node_state::ready;
-		one.requests_per_s = {{s_shop, 10.0}};
-		one.sent_per_s = {{s_shop, {{s_east, 8.0}, {s_west, 2.0}}}};
+		one.requests_per_s = {{k_shop, 10.0}};
+		one.sent_per_s = {{k_shop, {{k_east, 8.0}, {k_west, 2.0}}}};
 		return one;
 	}
 
@@ -329,17 +329,17 @@
 		node_heartbeat one = sender("n1");
 		const std::vector<std::uint8_t> before = encode(one);
 		admission_report report;
-		report.level[s_east] = 0.001;
-		add_report(s_shop, report, one.sent_per_s);
+		report.level[k_east] = 0.001;
+		add_report(k_shop, report, one.sent_per_s);
 		CPPUNIT_ASSERT(before == encode(one));
 	}
 
 	void report_survives_encoding_and_decoding()
 	{
 		node_heartbeat one = sender("n1");
-		add_report(s_shop, loaded(), one.sent_per_s);
-		const admission_report read = report_in(sent_and_received(one).sent_per_s, s_shop);
-		CPPUNIT_ASSERT((rate_by_region{{s_east, 0.5}, {s_west, 0.0}}) == read.level);
+		add_report(k_shop, loaded(), one.sent_per_s);
+		const admission_report read = report_in(sent_and_received(one).sent_per_s, k_shop);
+		CPPUNIT_ASSERT((rate_by_region{{k_east, 0.5}, {k_west, 0.0}}) == read.level);
 		CPPUNIT_ASSERT_EQUAL(std::size_t(2), read.running.size());
 		CPPUNIT_ASSERT(group_id{7} == read.running[0].first);
 		CPPUNIT_ASSERT(group_id{0xfeedbeef12345678} == read.running[1].first);
@@ -355,8 +355,8 @@
 			report.running.emplace_back(group_id{i}, 0 == i % 2500 ? 5.0 : 1.0);
 		}
 		rate_by_service_and_region sent;
-		add_report(s_shop, report, sent);
-		const admission_report read = report_in(sent, s_shop);
+		add_report(k_shop, report, sent);
+		const admission_report read = report_in(sent, k_shop);
 		CPPUNIT_ASSERT_EQUAL(k_max_reported_groups, read.running.size());
 		for (const auto& [group, running] : read.running)
 		{
@@ -368,11 +368,11 @@
 	void report_with_invalid_groups_and_levels_is_read_without_them()
 	{
 		rate_by_service_and_region sent;
-		sent[load_levels_of(s_shop)] = {{s_east, 17.0}};
-		sent[group_counts_of(s_shop)] = {{region_name("xyz"), 1.0}, {region_name(""), 1.0},
+		sent[load_levels_of(k_shop)] = {{k_east, 17.0}};
+		sent[group_counts_of(k_shop)] = {{region_name("xyz"), 1.0}, {region_name(""), 1.0},
 		    {region_name("11112222333344445"), 1.0}, {region_name("a "), 1.0}, {region_name("a"), 2.0}};
-		const admission_report read = report_in(sent, s_shop);
-		CPPUNIT_ASSERT_EQUAL(1.0, read.level.at(s_east));
+		const admission_report read = report_in(sent, k_shop);
+		CPPUNIT_ASSERT_EQUAL(1.0, read.level.at(k_east));
 		CPPUNIT_ASSERT_EQUAL(std::size_t(1), read.running.size());
 		CPPUNIT_ASSERT(group_id{10} == read.running[0].first);
 	}
@@ -382,7 +382,7 @@
 	void heartbeat_with_levels_has_the_known_bytes_and_18_fields()
 	{
 		node_heartbeat one = sender("n1");
-		add_report(s_shop, loaded(), one.sent_per_s);
+		add_report(k_shop, loaded(), one.sent_per_s);
 		const std::vector<std::uint8_t> bytes = encode(one);
 		CPPUNIT_ASSERT_EQUAL(0x92, static_cast<int>(bytes.at(0)));
 		CPPUNIT_ASSERT_EQUAL(5, static_cast<int>(bytes.at(1)));
@@ -412,9 +412,9 @@
 		one.config_version = 17;
 		one.store_revision = 70000;
 		one.store_answer_age = ms(250);
-		one.requests_per_s = {{service_name("photos"), 11.3}, {s_shop, 1.7}};
+		one.requests_per_s = {{service_name("photos"), 11.3}, {k_shop, 1.7}};
 		one.sent_per_s = {{service_name("photos"), {{one.region, 9.9}, {region_name("loka10"), 1.4}}},
-		    {s_shop, {{one.region, 1.7}}}};
+		    {k_shop, {{one.region, 1.7}}}};
 		for (std::uint32_t i = 0; i < 8; ++i)
 		{
 			one.in_flight.push_back({0x9000000U + 7919U * i, 1});
@@ -486,16 +486,16 @@
 		fleet_rates reporting;
 		node_heartbeat one = sender("n1");
 		plain.add(node_name("n2"), one);
-		add_report(s_shop, loaded(), one.sent_per_s);
+		add_report(k_shop, loaded(), one.sent_per_s);
 		reporting.add(node_name("n2"), sent_and_received(one));
-		CPPUNIT_ASSERT(plain.demand_of(s_shop) == reporting.demand_of(s_shop));
-		CPPUNIT_ASSERT(reporting.single_region_demand_of(s_shop).empty());
+		CPPUNIT_ASSERT(plain.demand_of(k_shop) == reporting.demand_of(k_shop));
+		CPPUNIT_ASSERT(reporting.single_region_demand_of(k_shop).empty());
 		CPPUNIT_ASSERT_EQUAL(
-		    plain.sent_of(s_shop, s_east).total_per_s, reporting.sent_of(s_shop, s_east).total_per_s);
-		for (const service_name& name : {load_levels_of(s_shop), group_counts_of(s_shop)})
+		    plain.sent_of(k_shop, k_east).total_per_s, reporting.sent_of(k_shop, k_east).total_per_s);
+		for (const service_name& name : {load_levels_of(k_shop), group_counts_of(k_shop)})
 		{
 			CPPUNIT_ASSERT(reporting.demand_of(name).empty());
-			CPPUNIT_ASSERT_EQUAL(0.0, reporting.sent_of(name, s_east).total_per_s);
+			CPPUNIT_ASSERT_EQUAL(0.0, reporting.sent_of(name, k_east).total_per_s);
 		}
 	}
 
@@ -507,16 +507,16 @@
 		entry_log log{"test", -1};
 		fleet view(clock, sender("n2"), registry, log);
 		node_heartbeat one = sender("n1");
-		add_report(s_shop, loaded(), one.sent_per_s);
+		add_report(k_shop, loaded(), one.sent_per_s);
 		view.on_heartbeat(sent_and_received(one));
-		const std::vector<admission_report> fresh = view.reports_of_others(s_shop);
+		const std::vector<admission_report> fresh = view.reports_of_others(k_shop);
 		CPPUNIT_ASSERT_EQUAL(std::size_t(1), fresh.size());
 		CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, fresh[0].freshness, 1e-9);
-		CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, fresh[0].level.at(s_east), 1e-9);
+		CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, fresh[0].level.at(k_east), 1e-9);
 		clock.advance(ms(500));
-		CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, view.reports_of_others(s_shop).at(0).freshness, 1e-9);
+		CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, view.reports_of_others(k_shop).at(0).freshness, 1e-9);
 		clock.advance(std::chrono::seconds(5));
-		CPPUNIT_ASSERT(view.reports_of_others(s_shop).empty());
+		CPPUNIT_ASSERT(view.reports_of_others(k_shop).empty());
 	}
 
 	void service_without_reports_has_none()
@@ -524,10 +524,10 @@
 		fleet_rates rates;
 		rates.add(node_name("n2"), sender("n1"), steady_time{});
 		CPPUNIT_ASSERT(rates.reports_of(service_name("other"), steady_time{}).empty());
-		const std::vector<admission_report> silent = rates.reports_of(s_shop, steady_time{});
+		const std::vector<admission_report> silent = rates.reports_of(k_shop, steady_time{});
 		CPPUNIT_ASSERT_EQUAL(std::size_t(1), silent.size());
-		CPPUNIT_ASSERT_EQUAL(0.0, silent[0].level.at(s_east));
-		CPPUNIT_ASSERT(rates.reports_of(s_shop, steady_time{} + k_level_lifetime).empty());
+		CPPUNIT_ASSERT_EQUAL(0.0, silent[0].level.at(k_east));
+		CPPUNIT_ASSERT(rates.reports_of(k_shop, steady_time{} + k_level_lifetime).empty());
 	}
 };
 
