Use the choice by expected completion for services that report work times

Cause: nothing used the fourth value of the load header, and one rejection made a server look full for 100 ms although its own report said otherwise.

Change: setting overload.backend_choice (count, reported, completion; default reported); forwarded_request passes the rule, the time left and the distance, and reports work times. A rejection whose own report says that slots are free keeps the report (only by completion), and the same server may be tried once more. Metrics larkrack_cold_runs, larkrack_late_answers and larkrack_invalid_work_times.

--- a/src/entry_node/backend_words.cpp
+++ b/src/entry_node/backend_words.cpp
@@ -14,6 +14,7 @@
 
 void backend_reports::on_backend_report(const backend_ptr& _backend, const backend_report& _reports)
 {
+	m_invalid_work_times += _reports.invalid_slowness ? 1 : 0;
 	if (_reports.limit)
 	{
 		m_limits.on_limit_report(*_backend, *_reports.limit);
--- a/src/entry_node/backend_words_p.h
+++ b/src/entry_node/backend_words_p.h
@@ -37,6 +37,11 @@
 	{
 		return m_rests_asked;
 	}
+	/// @returns Number of responses whose load header had an invalid work time, since the start.
+	std::uint64_t invalid_work_times() const
+	{
+		return m_invalid_work_times;
+	}
 
 private:
 	/// End of a rest and its backend server, so that keys are unique when several rests end at once.
@@ -57,5 +62,6 @@
 	asio::steady_timer m_timer;
 	std::map<rest_end, backend_ptr> m_resting;
 	std::uint64_t m_rests_asked = 0;
+	std::uint64_t m_invalid_work_times = 0;
 };
 } // namespace larkrack
--- a/src/entry_node/entry_node.cpp
+++ b/src/entry_node/entry_node.cpp
@@ -157,6 +157,7 @@
       m_stop_timer(m_context), m_fetch_timer(m_context), m_fetch_routes_timer(m_context),
       m_peer_caller(m_context.get_executor())
 {
+	m_forwarder.set_backend_choice(_settings.backend_choice);
 	m_replica.set_rollouts(&m_rollouts);
 	m_replica.set_blocks(&m_crashes);
 	m_callers.set_header_check(
--- a/src/entry_node/entry_node_answers.cpp
+++ b/src/entry_node/entry_node_answers.cpp
@@ -148,6 +148,12 @@
 	gauge(
 	    "callers_left", "Callers that left before their answer.", static_cast<double>(counters.disconnected));
 	gauge("queued", "Requests that waited for a slot.", static_cast<double>(counters.queued));
+	gauge("cold_runs", "Requests sent to backend servers that are not their key's own.",
+	    static_cast<double>(counters.cold_runs));
+	gauge("late_answers", "Answers of backend servers after the objective of the route.",
+	    static_cast<double>(counters.late_answers));
+	gauge("invalid_work_times", "Answers of backend servers with an invalid work time.",
+	    static_cast<double>(m_forwarder.reports().invalid_work_times()));
 	gauge("in_flight", "Requests whose answer is due.", static_cast<double>(m_forwarder.in_flight()));
 	gauge("caller_connections", "Open connections of callers.", static_cast<double>(m_callers.connections()));
 	gauge("backend_servers", "Backend servers in the registry.", static_cast<double>(m_backends.size()));
--- a/src/entry_node/entry_settings.cpp
+++ b/src/entry_node/entry_settings.cpp
@@ -34,6 +34,13 @@
 	"seeds": {"type": "array", "items": {"type": "string"}, "description": "Addresses of other nodes' peers listeners; may be stale."},
 	"regions": {"type": "object", "additionalProperties": {"type": "string"}, "description": "Region of each failure domain."},
 	"max_descriptors": {"type": "integer", "minimum": 64, "description": "File descriptors that this process may hold."},
+	"overload": {
+		"type": "object",
+		"description": "Rules for short capacity.",
+		"properties": {
+			"backend_choice": {"type": "string", "pattern": "^(count|reported|completion)$", "description": "How a backend server is chosen: `count` by numbers of requests, `completion` by expected completion, `reported` (if absent) by completion for services whose load headers carry a work time."}
+		}
+	},
 	"bounds": {
 		"type": "object",
 		"required": ["retry_ratio", "retry_slack", "retry_window_s", "max_shift", "lookup_ttl_max_s", "grace_s"],
@@ -161,6 +168,17 @@
 	quotas.slack = _bounds.value("quota_slack", quotas.slack);
 	return quotas;
 }
+
+backend_choice_setting backend_choice_of(const nlohmann::json& _document)
+{
+	const nlohmann::json::json_pointer path("/overload/backend_choice");
+	const std::string text = _document.value(path, std::string("reported"));
+	if ("count" == text)
+	{
+		return backend_choice_setting::count;
+	}
+	return "completion" == text ? backend_choice_setting::completion : backend_choice_setting::reported;
+}
 } // namespace
 
 const nlohmann::json& schema_entry_settings()
@@ -202,6 +220,7 @@
 	    bounds["retry_ratio"], bounds["retry_slack"], to_milliseconds(bounds["retry_window_s"])};
 	settings.bounds.max_shift = bounds["max_shift"];
 	settings.quotas = quotas_of(bounds);
+	settings.backend_choice = backend_choice_of(_document);
 	settings.expose_share = bounds.value("expose_share", settings.expose_share);
 	settings.lookup_ttl = to_milliseconds(std::min(k_lookup_ttl_s, bounds["lookup_ttl_max_s"].get<double>()));
 	settings.grace = to_milliseconds(bounds["grace_s"]);
--- a/src/entry_node/entry_settings_p.h
+++ b/src/entry_node/entry_settings_p.h
@@ -32,6 +32,7 @@
 	int max_descriptors = 1024;
 	shared_bounds bounds;
 	quota_bounds quotas;
+	backend_choice_setting backend_choice = backend_choice_setting::reported;
 	/// Maximum share of a service's requests at a version that is being judged.
 	double expose_share = k_expose_share;
 	std::chrono::milliseconds lookup_ttl{0};
--- a/src/entry_node/forwarded_request.cpp
+++ b/src/entry_node/forwarded_request.cpp
@@ -251,7 +251,13 @@
 	strip_hop_by_hop(_response);
 	log_end(_response.result_int(), _outcome, _reason);
 	m_context.exported_metrics.count_outcome(m_service.text, _outcome, _reason);
-	m_context.exported_metrics.observe_request_time(to_s(m_context.clock.steady() - m_arrived_at));
+	const steady_time::duration taken = m_context.clock.steady() - m_arrived_at;
+	m_context.exported_metrics.observe_request_time(to_s(taken));
+	const bool has_objective = nullptr != m_route && m_route->objective.count() > 0;
+	if (has_objective && outcome::served == _outcome && taken > m_route->objective)
+	{
+		++m_context.counters.late_answers;
+	}
 	const std::shared_ptr<caller_session> session = m_session;
 	release();
 	session->respond(std::move(_response));
--- a/src/entry_node/forwarded_request_attempts.cpp
+++ b/src/entry_node/forwarded_request_attempts.cpp
@@ -5,6 +5,8 @@
 #include "entry_node/upstream_request_bytes_p.h"
 #include "steering/request_times_p.h"
 
+#include <algorithm>
+
 namespace larkrack
 {
 namespace
@@ -44,6 +46,8 @@
 	query.own_portion = _steering.own_portion(_region);
 	query.region_requests_per_s = _steering.sent_per_s(_region, m_key);
 	query.tried = &m_tried;
+	query.may_try_again = &m_rejected_with_free_slots;
+	query.rule = &_steering.choice.rule();
 	query.versions = m_versions;
 	query.sharers = m_context.fleet.sharers();
 	query.tokens = &m_context.limits;
@@ -60,7 +64,47 @@
 	{
 		query.limits = {spec->warmup_requests_per_s, spec->max_connections};
 	}
-	return choose_backend(query, m_context.fleet, m_context.clock.steady());
+	const steady_time now = m_context.clock.steady();
+	query.time_left_s = time_left_s(now);
+	query.distance_s = m_context.distances.rtt_s(_region);
+	return choose_backend(query, m_context.fleet, now);
+}
+
+double forwarded_request::time_left_s(steady_time _now) const
+{
+	const bool has_objective = m_route->objective.count() > 0;
+	return to_s((has_objective ? m_arrived_at + m_route->objective : m_deadline) - _now);
+}
+
+void forwarded_request::note_expected(const backend_server& _backend)
+{
+	const bool cold = backend_choice_reason::next_for_key == m_choice_reason ||
+	                  backend_choice_reason::idle_for_key == m_choice_reason;
+	m_context.counters.cold_runs += cold ? 1 : 0;
+	const bool queued = _backend.estimated_load(m_sent_at) >= _backend.registered.slots;
+	m_expected = {!cold, queued, _backend.slowness.factor(m_sent_at), 0.0};
+}
+
+void forwarded_request::note_exchange_end(const backend_server& _backend, const exchange_result& _result)
+{
+	service_choice& choice = m_owner.service_entry(m_service).steering.choice;
+	if (_backend.slowness.reported())
+	{
+		choice.on_work_time_reported();
+	}
+	if (!_result.slots_free)
+	{
+		return;
+	}
+	// A second rejection excludes the backend server, so that false reports do not use up all attempts.
+	std::vector<backend_id>& again = m_rejected_with_free_slots;
+	const auto earlier = std::find(again.begin(), again.end(), _backend.registered.id);
+	if (again.end() == earlier)
+	{
+		again.push_back(_backend.registered.id);
+		return;
+	}
+	again.erase(earlier);
 }
 
 bool forwarded_request::try_send()
@@ -101,6 +145,7 @@
 			m_region_choice.region = region;
 		}
 		leave_queue();
+		m_choice_reason = choice.why;
 		const backend_ptr backend = m_context.backends.find(choice.backend->registered.id);
 		if (backend_choice_reason::awaits_token == choice.why)
 		{
@@ -190,11 +235,14 @@
 	    left, _backend->registered.id, nullptr == m_customer ? customer_name() : m_customer->name));
 	request.request_id = m_request_id;
 	request.head = http::verb::head == m_request.method();
+	service_steering& steering = m_owner.service_entry(m_service).steering;
+	request.by_completion = steering.choice.by_completion();
 	request.at_most_once = repeat_rule::at_most_once == m_route->repeat;
 	m_state = state::sent;
 	m_tried.push_back(_backend->registered.id);
 	m_context.backends.mark_in_use(*_backend);
 	m_sent_at = m_context.clock.steady();
+	note_expected(*_backend);
 	++m_context.counters.attempts;
 	m_exchange =
 	    std::make_shared<upstream_exchange>(m_context.io, m_context.clock, m_context.names, m_context.reports,
@@ -224,6 +272,7 @@
 	}
 	report_attempt(*backend, end_of(_result));
 	report_exchange(backend, _result);
+	note_exchange_end(*backend, _result);
 	if (version_side::target == m_versions.side)
 	{
 		m_versions.side = version_side::others; // A retry avoids the new version, which may be faulty.
@@ -231,7 +280,10 @@
 	if (exchange_outcome::answered == _result.end)
 	{
 		const double service_time_s = to_s(m_context.clock.steady() - m_sent_at);
-		m_owner.service_entry(m_service).steering.demand.add_service_time(service_time_s);
+		service_steering& steering = m_owner.service_entry(m_service).steering;
+		steering.demand.add_service_time(service_time_s);
+		m_expected.time_s = service_time_s - m_context.distances.rtt_s(backend->region);
+		steering.choice.completion.works.on_answer(m_expected);
 	}
 	else
 	{
--- a/src/entry_node/forwarded_request_p.h
+++ b/src/entry_node/forwarded_request_p.h
@@ -95,6 +95,12 @@
 	bool refuse_after_wait();
 	std::chrono::milliseconds timeout() const;
 	affinity_key key_of_request() const;
+	/// @returns Seconds left until the objective of the route, or until the deadline if there is none.
+	double time_left_s(steady_time _now) const;
+	/// Records what is expected of a backend server when the request is sent to it.
+	void note_expected(const backend_server& _backend);
+	/// Updates work times and rejections by the end of an exchange.
+	void note_exchange_end(const backend_server& _backend, const exchange_result& _result);
 	backend_choice choose_backend_in(const region_name& _region, service_steering& _steering);
 	/// Records why a region has no backend server for the request.
 	void note_no_backend(const backend_choice& _choice);
@@ -157,6 +163,10 @@
 	/// Failure response of a backend server, passed on if no later attempt succeeds.
 	std::optional<caller_response> m_kept_response;
 	std::vector<backend_id> m_tried;
+	/// Backend servers that rejected the request once although they reported free slots.
+	std::vector<backend_id> m_rejected_with_free_slots;
+	backend_choice_reason m_choice_reason = backend_choice_reason::none_usable; ///< Of the last choice.
+	work_sample m_expected;                  ///< State of the backend server when the request was sent.
 	std::vector<backend_id> m_without_token; ///< Backend servers whose limit had no token left.
 	attempt_history m_history;
 	state m_state = state::initial;
--- a/src/entry_node/forwarder.cpp
+++ b/src/entry_node/forwarder.cpp
@@ -87,6 +87,7 @@
 	}
 	forwarded_service fresh{service_steering(m_context.region, m_bounds), {}};
 	forwarded_service& service = m_services.emplace(_service, std::move(fresh)).first->second;
+	service.steering.choice.set(m_backend_choice);
 	service.steering.retries.set_nodes(m_context.fleet.sharers().nodes);
 	update(_service, service.steering, m_context.clock.steady());
 	return service;
--- a/src/entry_node/forwarder_p.h
+++ b/src/entry_node/forwarder_p.h
@@ -40,6 +40,8 @@
 	std::uint64_t retries_denied = 0; ///< Retries that the retry budget did not cover.
 	std::uint64_t disconnected = 0;   ///< Callers that disconnected before their response.
 	std::uint64_t queued = 0;         ///< Waits of requests for a slot.
+	std::uint64_t cold_runs = 0;      ///< Attempts at backend servers that are not the key's own.
+	std::uint64_t late_answers = 0;   ///< Responses of backend servers after the objective.
 };
 
 class forwarded_request;
@@ -111,6 +113,11 @@
 	/// Applies a configuration to requests that arrive from now on. A version that is not newer than the
 	/// current one is ignored.
 	void set_routes(std::shared_ptr<const routing_table> _routes);
+	/// Sets the rule of choice of services that are used from now on; call it before the first request.
+	void set_backend_choice(backend_choice_setting _setting)
+	{
+		m_backend_choice = _setting;
+	}
 	/// Refuses new requests from now on; requests in flight continue.
 	void begin_stop()
 	{
@@ -159,6 +166,7 @@
 	backend_reports m_reports;
 	request_context m_context;
 	shared_bounds m_bounds;
+	backend_choice_setting m_backend_choice = backend_choice_setting::reported;
 	std::map<service_name, forwarded_service> m_services;
 	std::map<std::string, service_split> m_splits; ///< Key: name of the route.
 	std::unordered_set<request_ptr> m_requests;
--- a/src/entry_node/upstream.cpp
+++ b/src/entry_node/upstream.cpp
@@ -316,11 +316,12 @@
 	{
 		// Load and limit may be outdated, or the exchange is no longer counted. Rest and leaving stay valid.
 		report.load.reset();
+		report.slowness.reset();
 		report.limit.reset();
 	}
 	if (report.load)
 	{
-		apply_load(*report.load);
+		apply_load(report);
 	}
 	m_listener.on_backend_report(m_backend, report);
 }
@@ -333,12 +334,24 @@
 	}
 }
 
-void upstream_exchange::apply_load(const backend_load& _load)
+void upstream_exchange::apply_load(const backend_report& _report)
 {
 	// The reported load no longer includes the exchange that ends now.
 	--m_backend->load.in_flight;
-	m_backend->load.on_report(_load, m_clock.steady());
+	const steady_time now = m_clock.steady();
+	m_backend->load.on_report(*_report.load, now);
 	++m_backend->load.in_flight;
+	m_reported_free_slot = _report.load->has_free_slot();
+	if (_report.slowness)
+	{
+		m_backend->slowness.on_report(*_report.slowness, now);
+	}
+}
+
+refusal_report upstream_exchange::report_of(backend_signal _signal) const
+{
+	const bool free = backend_signal::refused == _signal && m_request.by_completion && m_reported_free_slot;
+	return free ? refusal_report::slots_free : refusal_report::none;
 }
 
 void upstream_exchange::keep_connection(const caller_response& _response)
@@ -365,12 +378,13 @@
 	m_done = true;
 	m_timer.cancel();
 	--m_backend->load.in_flight;
-	m_backend->on_exchange_end(_signal, m_clock.steady());
+	m_backend->on_exchange_end(_signal, m_clock.steady(), report_of(_signal));
 	close_connection();
 	const auto handler = std::move(m_handler);
 	m_handler = nullptr;
 	_result.connect_time = m_connect_time;
 	_result.connection_broke = m_connection_broke;
+	_result.slots_free = refusal_report::slots_free == report_of(_signal);
 	handler(std::move(_result));
 }
 
--- a/src/entry_node/upstream_p.h
+++ b/src/entry_node/upstream_p.h
@@ -67,6 +67,7 @@
 	std::optional<caller_response> response; ///< Set when answered.
 	const char* detail = "";                 ///< Error name for the log.
 	bool withheld = false;                   ///< Not sent: the backend server stopped accepting requests.
+	bool slots_free = false;                 ///< Not run, although the backend server reported free slots.
 	bool connection_broke = false;           ///< Lost: the backend server closed or reset the connection.
 	/// Time that a new connection took to establish; nothing when no connection was made.
 	std::optional<steady_time::duration> connect_time;
@@ -77,8 +78,9 @@
 {
 	std::shared_ptr<const std::string> bytes;
 	std::string request_id;
-	bool head = false;         ///< A HEAD request: its response has no body.
-	bool at_most_once = false; ///< Must not run twice: a connection that may be stale is not used.
+	bool head = false;          ///< A HEAD request: its response has no body.
+	bool by_completion = false; ///< The load report of a rejection counts more than the rejection.
+	bool at_most_once = false;  ///< Must not run twice: a connection that may be stale is not used.
 };
 
 /// Receives the reports of backend servers about themselves (answer_words_p.h).
@@ -135,7 +137,9 @@
 	void handle_report(const http::response_header<>& _head);
 	/// Handles the report of a response whose body is incomplete.
 	void handle_partial_report();
-	void apply_load(const backend_load& _load);
+	void apply_load(const backend_report& _report);
+	/// @returns What the report of a response says that ends the exchange with a signal.
+	refusal_report report_of(backend_signal _signal) const;
 	void keep_connection(const caller_response& _response);
 	/// Closes the connection of a cancelled exchange.
 	void finish_cancelled();
@@ -161,5 +165,6 @@
 	steady_time m_connecting_since{};
 	std::optional<steady_time::duration> m_connect_time;
 	int m_foreign_responses = 0;
+	bool m_reported_free_slot = false; ///< The last load report of this exchange.
 };
 } // namespace larkrack
--- a/tests/entry_settings_test.cpp
+++ b/tests/entry_settings_test.cpp
@@ -18,6 +18,8 @@
 {
 	CPPUNIT_TEST_SUITE(entry_settings_test);
 	CPPUNIT_TEST(settings_valid_are_read);
+	CPPUNIT_TEST(settings_backend_choice_is_read_and_defaults_to_reported);
+	CPPUNIT_TEST(settings_unknown_backend_choice_names_the_field);
 	CPPUNIT_TEST(settings_empty_address_names_the_field);
 	CPPUNIT_TEST(settings_all_errors_are_reported_at_once);
 	CPPUNIT_TEST(settings_invalid_address_names_the_field);
@@ -45,6 +47,35 @@
 		CPPUNIT_ASSERT_EQUAL(std::string("east"), settings->region_of.at("east-a"));
 	}
 
+	void settings_backend_choice_is_read_and_defaults_to_reported()
+	{
+		const auto choice_of = [](const nlohmann::json& _overload)
+		{
+			nlohmann::json document = valid();
+			document.update(_overload);
+			const auto parsed = parse_entry_settings(document);
+			const auto* settings = std::get_if<entry_settings>(&parsed);
+			CPPUNIT_ASSERT(nullptr != settings);
+			return settings->backend_choice;
+		};
+		using setting = backend_choice_setting;
+		CPPUNIT_ASSERT(setting::reported == choice_of(nlohmann::json::object()));
+		CPPUNIT_ASSERT(setting::reported == choice_of({{"overload", nlohmann::json::object()}}));
+		CPPUNIT_ASSERT(setting::reported == choice_of({{"overload", {{"backend_choice", "reported"}}}}));
+		CPPUNIT_ASSERT(setting::count == choice_of({{"overload", {{"backend_choice", "count"}}}}));
+		CPPUNIT_ASSERT(setting::completion == choice_of({{"overload", {{"backend_choice", "completion"}}}}));
+	}
+
+	void settings_unknown_backend_choice_names_the_field()
+	{
+		nlohmann::json document = valid();
+		document["overload"]["backend_choice"] = "fastest";
+		const auto parsed = parse_entry_settings(document);
+		const auto* mistakes = std::get_if<std::vector<mistake>>(&parsed);
+		CPPUNIT_ASSERT(nullptr != mistakes && 1 == mistakes->size());
+		CPPUNIT_ASSERT_EQUAL(std::string("/overload/backend_choice"), mistakes->front().path);
+	}
+
 	void settings_empty_address_names_the_field()
 	{
 		nlohmann::json document = valid();
--- a/tests/forms/programs.py
+++ b/tests/forms/programs.py
@@ -64,8 +64,11 @@
 larkrack_blocked_requests gauge Requests that are sent to no backend server, since some have ended under them.
 larkrack_caller_connections gauge Open connections of callers.
 larkrack_callers_left gauge Callers that left before their answer.
+larkrack_cold_runs gauge Requests sent to backend servers that are not their key's own.
 larkrack_config_version gauge Version of the configuration in force.
 larkrack_in_flight gauge Requests whose answer is due.
+larkrack_invalid_work_times gauge Answers of backend servers with an invalid work time.
+larkrack_late_answers gauge Answers of backend servers after the objective of the route.
 larkrack_leaving_backends gauge Backend servers that said beside an answer that they leave.
 larkrack_limit_refusals gauge Requests that the limit of a backend server kept from it.
 larkrack_limited_backends gauge Backend servers that name a limit of their requests.
