--- a/src/entry_node/entry_settings.cpp
+++ b/src/entry_node/entry_settings.cpp
@@ -56,6 +56,7 @@
 		"description": "Behaviour under overload.",
 		"properties": {
 			"admission": {"type": "string", "enum": ["arrival", "priority"], "description": "Which requests get a slot first: by route priority and arrival at this node, or by urgency over all nodes; arrival by default."},
+			"backend_choice": {"type": "string", "enum": ["count", "reported", "completion"], "description": "How a backend server is chosen: `count` by numbers of requests, `completion` by expected completion, `reported` (if absent) by completion for services whose load headers carry a work time."},
 			"memory_mb": {"type": "integer", "minimum": 64, "description": "Memory of this process, MB; bounds the bytes held for callers. Without it there is no bound."}
 		}
 	}
@@ -171,6 +172,7 @@
 	quotas.slack = _bounds.value("quota_slack", quotas.slack);
 	return quotas;
 }
+
 overload_settings overload_of(const nlohmann::json& _overload)
 {
 	overload_settings overload;
@@ -184,6 +186,17 @@
 	}
 	return overload;
 }
+
+backend_choice_setting backend_choice_of(const nlohmann::json& _document)
+{
+	const nlohmann::json::json_pointer path("/overload/backend_choice");
+	const std::string text = _document.value(path, std::string("reported"));
+	if ("count" == text)
+	{
+		return backend_choice_setting::count;
+	}
+	return "completion" == text ? backend_choice_setting::completion : backend_choice_setting::reported;
+}
 } // namespace
 
 const nlohmann::json& schema_entry_settings()
@@ -226,6 +239,7 @@
 	settings.bounds.max_shift = bounds["max_shift"];
 	settings.quotas = quotas_of(bounds);
 	settings.overload = overload_of(_document.value("overload", nlohmann::json::object()));
+	settings.backend_choice = backend_choice_of(_document);
 	settings.expose_share = bounds.value("expose_share", settings.expose_share);
 	settings.lookup_ttl = to_milliseconds(std::min(k_lookup_ttl_s, bounds["lookup_ttl_max_s"].get<double>()));
 	settings.grace = to_milliseconds(bounds["grace_s"]);
--- a/tests/forms/entry_settings_form_test.cpp
+++ b/tests/forms/entry_settings_form_test.cpp
@@ -80,6 +80,8 @@
 		    {"/overload", false, R"({"type":"object"})"},
 		    {"/overload/admission", false, R"({"enum":["arrival","priority"],"type":"string"})"},
 		    {"/overload/memory_mb", false, R"({"minimum":64,"type":"integer"})"},
+		    {"/overload/backend_choice", false,
+		        R"({"enum":["count","reported","completion"],"type":"string"})"},
 		    {"/region", true, R"({"minLength":1,"type":"string"})"},
 		    {"/regions", true, R"({"additionalProperties":{"type":"string"},"type":"object"})"},
 		    {"/seeds", false, R"({"items":{"type":"string"},"type":"array"})"},
