Tell the waiting requests of a group below its share apart from the running ones

Change: a field of its own, under a name of its own in heartbeats; numbers of requests travel in sixteenths, so that a fading maximum is not rounded away.

--- a/src/steering/admission_p.h
+++ b/src/steering/admission_p.h
@@ -137,6 +137,8 @@
 	/// Running requests of the groups with the most of them.
 	std::vector<std::pair<group_id, double>> running;
 	double running_rest = 0.0; ///< Running requests of all other groups.
+	/// Waiting requests of groups below their shares: the sender's recent maximum.
+	double waiting = 0.0;
 	/// Weight of its levels: 1 when just received, 0 when too old to count.
 	double freshness = 1.0;
 	region_name sender_region; ///< Region of the node; set by the receiver.
--- a/src/steering/fair_shares.cpp
+++ b/src/steering/fair_shares.cpp
@@ -158,14 +158,10 @@
 	for (const admission_report* other : _others)
 	{
 		m_running_rest += valid_count(other->running_rest);
+		m_waiting_elsewhere += valid_count(other->waiting);
 		for (const auto& [group, running] : other->running)
 		{
 			const double reported = valid_count(running);
-			if (k_contest_entry == group)
-			{
-				m_waiting_elsewhere += reported;
-				continue;
-			}
 			const auto [entry, added] = m_regional.try_emplace(group.value);
 			if (added)
 			{
@@ -268,6 +264,7 @@
 {
 	_report.running.clear();
 	_report.running_rest = 0.0;
+	_report.waiting = k_min_contest <= m_contest_here ? m_contest_here : 0.0;
 	if (!m_short)
 	{
 		return;
@@ -291,11 +288,7 @@
 		_report.running_rest += groups[i].second;
 	}
 	groups.resize(named);
-	if (k_min_contest <= m_contest_here)
-	{
-		_report.running.emplace_back(k_contest_entry, m_contest_here);
-	}
-	_report.running.insert(_report.running.end(), groups.begin(), groups.end());
+	_report.running = std::move(groups);
 }
 
 double fair_shares::rounding_offset(group_id _group) const
--- a/src/steering/fair_shares_p.h
+++ b/src/steering/fair_shares_p.h
@@ -67,9 +67,6 @@
 /// Waiting requests of others, faded, below which nobody else counts as waiting. Lower: slots are left free
 /// for longer after the last wait. Higher: a wait at a single node is missed.
 constexpr double k_min_contest = 0.05;
-/// Entry of a report that holds the waiting requests of groups below their caps in place of the running
-/// requests of a group. No customer has this id.
-constexpr group_id k_contest_entry{0};
 
 /// Running requests of a group and its weight, for fair_level().
 struct group_demand
--- a/src/steering/fleet_rates.cpp
+++ b/src/steering/fleet_rates.cpp
@@ -47,7 +47,8 @@
 	for (const auto& [service, per_s] : _node.requests_per_s)
 	{
 		admission_report report = report_in(_node.sent_per_s, service);
-		if (!report.level.empty() || !report.running.empty() || report.running_rest > 0.0)
+		if (!report.level.empty() || !report.running.empty() || report.running_rest > 0.0 ||
+		    report.waiting > 0.0)
 		{
 			report.sender_region = _node.region;
 			m_reports[service].push_back({std::move(report), _heard_at});
@@ -66,7 +67,8 @@
 	for (const received_report& received : it->second)
 	{
 		const double freshness = freshness_at_age(_now - received.at);
-		if (freshness > 0.0 || !received.report.running.empty() || received.report.running_rest > 0.0)
+		if (freshness > 0.0 || !received.report.running.empty() || received.report.running_rest > 0.0 ||
+		    received.report.waiting > 0.0)
 		{
 			reports.push_back(received.report);
 			reports.back().freshness = freshness;
--- a/src/steering/report_transport.cpp
+++ b/src/steering/report_transport.cpp
@@ -79,6 +79,10 @@
 	{
 		encoded[region_name(k_rest_of_groups)] = rounded_count(_report.running_rest);
 	}
+	if (_report.waiting > 0.0)
+	{
+		encoded[region_name(k_waiting_of_groups)] = rounded_count(_report.waiting);
+	}
 	return encoded;
 }
 
@@ -91,6 +95,11 @@
 			_report.running_rest = running;
 			continue;
 		}
+		if (k_waiting_of_groups == name.text)
+		{
+			_report.waiting = running;
+			continue;
+		}
 		if (const std::optional<group_id> group = group_of_hex(name.text))
 		{
 			_report.running.emplace_back(*group, running);
--- a/src/steering/report_transport_p.h
+++ b/src/steering/report_transport_p.h
@@ -22,9 +22,9 @@
 
 namespace larkrack
 {
-/// Maximum number of groups that a report lists one by one: those of fair_shares_p.h (k_reported_groups) and
-/// its entry for waiting requests. More: larger datagrams (22 bytes each).
-constexpr std::size_t k_max_reported_groups = 9;
+/// Maximum number of groups that a report lists one by one. More: larger datagrams (22 bytes each). Fewer:
+/// groups that use more than their share go unnoticed by other nodes.
+constexpr std::size_t k_max_reported_groups = 8;
 /// Steps of an encoded number of requests; a power of two, since a float holds its multiples exactly. Fewer:
 /// the waiting requests of others are forgotten too soon. More: nothing is gained.
 constexpr double k_count_steps = 16.0;
@@ -33,6 +33,8 @@
 constexpr double k_level_steps = 256.0;
 /// Name of the sum over the groups that are not listed; not a hexadecimal number.
 constexpr const char* k_rest_of_groups = "rest";
+/// Name of the waiting requests of groups below their shares; not a hexadecimal number.
+constexpr const char* k_waiting_of_groups = "waiting";
 
 /// @returns The report with its groups cut to the largest k_max_reported_groups, the others added to the
 /// rest.
--- a/tests/steering_fair_shares_test.cpp
+++ b/tests/steering_fair_shares_test.cpp
@@ -233,7 +233,8 @@
 		constexpr int k_nodes = 40;
 		constexpr int k_ticks = 200;
 		admission_report others; // Each node has one request of the large group and one of another.
-		others.running = {{group_id{1}, k_nodes - 1.0}, {k_contest_entry, 1.0}};
+		others.running = {{group_id{1}, k_nodes - 1.0}};
+		others.waiting = 1.0;
 		others.running_rest = 20.0;
 		double allowed = 0.0;
 		double cap = 0.0;
@@ -310,14 +311,15 @@
 		node.wait(1);
 		node.tick();
 		node.shares.report(report);
-		CPPUNIT_ASSERT(report.running.size() <= k_reported_groups + 1);
+		CPPUNIT_ASSERT_EQUAL(k_reported_groups, report.running.size());
+		CPPUNIT_ASSERT(report.waiting > 0.0);
 		for (std::uint64_t number = 1; number <= node.last; ++number)
 		{
 			node.shares.on_end({number});
 		}
 		node.tick();
 		node.shares.report(report);
-		CPPUNIT_ASSERT(report.running.size() <= 1);
+		CPPUNIT_ASSERT(report.running.empty());
 		CPPUNIT_ASSERT_DOUBLES_EQUAL(0.0, report.running_rest, 1e-9);
 	}
 
@@ -369,8 +371,8 @@
 		node.send(1, 50);
 		node.wait(2);
 		admission_report other;
-		other.running = {{group_id{1}, -5.0}, {group_id{2}, std::nan("")}, {k_contest_entry, std::nan("")},
-		    {group_id{3}, 1e300}};
+		other.running = {{group_id{1}, -5.0}, {group_id{2}, std::nan("")}, {group_id{3}, 1e300}};
+		other.waiting = std::nan("");
 		other.running_rest = std::numeric_limits<double>::infinity();
 		node.tick({other});
 		node.tick({other});
@@ -394,7 +396,7 @@
 			others[i / k_reported_groups].running.emplace_back(
 			    group_id{group}, 1.0 + static_cast<double>(i % 13));
 		}
-		others[0].running.emplace_back(k_contest_entry, 3.0);
+		others[0].waiting = 3.0;
 		node.send(1, 10);
 		auto shortest = std::chrono::steady_clock::duration::max();
 		for (int i = 0; i < 50; ++i)
