Let requests without a slot count as overload only while a region's slots are in use

Change: such attempts raise the level only from 0.85 of the slots in use, counted server by server; plans of services that choose by completion use expected demand and work times.

--- a/src/steering/admission_p.h
+++ b/src/steering/admission_p.h
@@ -148,7 +148,7 @@
 struct region_room
 {
 	double slots = 0.0;     ///< Slots of usable and warm backend servers.
-	double busy = 0.0;      ///< Estimated requests of all nodes at these backend servers.
+	double busy = 0.0;      ///< Slots in use by all nodes, estimated.
 	double own_slots = 0.0; ///< This node's portion of the slots.
 	double in_flight = 0.0; ///< Requests of this node at these backend servers.
 };
--- a/src/steering/load_level.cpp
+++ b/src/steering/load_level.cpp
@@ -36,6 +36,10 @@
 /// Part of the slots in use below which a region has free room. Higher: short gaps in the load lower the
 /// level. Lower: slots stay free for longer after a fall of load.
 constexpr double k_full_occupancy = 0.97;
+/// Part of the slots in use from which on requests without a slot count as overload of the region. Lower: a
+/// few servers with frequent keys shed load that other servers could run. Higher: the level rises late, since
+/// load reports are old.
+constexpr double k_short_occupancy = 0.85;
 /// Highest part of the slots by which requests beyond the slots reduce what is admitted. Higher: wrong
 /// reports of load stop admission. Lower: queues at backend servers grow.
 constexpr double k_max_excess = 0.3;
@@ -187,7 +191,10 @@
 		return by_load + (age > k_evidence_lifetime ? k_idle_growth_per_s : 0.0);
 	}
 	const double served = std::clamp(_state.recent.taken / _state.recent.attempts, 0.0, 1.0);
-	return by_load + k_gain_per_s * (served * (1.0 + k_excess_fraction) - 1.0);
+	const double by_attempts = k_gain_per_s * (served * (1.0 + k_excess_fraction) - 1.0);
+	// With slots free, requests found no slot only at the server of their key.
+	const bool short_of_slots = _room.busy >= k_short_occupancy * _room.slots;
+	return by_load + (short_of_slots ? by_attempts : std::max(0.0, by_attempts));
 }
 
 load_level::level_sum load_level::sum_levels(
--- a/src/steering/load_level_p.h
+++ b/src/steering/load_level_p.h
@@ -23,6 +23,8 @@
 ///   k_excess_fraction, differs from 1. With the excess there is always somebody waiting for a slot that gets
 ///   free, and the level falls when the load does. The queue absorbs short bursts, since requests that get a
 ///   slot after a wait count as served.
+/// - Requests without a slot count only while at least k_short_occupancy of the region's slots are in use:
+///   a request with a key finds no slot when its own server is full, however many others are free.
 /// - Free slots let the admitted part grow in proportion; requests beyond the slots at the backend servers
 ///   reduce it in proportion.
 /// - Each node moves its level towards the mean of the levels that other nodes report, weighted by their
--- a/src/steering/region_rooms.cpp
+++ b/src/steering/region_rooms.cpp
@@ -3,6 +3,8 @@
 
 #include "steering/region_rooms_p.h"
 
+#include <algorithm>
+
 namespace larkrack
 {
 std::map<region_name, region_room> region_rooms(const std::vector<backend_state*>& _backends,
@@ -17,7 +19,7 @@
 		}
 		region_room& room = rooms[backend->region];
 		room.slots += backend->registered.slots;
-		room.busy += backend->estimated_load(_now);
+		room.busy += std::min<double>(backend->registered.slots, backend->estimated_load(_now));
 		room.in_flight += backend->load.in_flight;
 	}
 	for (auto& [region, room] : rooms)
--- a/src/steering/service_steering.cpp
+++ b/src/steering/service_steering.cpp
@@ -33,6 +33,12 @@
 	}
 	rates.per_s[m_home] += demand.requests_per_s();
 	rates.unmeasured = m_first_rates.unmeasured(rates.per_s, _now);
+	if (choice.by_completion())
+	{
+		// Uneven services: plans lead a rising demand, and waits at backend servers do not count as demand.
+		rates.per_s = m_trend.update(rates.per_s, _now);
+		rates.service_time_s = choice.completion.works.own_s();
+	}
 	load_by_region figures = region_loads(m_home, _backends, rates, _now);
 	shares.by_demand.move_towards(plan_by_demand(m_home, figures, m_last_capacity), _now);
 	m_last_capacity = capacity_of(figures, m_home);
--- a/src/steering/service_steering_p.h
+++ b/src/steering/service_steering_p.h
@@ -13,6 +13,7 @@
 
 #include "steering/backend_choice_p.h"
 #include "steering/demand_meter_p.h"
+#include "steering/demand_trend_p.h"
 #include "steering/key_frequency_p.h"
 #include "steering/peak_rates_p.h"
 #include "steering/region_choice_p.h"
@@ -99,6 +100,7 @@
 	region_name m_home;
 	rate_convergence m_first_rates;
 	peak_rates m_peaks;
+	demand_trend m_trend;
 	std::map<region_name, demand_meter> m_pinned; ///< Requests that may run in one region only.
 	double m_last_capacity = 0.0;                 ///< Capacity of the home region, in slots.
 	double m_logged_home_share = 1.0;             ///< Share of the home region that was logged last.
--- a/src/steering/wait_forecast.cpp
+++ b/src/steering/wait_forecast.cpp
@@ -72,7 +72,7 @@
 	{
 		return;
 	}
-	const double weight = m_work_time_s > 0.0 ? k_work_time_weight : 1.0;
+	const double weight = m_work_time_s > 0.0 ? k_forecast_work_weight : 1.0;
 	m_work_time_s += weight * (_service_time_s - m_work_time_s);
 	m_work_measured = true;
 }
--- a/src/steering/wait_forecast_p.h
+++ b/src/steering/wait_forecast_p.h
@@ -61,7 +61,7 @@
 constexpr double k_jump_deviations = 2.0;
 /// Weight of the newest work time in its mean. Smaller: follows a slower server late. Larger: a single slow
 /// answer refuses requests.
-constexpr double k_work_time_weight = 0.05;
+constexpr double k_forecast_work_weight = 0.05;
 /// Weight of the newest window in the dispersion of the freed slots. Smaller: regular slots are taken for
 /// random ones for longer. Larger: a few even windows remove the margin.
 constexpr double k_dispersion_weight = 0.1;
