Keep requests at their key's own server by the depth of its queue, and move them only from slow servers

Change: the bound of an own server is the depth of its queue; further servers come after it, and before it only while it is slow and they are in time.

--- a/src/steering/completion_choice.cpp
+++ b/src/steering/completion_choice.cpp
@@ -70,13 +70,13 @@
 	struct compared_backend
 	{
 		double expected_s;
-		bool preferred; ///< One of the key's own, expected to complete in time.
+		bool last_choice; ///< A further server, or an own one that is slow while another is in time.
 		ranked_backend candidate;
 	};
 	std::vector<compared_backend> compared;
-	const double limit_s = k_in_time_part * _query.time_left_s;
+	const double limit_s = k_in_time_part * _query.time_left_s - _query.distance_s;
+	bool further_in_time = false;
 	const std::size_t last = _progress.preferred_count + k_further_servers;
-	bool own_found = false;
 	for (std::size_t position = 0; position < last && _progress.candidates.remaining() > 0; ++position)
 	{
 		backend_state& backend = _progress.candidates.next();
@@ -85,20 +85,20 @@
 			continue;
 		}
 		const key_role role{0 == position, position >= _progress.preferred_count};
-		const double time_s = expected_s(backend, !role.not_own, _now) + _query.distance_s;
-		const bool in_time = time_s <= limit_s;
-		if (role.not_own && own_found && !in_time)
-		{
-			continue;
-		}
-		own_found = own_found || !role.not_own;
-		compared.push_back({time_s, in_time && !role.not_own, {&backend, role}});
+		const double time_s = expected_s(backend, !role.not_own, _now);
+		further_in_time = further_in_time || (role.not_own && time_s <= limit_s);
+		compared.push_back({time_s, role.not_own, {&backend, role}});
+	}
+	for (compared_backend& one : compared)
+	{
+		const bool slow = one.candidate.backend->slowness.factor(_now) >= k_slow_factor;
+		one.last_choice = one.last_choice || (slow && further_in_time && one.expected_s > limit_s);
 	}
 	std::stable_sort(compared.begin(), compared.end(),
 	    [](const compared_backend& _left, const compared_backend& _right)
 	    {
-		    return std::make_pair(!_left.preferred, _left.expected_s) <
-		           std::make_pair(!_right.preferred, _right.expected_s);
+		    return std::make_pair(_left.last_choice, _left.expected_s) <
+		           std::make_pair(_right.last_choice, _right.expected_s);
 	    });
 	for (auto one = compared.rbegin(); one != compared.rend(); ++one)
 	{
@@ -120,9 +120,8 @@
 	{
 		return true;
 	}
-	const double time_s = expected_s(backend, !_candidate.role.not_own, _now) + _query.distance_s;
-	return _query.key.any() && load < k_max_queue_depth * backend.registered.slots &&
-	       time_s <= _query.time_left_s;
+	const double depth = _candidate.role.not_own ? k_max_further_depth : k_max_queue_depth;
+	return _query.key.any() && load < depth * backend.registered.slots;
 }
 
 completion_choice::region_state& completion_choice::load_of(const backend_query& _query, steady_time _now)
--- a/src/steering/completion_choice_p.h
+++ b/src/steering/completion_choice_p.h
@@ -14,15 +14,15 @@
 /// slots, times the mean work time there), the request's own work time times the server's slowness, and the
 /// round trip. A key's own servers are the first ones in rendezvous hashing order, k_own_servers_per_share
 /// times as many as its share of the requests fills, at least one. The one with the lowest expected time
-/// takes the request if that time is within k_in_time_part of the time left. Otherwise the next
-/// k_further_servers are compared with them, never an arbitrary idle server, so that an overflowing key
-/// becomes known at few servers. A further server that is not expected to complete in time is considered only
-/// if no own server can be tried. A server takes the request while it has a free slot, or has fewer requests
-/// of this node than the node's portion, or while the expected time is within the time left and its queue is
-/// below k_max_queue_depth. While a region's slots are filled by more than k_short_capacity_load, runs at
-/// further servers are charged to a token bucket, which gives them k_cold_run_part of the slots, divided
-/// among the nodes as slots are (slot_portion_p.h). A request without a key goes to the candidate with the
-/// lowest expected time.
+/// takes the request while its queue is below k_max_queue_depth, also if the answer is late: a cold run
+/// elsewhere is later still, and takes the slots of several known runs. A slow own server is the last choice
+/// while another server can complete in time. Then the next k_further_servers are
+/// tried by expected time while their queues are below k_max_further_depth, never an arbitrary idle server,
+/// so that an overflowing key becomes known at few servers. A server also takes the request while it has
+/// fewer requests of this node than the node's portion. While a region's slots are filled by more than
+/// k_short_capacity_load, runs at further servers are charged to a token bucket, which gives them
+/// k_cold_run_part of the slots, divided among the nodes as slots are (slot_portion_p.h). A request without a
+/// key goes to the candidate with the lowest expected time.
 ///
 /// Alternatives: docs/design/completion-choice.md.
 ///
@@ -40,17 +40,23 @@
 /// Maximum number of requests at a key's own server, as a multiple of its slots. Higher: servers reject
 /// requests, because they queue three times their slots and other nodes send too. Lower: keys run cold
 /// although a wait would be shorter.
-constexpr double k_max_queue_depth = 3.0;
+constexpr double k_max_queue_depth = 2.5;
 /// Own servers of a key relative to the number that its share of the requests fills (a ratio). Higher: more
 /// keys become known at two servers and drive others out of their memory. Lower: frequent keys queue, since
 /// their servers run other keys too.
 constexpr double k_own_servers_per_share = 4.0;
-/// Part of the time left that an expected time may fill to count as in time. Higher: requests wait at a slow
-/// server and are late by the error of the estimate. Lower: keys run cold although a wait would be shorter.
+/// The same at a further server of a key. Higher: cold runs wait behind the keys of that server. Lower:
+/// requests are refused although a further server has room.
+constexpr double k_max_further_depth = 1.7;
+/// Slowness from which on a server is left by its keys when another one can complete in time. Lower: keys run
+/// cold elsewhere for small differences. Higher: requests wait at slow servers.
+constexpr double k_slow_factor = 1.5;
+/// Part of the time left that an expected time may fill to count as in time. Higher: requests are late by the
+/// error of the estimate. Lower: requests wait at slow servers.
 constexpr double k_in_time_part = 0.7;
 /// Servers after the key's own ones that are compared. Higher: an overflowing key becomes known at more
 /// servers and drives other keys out of their memory. 0: a key with a lost or full server is refused.
-constexpr std::size_t k_further_servers = 2;
+constexpr std::size_t k_further_servers = 1;
 /// Part of a region's slots that runs at servers other than the key's own may fill while capacity is short.
 /// Higher: cold runs fill the slots that known runs need. 0: frequent keys queue at one server.
 constexpr double k_cold_run_part = 0.2;
