Try the own servers of a key in hashing order

A key had two to four own servers of which the least loaded took each request, so that keys ran cold at several places.

--- a/src/steering/completion_choice.cpp
+++ b/src/steering/completion_choice.cpp
@@ -97,8 +97,7 @@
 	std::stable_sort(compared.begin(), compared.end(),
 	    [](const compared_backend& _left, const compared_backend& _right)
 	    {
-		    return std::make_pair(_left.last_choice, _left.expected_s) <
-		           std::make_pair(_right.last_choice, _right.expected_s);
+		    return _left.last_choice < _right.last_choice;
 	    });
 	for (auto one = compared.rbegin(); one != compared.rend(); ++one)
 	{
--- a/src/steering/server_slowness_p.h
+++ b/src/steering/server_slowness_p.h
@@ -4,7 +4,7 @@
 /// @file
 /// Server slowness: how long work takes at a backend server at this moment, relative to usual.
 ///
-/// Handles servers whose speed changes several times a second, because they share their machines.
+/// Handles servers whose speed changes several times a second, because they share hardware.
 /// Inputs: the fourth value of the load header (100: usual) of each response; the time (steady clock).
 ///
 /// Algorithm: the last report holds when it arrives and fades linearly to the server's own mean within
--- a/tests/steering_completion_choice_test.cpp
+++ b/tests/steering_completion_choice_test.cpp
@@ -347,7 +347,7 @@
 	}
 
 	/// Guards against a rule that costs the nodes processor time. The least processor time of many tries
-	/// counts, because other processes share the machine.
+	/// counts, because other processes use the same cores.
 	void choice_among_thousands_costs_little_more_than_by_count()
 	{
 		add_servers(3000);
