--- a/src/steering/completion_choice.cpp
+++ b/src/steering/completion_choice.cpp
@@ -70,7 +70,7 @@
 	struct compared_backend
 	{
 		double expected_s;
-		bool last_choice; ///< A further server, or an own one that is slow while another is in time.
+		bool last_choice; ///< A further server, or an own one that is slow while a further one is in time.
 		ranked_backend candidate;
 	};
 	std::vector<compared_backend> compared;
--- a/src/steering/completion_choice_p.h
+++ b/src/steering/completion_choice_p.h
@@ -13,16 +13,16 @@
 /// Algorithm: the expected time at a server is the queue ahead (requests beyond its slots, divided by its
 /// slots, times the mean work time there), the request's own work time times the server's slowness, and the
 /// round trip. A key's own servers are the first ones in rendezvous hashing order, k_own_servers_per_share
-/// times as many as its share of the requests fills, at least one. The one with the lowest expected time
-/// takes the request while its queue is below k_max_queue_depth, also if the answer is late: a cold run
-/// elsewhere is later still, and takes the slots of several known runs. A slow own server is the last choice
-/// while another server can complete in time. Then the next k_further_servers are
-/// tried by expected time while their queues are below k_max_further_depth, never an arbitrary idle server,
-/// so that an overflowing key becomes known at few servers. A server also takes the request while it has
-/// fewer requests of this node than the node's portion. While a region's slots are filled by more than
-/// k_short_capacity_load, runs at further servers are charged to a token bucket, which gives them
-/// k_cold_run_part of the slots, divided among the nodes as slots are (slot_portion_p.h). A request without a
-/// key goes to the candidate with the lowest expected time.
+/// times as many as its share of the requests fills, at least one. The first one takes the request while its
+/// queue is below k_max_queue_depth, also if the answer is late: a cold run elsewhere is later still, and
+/// takes the slots of several known runs. Then the other own ones and the next k_further_servers are tried in
+/// hashing order, further ones while their queues are below k_max_further_depth, never an arbitrary idle
+/// server, so that an overflowing key becomes known at few servers. An own server that is slow and expected
+/// to be late is the last choice while a further server is expected to complete in time. A server also takes
+/// the request while it has fewer requests of this node than the node's portion. While a region's slots are
+/// filled by more than k_short_capacity_load, runs at further servers are charged to a token bucket, which
+/// gives them k_cold_run_part of the slots, divided among the nodes as slots are (slot_portion_p.h). A
+/// request without a key goes to the candidate with the lowest expected time.
 ///
 /// Alternatives: docs/design/completion-choice.md.
 ///
