--- a/src/steering/completion_choice.cpp
+++ b/src/steering/completion_choice.cpp
@@ -18,17 +18,9 @@
 }
 } // namespace
 
-double completion_choice::expected_s(const backend_state& _backend, bool _known, steady_time _now) const
-{
-	const double slots = std::max(1, _backend.registered.slots);
-	const double ahead = std::max(0.0, _backend.estimated_load(_now) + 1.0 - slots) / slots;
-	const double work_s = _known ? works.own_s() : works.other_s();
-	return (ahead * works.own_s() + work_s) * _backend.slowness.factor(_now);
-}
-
 double completion_choice::load_rank(const backend_state& _backend, steady_time _now) const
 {
-	// Called for each server of a region: expected_s() and the tie break with a single division.
+	// Called for each server of a region: the expected time and the tie break with a single division.
 	const double slots = std::max(1, _backend.registered.slots);
 	const double load = _backend.estimated_load(_now);
 	const double filled = std::max(slots, load + 1.0);
@@ -43,7 +35,7 @@
 }
 
 ranked_backend completion_choice::next(
-    choice_progress& _progress, const backend_query& _query, steady_time _now) const
+    choice_progress& _progress, const backend_query& _query, steady_time) const
 {
 	if (!_query.key.any())
 	{
@@ -52,7 +44,7 @@
 	}
 	if (!_progress.compared)
 	{
-		compare(_progress, _query, _now);
+		select(_progress, _query);
 	}
 	if (_progress.selected.empty())
 	{
@@ -63,46 +55,20 @@
 	return best;
 }
 
-void completion_choice::compare(
-    choice_progress& _progress, const backend_query& _query, steady_time _now) const
+void completion_choice::select(choice_progress& _progress, const backend_query& _query)
 {
 	_progress.compared = true;
-	struct compared_backend
-	{
-		double expected_s;
-		bool last_choice; ///< A further server, or an own one that is slow while a further one is in time.
-		ranked_backend candidate;
-	};
-	std::vector<compared_backend> compared;
-	const double limit_s = k_in_time_part * _query.time_left_s - _query.distance_s;
-	bool further_in_time = false;
+	std::vector<ranked_backend> selected;
 	const std::size_t last = _progress.preferred_count + k_further_servers;
 	for (std::size_t position = 0; position < last && _progress.candidates.remaining() > 0; ++position)
 	{
 		backend_state& backend = _progress.candidates.next();
-		if (excluded(backend, _query))
+		if (!excluded(backend, _query))
 		{
-			continue;
+			selected.push_back({&backend, {0 == position, position >= _progress.preferred_count}});
 		}
-		const key_role role{0 == position, position >= _progress.preferred_count};
-		const double time_s = expected_s(backend, !role.not_own, _now);
-		further_in_time = further_in_time || (role.not_own && time_s <= limit_s);
-		compared.push_back({time_s, role.not_own, {&backend, role}});
-	}
-	for (compared_backend& one : compared)
-	{
-		const bool slow = one.candidate.backend->slowness.factor(_now) >= k_slow_factor;
-		one.last_choice = one.last_choice || (slow && further_in_time && one.expected_s > limit_s);
-	}
-	std::stable_sort(compared.begin(), compared.end(),
-	    [](const compared_backend& _left, const compared_backend& _right)
-	    {
-		    return _left.last_choice < _right.last_choice;
-	    });
-	for (auto one = compared.rbegin(); one != compared.rend(); ++one)
-	{
-		_progress.selected.push_back(one->candidate);
 	}
+	_progress.selected.assign(selected.rbegin(), selected.rend());
 }
 
 bool completion_choice::accepts_other_keys(const backend_state&, steady_time) const
--- a/src/steering/completion_choice_p.h
+++ b/src/steering/completion_choice_p.h
@@ -17,8 +17,7 @@
 /// queue is below k_max_queue_depth, also if the answer is late: a cold run elsewhere is later still, and
 /// takes the slots of several known runs. Then the other own ones and the next k_further_servers are tried in
 /// hashing order, further ones while their queues are below k_max_further_depth, never an arbitrary idle
-/// server, so that an overflowing key becomes known at few servers. An own server that is slow and expected
-/// to be late is the last choice while a further server is expected to complete in time. A server also takes
+/// server, so that an overflowing key becomes known at few servers. A server also takes
 /// the request while it has fewer requests of this node than the node's portion. While a region's slots are
 /// filled by more than k_short_capacity_load, runs at further servers are charged to a token bucket, which
 /// gives them k_cold_run_part of the slots, divided among the nodes as slots are (slot_portion_p.h). A
@@ -48,12 +47,6 @@
 /// The same at a further server of a key. Higher: cold runs wait behind the keys of that server. Lower:
 /// requests are refused although a further server has room.
 constexpr double k_max_further_depth = 1.7;
-/// Slowness from which on a server is left by its keys when another one can complete in time. Lower: keys run
-/// cold elsewhere for small differences. Higher: requests wait at slow servers.
-constexpr double k_slow_factor = 1.5;
-/// Part of the time left that an expected time may fill to count as in time. Higher: requests are late by the
-/// error of the estimate. Lower: requests wait at slow servers.
-constexpr double k_in_time_part = 0.7;
 /// Servers after the key's own ones that are compared. Higher: an overflowing key becomes known at more
 /// servers and drives other keys out of their memory. 0: a key with a lost or full server is refused.
 constexpr std::size_t k_further_servers = 1;
@@ -89,9 +82,6 @@
 	    const ranked_backend& _candidate, const backend_query& _query, steady_time _now) const override;
 	bool charge_run(const ranked_backend& _candidate, const backend_query& _query, steady_time _now) override;
 	backend_choice_reason reason_for_other_key() const override;
-	/// @param[in] _known Whether the server is one of the key's own, or the request has no key.
-	/// @returns Expected time of a further request at the server, seconds, without the round trip.
-	double expected_s(const backend_state& _backend, bool _known, steady_time _now) const;
 
 	work_times works;
 
@@ -105,8 +95,8 @@
 		token_bucket cold_runs;
 	};
 
-	/// Selects the candidates of a key and sorts them, the best one last.
-	void compare(choice_progress& _progress, const backend_query& _query, steady_time _now) const;
+	/// Selects the candidates of a key, the first one to be tried last.
+	static void select(choice_progress& _progress, const backend_query& _query);
 	region_state& load_of(const backend_query& _query, steady_time _now);
 
 	std::map<region_name, region_state> m_regions;
