--- a/src/steering/count_choice_p.h
+++ b/src/steering/count_choice_p.h
@@ -20,21 +20,19 @@
 namespace larkrack
 {
 /// Minimum number of backend servers for each key; k_backends_per_key_share adds to it. Higher values spread
-/// a burst of one key, lower values keep it where it is cached: two or three are worth 0.55 of a loaded day,
-/// one 0.72 (docs/DESIGN.md, "Direct sending").
+/// a burst of one key, lower values keep it where it is cached (docs/DESIGN.md, "Direct sending").
 constexpr double k_min_backends_per_key = 1.0;
 /// Backend servers of a key relative to the number that the key's requests would fill if all requests were
 /// alike (a ratio). 0: frequent keys queue; higher values send their requests to backend servers that have
 /// not cached them (docs/DESIGN.md, "Keys", "share counted once").
 constexpr double k_backends_per_key_share = 1.0;
 /// Fraction of its slots up to which a backend server accepts keys that are not its own. Higher values start
-/// requests sooner, lower values preserve what the backend server has cached. No foreign keys at all: 0.85 of
-/// the score (docs/DESIGN.md, "Keys").
+/// requests sooner, lower values preserve what the backend server has cached (docs/DESIGN.md,
+/// "Keys").
 constexpr double k_max_idle_load = 0.2;
 /// Maximum number of requests at the first backend server of a key, as a multiple of its slots: a short wait
-/// at a backend server that has cached the key is faster than an immediate start at one that has not. 1.0
-/// costs 0.07 to 0.09 of worth; 2.4 gains 0.002 with five slots and costs 0.006 with three
-/// (docs/DECISIONS.md).
+/// at a backend server that has cached the key is faster than an immediate start at one that has not. Lower
+/// values run keys cold elsewhere, higher values make requests wait where slots are few (docs/DECISIONS.md).
 constexpr double k_preferred_depth = 1.7;
 
 /// Compares numbers of requests.
