--- a/tests/node_group_fixture.h
+++ b/tests/node_group_fixture.h
@@ -76,7 +76,7 @@
 	group_node(asio::io_context& _context, const clock_base& _clock, std::size_t _number,
 	    const std::vector<backend_record>& _records, const sender& _send)
 	    : m_clock(_clock), m_fleet(_number),
-	      m_registry(std::unordered_map<std::string, std::string>{{"east-a", "east"}}),
+	      m_registry(std::unordered_map<std::string, std::string>{{"east-a", "east"}, {"east-b", "east"}}),
 	      m_log(name_of(_number), -1), m_limits(_context, _clock, m_fleet, m_registry,
 	                                       placement{name_of(_number), "east-a", "east"}, m_log, _send),
 	      m_crashes(_context, _clock, m_fleet, m_registry, region_name("east"), m_log, _send,
@@ -105,6 +105,10 @@
 	{
 		return m_listener.address();
 	}
+	const crash_guard& crashes() const
+	{
+		return m_crashes;
+	}
 	backend_registry& registry()
 	{
 		return m_registry;
@@ -158,6 +162,12 @@
 public:
 	node_group(
 	    asio::io_context& _context, const clock_base& _clock, const std::vector<backend_record>& _records)
+	    : node_group(_context, _clock, std::vector<std::vector<backend_record>>(k_group_nodes, _records))
+	{
+	}
+	/// @param[in] _records Backend servers as each node sees them, by node.
+	node_group(asio::io_context& _context, const clock_base& _clock,
+	    const std::vector<std::vector<backend_record>>& _records)
 	{
 		for (std::size_t i = 0; i < k_group_nodes; ++i)
 		{
@@ -170,7 +180,7 @@
 					    m_nodes.at(to)->receive(_bytes, std::to_string(i));
 				    });
 			};
-			m_nodes.push_back(std::make_unique<group_node>(_context, _clock, i, _records, send));
+			m_nodes.push_back(std::make_unique<group_node>(_context, _clock, i, _records.at(i), send));
 		}
 	}
 	group_node& at(std::size_t _number)
