Refuse messages of other nodes that state an impossible size, in place of ending the node

What callers would see: a node that ends by itself after one datagram of a few bytes (an array of 2^63 - 1 items). Cause: the CBOR library throws on such a size even where it is called not to throw, and six decoders (quotas, limits, crashes, rollouts, pages of keys, digests) call it outside of any try block. Found by random bytes given to the decoders of a new message. Why it works: parse_cbor() makes a discarded document of every error; the decoders already refuse that.

--- a/src/entry_node/crash_messages.cpp
+++ b/src/entry_node/crash_messages.cpp
@@ -3,6 +3,8 @@
 
 #include "entry_node/crash_messages_p.h"
 
+#include "base/cbor_p.h"
+
 #include <limits>
 #include <nlohmann/json.hpp>
 
@@ -123,7 +125,7 @@
 
 result<crash_message> decode_crash_message(const std::uint8_t* _data, std::size_t _size)
 {
-	const nlohmann::json document = nlohmann::json::from_cbor(_data, _data + _size, true, false);
+	const nlohmann::json document = parse_cbor(_data, _data + _size);
 	const bool valid = document.is_array() && k_fields == document.size() && is_uint32(document[0]) &&
 	                   document[1].is_number_unsigned() && document[2].is_number_unsigned() &&
 	                   is_uint32(document[3]);
--- a/src/entry_node/digest_codec.cpp
+++ b/src/entry_node/digest_codec.cpp
@@ -6,6 +6,8 @@
 #include "entry_node/deflate_p.h"
 #include "entry_node/heartbeat_p.h"
 
+#include "base/cbor_p.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -85,7 +87,7 @@
 	{
 		return decode_error("the digest can't be decompressed");
 	}
-	const nlohmann::json document = nlohmann::json::from_cbor(*value_of(bytes), true, false);
+	const nlohmann::json document = parse_cbor(value_of(bytes)->begin(), value_of(bytes)->end());
 	const bool valid = document.is_array() && k_fields == document.size() && k_layout == document[0] &&
 	                   document[1].is_string() && document[2].is_string() &&
 	                   document[3].is_number_unsigned() && document[4].is_array();
--- a/src/entry_node/limit_messages.cpp
+++ b/src/entry_node/limit_messages.cpp
@@ -3,6 +3,8 @@
 
 #include "entry_node/limit_messages_p.h"
 
+#include "base/cbor_p.h"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -107,7 +109,7 @@
 
 result<limit_message> decode_limit_message(const std::uint8_t* _data, std::size_t _size, steady_time _now)
 {
-	const nlohmann::json document = nlohmann::json::from_cbor(_data, _data + _size, true, false);
+	const nlohmann::json document = parse_cbor(_data, _data + _size);
 	if (document.is_discarded() || !document.is_array() || k_fields != document.size())
 	{
 		return decode_error("not a limit message");
--- a/src/entry_node/quota_messages.cpp
+++ b/src/entry_node/quota_messages.cpp
@@ -3,6 +3,8 @@
 
 #include "entry_node/quota_messages_p.h"
 
+#include "base/cbor_p.h"
+
 #include <nlohmann/json.hpp>
 
 #include <limits>
@@ -50,7 +52,7 @@
 
 result<quota_message> decode_quota_message(const std::uint8_t* _data, std::size_t _size)
 {
-	const nlohmann::json document = nlohmann::json::from_cbor(_data, _data + _size, true, false);
+	const nlohmann::json document = parse_cbor(_data, _data + _size);
 	if (document.is_discarded() || !document.is_array() || k_fields != document.size())
 	{
 		return decode_error("not a quota message");
--- a/src/entry_node/rollout_messages.cpp
+++ b/src/entry_node/rollout_messages.cpp
@@ -3,6 +3,8 @@
 
 #include "entry_node/rollout_messages_p.h"
 
+#include "base/cbor_p.h"
+
 #include <nlohmann/json.hpp>
 
 namespace larkrack
@@ -96,7 +98,7 @@
 
 result<rollout_report> decode_rollout_report(const std::uint8_t* _data, std::size_t _size)
 {
-	const nlohmann::json document = nlohmann::json::from_cbor(_data, _data + _size, true, false);
+	const nlohmann::json document = parse_cbor(_data, _data + _size);
 	const bool valid = document.is_array() && k_fields == document.size() && k_layout == document[0] &&
 	                   document[1].is_string() && document[2].is_number_integer() &&
 	                   document[3].is_number_unsigned() && document[4].is_number_unsigned() &&
--- a/src/entry_node/store_changes_codec.cpp
+++ b/src/entry_node/store_changes_codec.cpp
@@ -3,6 +3,8 @@
 
 #include "entry_node/store_changes_codec_p.h"
 
+#include "base/cbor_p.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <variant>
@@ -130,7 +132,7 @@
 
 result<state_page> decode_state_page(const std::vector<std::uint8_t>& _bytes, const std::string& _after)
 {
-	const nlohmann::json document = nlohmann::json::from_cbor(_bytes, true, false);
+	const nlohmann::json document = parse_cbor(_bytes.begin(), _bytes.end());
 	const bool valid = document.is_array() && k_page_fields == document.size() &&
 	                   k_page_layout == document[0] && document[1].is_number_integer() &&
 	                   document[2].is_boolean() && document[3].is_array();
