--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -51,6 +51,15 @@
 	               .Name("larkrack_wait_seconds")
 	               .Help("Time for which requests waited for a slot, in seconds.")
 	               .Register(*m_registry);
+	m_hops = &prometheus::BuildHistogram()
+	              .Name("larkrack_relay_hop_seconds")
+	              .Help("Time that the way over another node added to requests, in seconds.")
+	              .Register(*m_registry);
+}
+
+void metrics::observe_relay_hop(double _seconds)
+{
+	m_hops->Add({}, time_buckets()).Observe(_seconds);
 }
 
 void metrics::observe_wait(double _seconds)
--- a/src/base/metrics_p.h
+++ b/src/base/metrics_p.h
@@ -62,6 +62,8 @@
 	}
 	/// Records the time for which a request waited for a slot, in seconds.
 	void observe_wait(double _seconds);
+	/// Records the time that a relay added to an exchange, in seconds.
+	void observe_relay_hop(double _seconds);
 	/// Counts a request whose caller returned after a refusal.
 	void count_return();
 	/// Counts a request that admission refused, by its urgency. Priorities above k_max_priority_label count
@@ -90,6 +92,7 @@
 	prometheus::Family<prometheus::Counter>* m_returns = nullptr;
 	prometheus::Family<prometheus::Counter>* m_refusals = nullptr;
 	prometheus::Family<prometheus::Histogram>* m_waits = nullptr;
+	prometheus::Family<prometheus::Histogram>* m_hops = nullptr;
 	/// Cached counters by service, so that labels are built only once. Guarded by m_mutex.
 	std::map<std::string, std::unique_ptr<outcome_counters>> m_counters;
 	std::shared_mutex m_mutex;
--- a/src/steering/attempt_rules_p.h
+++ b/src/steering/attempt_rules_p.h
@@ -18,6 +18,9 @@
 /// | lost | repeatable | reached | yes | from the retry budget | lost_answer |
 /// | lost | at most once | reached | yes | none | lost_answer |
 ///
+/// A relay that is not reached or refuses (relay_table_p.h) is no attempt: another one is free up to
+/// k_max_relay_failures.
+///
 /// When no attempt follows (none is permitted, the budget is exhausted, or no backend server has a free
 /// slot), the request ends with the first that applies: a kept response of a backend server, forwarded as
 /// served; "unknown" with status 502, if the request may have run; otherwise it is refused with 503 and a
@@ -39,6 +42,8 @@
 /// request past more unreachable backend servers, but each attempt can use up a connect timeout of the
 /// deadline.
 constexpr int k_max_unsent_attempts = 3;
+/// Relays of one request that may fail while further ones are free.
+constexpr int k_max_relay_failures = 3;
 /// Statuses of responses that this node generates itself. Fixed by HTTP.
 constexpr unsigned k_status_unknown = 502;          ///< Bad gateway: the request may have run.
 constexpr unsigned k_status_refused = 503;          ///< Service unavailable: not run, may be retried later.
@@ -87,6 +92,7 @@
 {
 	int reached = 0; ///< Attempts that reached a backend server.
 	int unsent = 0;  ///< Attempts that reached none.
+	int relay_failures = 0; ///< Relays that were not reached or refused; not counted as attempts.
 	bool may_have_run = false;
 	bool response_kept = false;
 
--- a/src/steering/backend_state_p.h
+++ b/src/steering/backend_state_p.h
@@ -51,6 +51,14 @@
 	slots_free, ///< Slots are free: the refusal concerns one request, not the backend server's load.
 };
 
+/// How this node's requests get to a backend server.
+enum class path_use
+{
+	direct,   ///< Over this node's own connections.
+	by_relay, ///< This node's path is broken: over another node.
+	none,     ///< This node's path is broken, and no other node is known to reach it.
+};
+
 /// One backend server.
 struct backend_state
 {
@@ -68,6 +76,7 @@
 	outlier_ejection ejection; ///< Its recent failures.
 	reported_limit limit;      ///< Maximum requests per second from all nodes, if it reports a limit.
 	backend_rest rest;         ///< Period during which it asked this node to send no requests.
+	path_use path = path_use::direct; ///< Of its failure domain; set by node_paths.
 	bool reported_leaving =
 	    false; ///< A response to this node said that it is leaving, whatever its entry says.
 
@@ -86,7 +95,7 @@
 	/// @returns Whether new requests may be sent to it now.
 	bool usable(steady_time _now) const
 	{
-		return accepts_requests_now(_now) && !ejection.ejected(_now);
+		return accepts_requests_now(_now) && !ejection.ejected(_now) && path_use::none != path;
 	}
 	/// @returns Whether it is in slow start and can take only a low request rate.
 	bool cold(steady_time _now) const
--- a/src/steering/fleet_view_p.h
+++ b/src/steering/fleet_view_p.h
@@ -10,6 +10,7 @@
 #include "steering/admission_p.h"
 #include "steering/backend_choice_p.h"
 #include "steering/node_heartbeat_p.h"
+#include "steering/relay_table_p.h"
 
 namespace larkrack
 {
@@ -66,6 +67,11 @@
 	    const region_name& _region, std::uint64_t _item) const = 0;
 	/// @returns The same as live_nodes(), for nodes of this region only.
 	virtual live_node_counts live_nodes_of_region() const = 0;
+	/// @returns The other live nodes that take requests; none unless overridden.
+	virtual std::vector<relay_candidate> relay_candidates() const
+	{
+		return {};
+	}
 	/// @returns Addresses of the other live nodes of this region.
 	virtual std::vector<std::string> region_addresses() const = 0;
 };
--- a/src/steering/outlier_ejection_p.h
+++ b/src/steering/outlier_ejection_p.h
@@ -63,6 +63,12 @@
 	{
 		return _now < m_ejected_until;
 	}
+	/// Ends an ejection and forgets failures: they were not those of the backend server.
+	void forgive()
+	{
+		m_ejected_until = {};
+		m_failures = 0;
+	}
 
 private:
 	steady_time m_ejected_until{};
--- a/tests/forms/daemon_log_forms_test.cpp
+++ b/tests/forms/daemon_log_forms_test.cpp
@@ -145,6 +145,8 @@
 1919 backend_resting info
 1920 backend_leaving info
 1921 load_level_changed info
+1922 path_lost warning
+1923 path_regained info
 )",
 		    table);
 	}
--- a/tests/forms/event_catalogue_form_test.cpp
+++ b/tests/forms/event_catalogue_form_test.cpp
@@ -101,6 +101,10 @@
 		        "A backend server said beside an answer that it leaves."},
 		    {1921, "load_level_changed", severity::info,
 		        "The load level of a service in a region is in another band."},
+		    {1922, "path_lost", severity::warning,
+		        "This node does not reach the backend servers of a failure domain."},
+		    {1923, "path_regained", severity::info,
+		        "This node reaches the backend servers of a failure domain again."},
 		};
 		CPPUNIT_ASSERT_EQUAL(std::size(known), event_catalogue().size());
 		for (std::size_t i = 0; i < std::size(known); ++i)
