--- a/src/entry_node/backend_registry.cpp
+++ b/src/entry_node/backend_registry.cpp
@@ -47,6 +47,9 @@
 	const auto region = m_region_of.find(_record.domain.text);
 	backend->region = m_region_of.end() == region ? region_name() : region_name(region->second);
 	m_by_service[_record.service].push_back(backend.get());
+	std::vector<backend_server*>& neighbours = m_by_domain[_record.domain];
+	backend->path = neighbours.empty() ? path_use::direct : neighbours.front()->path;
+	neighbours.push_back(backend.get());
 	return backend;
 }
 
@@ -56,6 +59,8 @@
 	_backend.close_idle();
 	std::vector<backend_state*>& siblings = m_by_service[_backend.registered.service];
 	siblings.erase(std::remove(siblings.begin(), siblings.end(), &_backend), siblings.end());
+	std::vector<backend_server*>& neighbours = m_by_domain[_backend.registered.domain];
+	neighbours.erase(std::remove(neighbours.begin(), neighbours.end(), &_backend), neighbours.end());
 	m_by_hash.erase(_backend.id_hash);
 	m_in_use.erase(&_backend);
 }
@@ -64,7 +69,8 @@
 {
 	backend_ptr& backend = m_by_id[_record.id];
 	if (backend &&
-	    entry_incarnation::same != classify_entry(backend->registered.started_ms, _record.started_ms))
+	    (entry_incarnation::same != classify_entry(backend->registered.started_ms, _record.started_ms) ||
+	        backend->registered.domain != _record.domain))
 	{
 		remove_incarnation(*backend);
 		backend.reset();
@@ -167,6 +173,24 @@
 	return m_by_service.end() == it ? s_empty : it->second;
 }
 
+const std::vector<backend_server*>& backend_registry::of_domain(const domain_name& _domain) const
+{
+	static const std::vector<backend_server*> s_empty;
+	const auto it = m_by_domain.find(_domain);
+	return m_by_domain.end() == it ? s_empty : it->second;
+}
+
+std::vector<domain_name> backend_registry::domains() const
+{
+	std::vector<domain_name> names;
+	names.reserve(m_by_domain.size());
+	for (const auto& [domain, backends] : m_by_domain)
+	{
+		names.push_back(domain);
+	}
+	return names;
+}
+
 backend_server* backend_registry::find_incarnation(std::uint32_t _hash) const
 {
 	const auto it = m_by_hash.find(_hash);
--- a/src/entry_node/backend_registry_p.h
+++ b/src/entry_node/backend_registry_p.h
@@ -19,6 +19,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -93,6 +94,10 @@
 	}
 	/// @returns Backend servers of a service.
 	const std::vector<backend_state*>& of_service(const service_name& _service) const;
+	/// @returns Backend servers in a failure domain, of all services.
+	const std::vector<backend_server*>& of_domain(const domain_name& _domain) const;
+	/// @returns Failure domains that have or had backend servers.
+	std::vector<domain_name> domains() const;
 	/// Replaces the numbers of requests that another node has in flight.
 	void set_in_flight_of_node(const node_name& _node, const in_flight_counts& _counts);
 	/// Marks a backend server as in use, when a request is sent to it.
@@ -133,6 +138,7 @@
 	std::vector<region_name> m_regions;
 	std::unordered_map<backend_id, backend_ptr> m_by_id;
 	std::unordered_map<service_name, std::vector<backend_state*>> m_by_service;
+	std::map<domain_name, std::vector<backend_server*>> m_by_domain;
 	std::unordered_map<std::uint32_t, backend_server*> m_by_hash;
 	std::unordered_map<node_name, in_flight_counts> m_in_flight_of_node;
 	/// All backend servers with requests of this node in flight; may hold others too.
--- a/src/entry_node/entry_node.cpp
+++ b/src/entry_node/entry_node.cpp
@@ -22,7 +22,10 @@
 /// Share of the other descriptors that connections of callers may use; the rest is for connections to backend
 /// servers. Higher: requests wait for connections to backend servers. Lower: callers are refused sooner.
 constexpr double k_caller_descriptors = 0.6;
-/// Maximum number of connections to each of the other listeners: readiness, lookups, peers, metrics. Higher:
+/// Maximum number of connections of other nodes, which send queries and requests to forward. Higher: more
+/// memory. Lower: requests of nodes without a path to backend servers are refused.
+constexpr std::size_t k_peer_connections = 768;
+/// Maximum number of connections to each of the other listeners: readiness, lookups, metrics. Higher:
 /// more memory under abuse. Lower: lookups of a large region are refused.
 constexpr std::size_t k_other_connections = 256;
 /// Minimum number of descriptors that are divided, however few the settings permit.
@@ -32,6 +35,10 @@
 /// and vanished backend servers are updated later. Shorter: more processor time in large fleets.
 constexpr std::chrono::milliseconds k_max_tick_interval{250};
 
+/// Bytes of a relayed request beside the caller's head and body: the other fields, and headers that this node
+/// adds.
+constexpr std::uint64_t k_relay_message_bytes = 8192;
+
 tcp::endpoint to_tcp(const endpoint& _endpoint)
 {
 	return {asio::ip::make_address(_endpoint.host), _endpoint.port};
@@ -99,14 +106,40 @@
           {
 	          write_block(_block);
           }),
+      m_paths(m_context, m_clock, m_backends, m_fleet, region_name(_settings.place.region), m_log,
+          [this](const relay_candidate& _node, const std::string& _body, node_paths::response_handler _handler)
+          {
+	          ask_for_paths(_node, _body, std::move(_handler));
+          },
+          {[this]
+              {
+	              m_forwarder.retry_waiting_requests();
+              },
+              [this](const domain_name& _domain)
+              {
+	              m_forwarder.abandon_exchanges(_domain);
+	              m_relays.abandon_requests(_domain);
+              }}),
+      m_exchanges(m_context, m_clock, _dialect.headers(), region_name(_settings.place.region), m_paths,
+          [this](steady_time::duration _hop)
+          {
+	          m_metrics.observe_relay_hop(to_s(_hop));
+          }),
       m_forwarder(m_context, m_clock, _dialect.headers(), _settings.place, _settings.bounds,
           make_admission_factory(_settings.overload.admission), m_backends, m_fleet, m_quotas, m_rollouts,
-          m_limits, m_crashes, m_log, m_metrics),
+          m_limits, m_crashes, m_exchanges, m_log, m_metrics),
+      m_relays({m_context, m_clock, m_exchanges.names(), m_forwarder.report_listener()}, m_backends, m_paths,
+          m_crashes,
+          [this](const std::string& _ip)
+          {
+	          return m_fleet.is_member_address(_ip);
+          }),
       m_replica(
           m_clock, _dialect.codec(), m_backends, m_log,
           [this](std::shared_ptr<const routing_table> _routes)
           {
 	          m_callers.set_limits(_routes->limits());
+	          set_relay_limits(_routes->limits());
 	          m_forwarder.set_routes(std::move(_routes));
 	          m_quotas.set_routes(m_forwarder.routes()); // customer_quotas skips an older version.
 	          m_backends.set_warmup_times(m_forwarder.routes()->warmup_times());
@@ -146,7 +179,7 @@
           {
 	          answer_peer(_session, _request);
           },
-          k_other_connections),
+          k_peer_connections),
       m_metrics_listener(
           m_context,
           [this](const std::shared_ptr<caller_session>& _session, caller_request&&)
@@ -161,6 +194,10 @@
 	m_forwarder.set_backend_choice(_settings.backend_choice);
 	m_replica.set_rollouts(&m_rollouts);
 	m_replica.set_blocks(&m_crashes);
+	if (_settings.peers)
+	{
+		m_exchanges.set_relay_port(_settings.peers->port, _settings.ip);
+	}
 	m_callers.set_header_check(
 	    [this](const caller_request& _request)
 	    {
@@ -298,7 +335,7 @@
 void entry_node::stop_step()
 {
 	const steady_time::duration passed = m_clock.steady() - m_stop_started_at;
-	const std::size_t busy = m_callers.busy();
+	const std::size_t busy = m_callers.busy() + m_relays.in_flight();
 	const steady_time::duration since_request =
 	    0 == busy ? m_clock.steady() - m_last_request_at : steady_time::duration{};
 	const stop_decision decision = plan_stop({passed, m_settings.grace, busy, since_request});
@@ -310,6 +347,7 @@
 	{
 		m_callers.stop_accepting();
 		m_forwarder.begin_stop();
+		m_relays.begin_stop();
 	}
 	if (decision.end)
 	{
@@ -332,6 +370,15 @@
 	    });
 }
 
+void entry_node::set_relay_limits(caller_limits _limits)
+{
+	_limits.body_bytes += _limits.header_bytes + k_relay_message_bytes;
+	_limits.header_bytes = caller_limits().header_bytes;
+	_limits.header_timeout = caller_limits().header_timeout;
+	_limits.idle_timeout = caller_limits().idle_timeout;
+	m_peers.set_limits(_limits);
+}
+
 void entry_node::write_block(const request_block& _block)
 {
 	start(m_context,
@@ -358,6 +405,8 @@
 	m_quotas.tick();
 	m_limits.tick();
 	m_crashes.tick();
+	m_paths.tick();
+	m_relays.tick();
 	m_rollouts.tick();
 	m_packed_pages.tick(m_clock.steady());
 	// Some of the backend servers are enough to become ready. Affinity keys that run on a backend server that
--- a/src/entry_node/entry_node_answers.cpp
+++ b/src/entry_node/entry_node_answers.cpp
@@ -47,6 +47,16 @@
 void entry_node::answer_peer(const std::shared_ptr<caller_session>& _session, const caller_request& _request)
 {
 	const std::string target(_request.target());
+	if (k_relay_target == target)
+	{
+		m_relays.handle_request(_session, _request);
+		return;
+	}
+	if (k_paths_target == target)
+	{
+		m_relays.handle_path_query(_session, _request);
+		return;
+	}
 	if (0 == target.rfind("/state", 0))
 	{
 		answer_page(_session, target);
@@ -172,6 +182,16 @@
 	    static_cast<double>(m_crashes.blocked()));
 	gauge("block_refusals", "Requests that were refused because they are blocked.",
 	    static_cast<double>(m_crashes.refused()));
+	gauge("broken_paths", "Failure domains whose backend servers this node does not reach itself.",
+	    static_cast<double>(m_paths.broken()));
+	gauge("relay_exchanges", "Requests that were sent to a backend server over another node.",
+	    static_cast<double>(m_exchanges.counters().by_relay));
+	gauge("relay_refusals", "Requests that another node refused to forward, or that did not reach it.",
+	    static_cast<double>(m_exchanges.counters().relay_refusals));
+	gauge("relayed_for_others", "Requests of other nodes that were sent to a backend server.",
+	    static_cast<double>(m_relays.counters().relayed));
+	gauge("relayed_refused", "Requests of other nodes that were not forwarded.",
+	    static_cast<double>(m_relays.counters().refused));
 	gauge("nodes", "Other nodes that were heard of.", static_cast<double>(m_fleet.members().size()));
 	gauge("config_version", "Version of the configuration in force.",
 	    m_forwarder.routes() ? static_cast<double>(m_forwarder.routes()->version()) : 0.0);
--- a/src/entry_node/entry_node_p.h
+++ b/src/entry_node/entry_node_p.h
@@ -14,6 +14,7 @@
 #include "entry_node/entry_settings_p.h"
 #include "entry_node/fleet_p.h"
 #include "entry_node/packed_pages_p.h"
+#include "entry_node/relay_server_p.h"
 #include "entry_node/store_sync_p.h"
 #include "steering/store_start_p.h"
 
@@ -125,6 +126,11 @@
 	/// @returns Version of the configuration in use; 0 when there is none.
 	std::uint64_t routes_version() const;
 
+	/// Sends a query about paths to another node.
+	void ask_for_paths(
+	    const relay_candidate& _node, const std::string& _body, node_paths::response_handler _handler);
+	/// Lets other nodes send whole requests within the limits of callers.
+	void set_relay_limits(caller_limits _limits);
 	/// Writes the evidence about a request that crashes backend servers to the store.
 	void write_block(const request_block& _block);
 	void write_rollout_status(const rollout_status& _status, std::int64_t _expected_revision);
@@ -153,7 +159,10 @@
 	rollouts m_rollouts;
 	backend_limits m_limits;
 	crash_guard m_crashes;
+	node_paths m_paths;
+	exchange_maker m_exchanges;
 	forwarder m_forwarder;
+	relay_server m_relays;
 	state_replica m_replica;
 	std::unique_ptr<store_base> m_store;
 	store_sync m_sync;
--- a/src/entry_node/entry_node_peers.cpp
+++ b/src/entry_node/entry_node_peers.cpp
@@ -38,6 +38,28 @@
 }
 } // namespace
 
+void entry_node::ask_for_paths(
+    const relay_candidate& _node, const std::string& _body, node_paths::response_handler _handler)
+{
+	if (!m_settings.peers)
+	{
+		_handler(std::nullopt);
+		return;
+	}
+	start(m_context,
+	    [this, _node, _body, handler = std::move(_handler)](const yield_context& _yield)
+	    {
+		    const endpoint where{_node.ip, m_settings.peers->port};
+		    result<http_response> reply =
+		        m_peer_caller.call(where, make_request(http::verb::post, k_paths_target, where, _body),
+		            k_peer_fetch_timeout, _yield);
+		    const http_response* response = value_of(reply);
+		    const bool valid = nullptr != response && http::status::ok == response->result() &&
+		                       k_relay_content_type == (*response)[http::field::content_type];
+		    handler(valid ? std::make_optional(response->body()) : std::nullopt);
+	    });
+}
+
 void entry_node::receive_datagrams()
 {
 	m_datagram_socket.async_receive_from(asio::buffer(m_datagram_buffer), m_datagram_sender,
--- a/src/entry_node/fleet_answers.cpp
+++ b/src/entry_node/fleet_answers.cpp
@@ -268,6 +268,20 @@
 	return latest;
 }
 
+std::vector<relay_candidate> fleet::relay_candidates() const
+{
+	const steady_time now = m_clock.steady();
+	std::vector<relay_candidate> nodes;
+	for (const auto& [name, member] : m_members)
+	{
+		if (node_state::ready == member.last.state && alive(member, now))
+		{
+			nodes.push_back({member.last.ip, member.last.region, member.last.domain});
+		}
+	}
+	return nodes;
+}
+
 const live_summary& fleet::live() const
 {
 	const steady_time now = m_clock.steady();
--- a/src/entry_node/fleet_p.h
+++ b/src/entry_node/fleet_p.h
@@ -153,6 +153,12 @@
 	responsible_nodes responsible_in_region(const region_name& _region, std::uint64_t _thing) const override;
 	live_node_counts live_nodes_of_region() const override;
 	std::vector<std::string> region_addresses() const override;
+	std::vector<relay_candidate> relay_candidates() const override;
+	/// @returns Whether a node of the fleet has that address.
+	bool is_member_address(const std::string& _ip) const
+	{
+		return m_member_ips.end() != m_member_ips.find(_ip);
+	}
 
 	/// @returns Whether another node is known and counts as live.
 	bool is_live(const node_name& _node) const;
--- a/src/entry_node/forwarded_request.cpp
+++ b/src/entry_node/forwarded_request.cpp
@@ -255,6 +255,10 @@
 	{
 		line.text("customer", m_customer->name.text);
 	}
+	if (!m_relay.empty())
+	{
+		line.text("relay", m_relay);
+	}
 	describe_admission(line);
 	m_context.log.write(line);
 }
--- a/src/entry_node/forwarded_request_admission.cpp
+++ b/src/entry_node/forwarded_request_admission.cpp
@@ -8,6 +8,13 @@
 
 namespace larkrack
 {
+namespace
+{
+/// Maximum time for which a request waits while it is found out which path works, milliseconds. Longer: more
+/// callers wait in vain. Shorter: requests are refused just before a relay is known.
+constexpr std::chrono::milliseconds k_max_path_wait{600};
+} // namespace
+
 admission_verdict forwarded_request::admit()
 {
 	m_admission = m_owner.service_entry(m_service).admission.get();
@@ -81,7 +88,12 @@
 	m_state = state::queued;
 	m_queued_at = now;
 	++m_context.counters.queued;
-	wait_until_over(decision.wait_until - now);
+	steady_time::duration wait = decision.wait_until - now;
+	if (m_none_usable && m_context.exchanges.examining())
+	{
+		wait = std::max<steady_time::duration>(wait, k_max_path_wait);
+	}
+	wait_until_over(wait);
 }
 
 void forwarded_request::wait_until_over(steady_time::duration _wait)
@@ -126,6 +138,11 @@
 		wait_until_over(decision.wait_until - now);
 		return;
 	}
+	if (m_none_usable && m_history.unsent > 0)
+	{
+		refuse(reason::unreachable);
+		return;
+	}
 	refuse_by(decision);
 }
 
--- a/src/entry_node/forwarded_request_attempts.cpp
+++ b/src/entry_node/forwarded_request_attempts.cpp
@@ -163,6 +163,7 @@
 	}
 	m_only_limited = !slot_may_free && !m_without_token.empty();
 	m_only_resting = !slot_may_free && steady_time{} != m_first_return_at;
+	m_none_usable = !slot_may_free && !m_only_limited && !m_only_resting;
 	if (state::queued == m_state && rest_exceeds_wait())
 	{
 		refuse(reason::resting);
@@ -230,10 +231,9 @@
 
 void forwarded_request::send_to(const backend_ptr& _backend)
 {
-	const auto left = to_ms(m_deadline - m_context.clock.steady());
-	upstream_request request;
-	request.bytes = std::make_shared<const std::string>(upstream_request_bytes(m_request, m_context.names,
-	    left, _backend->registered.id, nullptr == m_customer ? customer_name() : m_customer->name));
+	upstream_request request = make_upstream_request(m_request, m_context.names, _backend->registered.id,
+	    nullptr == m_customer ? customer_name() : m_customer->name);
+	request.time_left = to_ms(m_deadline - m_context.clock.steady());
 	request.request_id = m_request_id;
 	request.head = http::verb::head == m_request.method();
 	service_steering& steering = m_owner.service_entry(m_service).steering;
@@ -246,13 +246,17 @@
 	m_admission->on_sent(m_admission_request, m_sent_at);
 	note_expected(*_backend);
 	++m_context.counters.attempts;
-	m_exchange =
-	    std::make_shared<upstream_exchange>(m_context.io, m_context.clock, m_context.names, m_context.reports,
-	        _backend, std::move(request), connect_timeout(_backend->region == m_context.region),
-	        [self = shared_from_this()](exchange_result&& _result)
-	        {
-		        self->on_result(std::move(_result));
-	        });
+	if (path_use::by_relay == _backend->path)
+	{
+		request.fingerprint = fingerprint();
+	}
+	m_exchange = m_context.exchanges.make(_backend, std::move(request), m_home_regions.regions,
+	    m_context.reports,
+	    [self = shared_from_this()](exchange_result&& _result)
+	    {
+		    self->on_result(std::move(_result));
+	    });
+	m_relay = m_exchange->relay();
 	m_exchange->start();
 }
 
@@ -273,7 +277,14 @@
 		return;
 	}
 	report_attempt(*backend, end_of(_result));
-	report_exchange(backend, _result);
+	if (m_relay.empty())
+	{
+		report_exchange(backend, _result); // A relay reports in place of this node.
+	}
+	if (exchange_outcome::not_sent == _result.end)
+	{
+		m_unsent.push_back(backend->registered.id);
+	}
 	note_exchange_end(*backend, _result);
 	if (version_side::target == m_versions.side)
 	{
@@ -290,7 +301,7 @@
 	}
 	else
 	{
-		log_failed_attempt(*backend, _result.detail);
+		log_failed_attempt(*backend, _result.detail.c_str());
 	}
 	note_attempt_end(end_of(_result), service_time_s);
 	apply_rule(attempt_rule_for(end_of(_result), m_route->repeat), std::move(_result));
@@ -299,7 +310,14 @@
 
 void forwarded_request::apply_rule(const attempt_rule& _rule, exchange_result&& _result)
 {
-	m_history.count(_rule);
+	if (_result.relay_failed)
+	{
+		++m_history.relay_failures;
+	}
+	else
+	{
+		m_history.count(_rule);
+	}
 	if (_rule.forward_response)
 	{
 		respond(std::move(*_result.response), outcome::served, reason::none);
@@ -316,6 +334,10 @@
 	{
 		return;
 	}
+	if (may_retry && retry_allowance::free_while_unsent == _rule.allowance && wait_for_paths())
+	{
+		return;
+	}
 	if (may_retry && retry_allowance::never != _rule.allowance && take_retry() && try_send())
 	{
 		return;
@@ -323,6 +345,39 @@
 	finish_with(response_without_retry(m_history, _rule.why));
 }
 
+bool forwarded_request::wait_for_paths()
+{
+	if (!m_context.exchanges.examining())
+	{
+		return false;
+	}
+	const auto is_unsent = [this](const backend_id& _id)
+	{
+		return m_unsent.end() != std::find(m_unsent.begin(), m_unsent.end(), _id);
+	};
+	m_tried.erase(std::remove_if(m_tried.begin(), m_tried.end(), is_unsent), m_tried.end());
+	m_unsent.clear();
+	m_none_usable = true;
+	join_queue();
+	return true;
+}
+
+bool forwarded_request::can_abandon(const domain_name& _domain) const
+{
+	const bool waits_directly = state::sent == m_state && m_exchange && m_exchange->relay().empty() &&
+	                            m_exchange->backend()->registered.domain == _domain;
+	return waits_directly && (!m_exchange->sent() || repeat_rule::repeatable == m_route->repeat);
+}
+
+void forwarded_request::abandon_exchange()
+{
+	exchange_result result;
+	result.end = m_exchange->sent() ? exchange_outcome::lost : exchange_outcome::not_sent;
+	result.detail = "path_lost";
+	m_exchange->cancel(std::chrono::milliseconds(0));
+	on_result(std::move(result));
+}
+
 bool forwarded_request::take_retry()
 {
 	if (attempts_exhausted(m_history, m_route->max_attempts))
@@ -346,7 +401,8 @@
 
 void forwarded_request::report_attempt(const backend_server& _backend, attempt_end _end)
 {
-	if (attempt_end::not_run == _end || attempt_end::not_sent == _end)
+	const bool by_path = attempt_end::lost == _end && m_context.exchanges.in_doubt(_backend);
+	if (attempt_end::not_run == _end || attempt_end::not_sent == _end || by_path)
 	{
 		return;
 	}
@@ -365,12 +421,17 @@
 
 void forwarded_request::log_failed_attempt(const backend_server& _backend, const char* _why)
 {
-	m_context.log.write(log_line(event::attempt_failed)
-	                        .text("id", m_request_id)
-	                        .text("service", m_service.text)
-	                        .text("backend", _backend.registered.id.text)
-	                        .text("why", _why)
-	                        .decimal("busy", _backend.estimated_load(m_context.clock.steady()))
-	                        .number("ms", to_ms(m_context.clock.steady() - m_sent_at).count()));
+	log_line line(event::attempt_failed);
+	line.text("id", m_request_id)
+	    .text("service", m_service.text)
+	    .text("backend", _backend.registered.id.text)
+	    .text("why", _why)
+	    .decimal("busy", _backend.estimated_load(m_context.clock.steady()))
+	    .number("ms", to_ms(m_context.clock.steady() - m_sent_at).count());
+	if (!m_relay.empty())
+	{
+		line.text("relay", m_relay);
+	}
+	m_context.log.write(line);
 }
 } // namespace larkrack
--- a/src/entry_node/forwarded_request_p.h
+++ b/src/entry_node/forwarded_request_p.h
@@ -44,6 +44,11 @@
 	/// @returns False when the request has to wait for a slot; true when it was sent, waits for a token or
 	/// was refused.
 	bool try_send();
+	/// @returns Whether the request waits for a response over a direct connection to a failure domain, and
+	/// may be sent another way.
+	bool can_abandon(const domain_name& _domain) const;
+	/// Ends the running exchange as not sent or lost.
+	void abandon_exchange();
 
 private:
 	enum class state
@@ -150,6 +155,9 @@
 	void on_result(exchange_result&& _result);
 	/// Acts on the rule for the end of an attempt: responds, retries or refuses.
 	void apply_rule(const attempt_rule& _rule, exchange_result&& _result);
+	/// Queues a request that has reached no backend server while a path is in doubt.
+	/// @returns Whether it was queued.
+	bool wait_for_paths();
 	/// Charges another attempt to the retry budget unless the attempt is free.
 	/// @returns Whether another attempt may be made.
 	bool take_retry();
@@ -188,10 +196,12 @@
 	steady_time m_token_wait_since{}; ///< First wait for a backend server's token; epoch: none.
 	asio::steady_timer m_deadline_timer;
 	asio::steady_timer m_wait_timer;
-	std::shared_ptr<upstream_exchange> m_exchange; ///< Null between two attempts.
+	std::shared_ptr<exchange_base> m_exchange; ///< Null between two attempts.
 	/// Failure response of a backend server, passed on if no later attempt succeeds.
 	std::optional<caller_response> m_kept_response;
 	std::vector<backend_id> m_tried;
+	std::vector<backend_id> m_unsent; ///< Those of m_tried that received nothing.
+	std::string m_relay;              ///< Address of the node that forwarded the last attempt; empty: none.
 	/// Backend servers that rejected the request once although they reported free slots.
 	std::vector<backend_id> m_rejected_with_free_slots;
 	backend_choice_reason m_choice_reason = backend_choice_reason::none_usable; ///< Of the last choice.
@@ -208,6 +218,7 @@
 	std::optional<request_fingerprint> m_fingerprint;
 	trial_state m_trial = trial_state::none;
 	bool m_has_token = false;        ///< Holds a token of the customer's quota.
+	bool m_none_usable = false;      ///< Last try_send() found no usable backend server.
 	bool m_only_limited = false;     ///< Last try_send() failed only because limits were used up.
 	bool m_only_resting = false;     ///< Last try_send() failed only because backend servers rest.
 	steady_time m_first_return_at{}; ///< Earliest end of these rests; epoch: none rests.
--- a/src/entry_node/forwarder.cpp
+++ b/src/entry_node/forwarder.cpp
@@ -29,15 +29,15 @@
     const placement& _placement, shared_bounds _bounds, admission_factory _make_admission,
     backend_registry& _backends, const fleet_view_base& _fleet, quota_admission_base& _quotas,
     rollout_routing_base& _rollouts, limit_admission_base& _limits, crash_admission_base& _crashes,
-    entry_log& _log, metrics& _metrics)
+    exchange_maker_base& _exchanges, entry_log& _log, metrics& _metrics)
     : m_reports(_context, _clock, _limits, _log,
           [this]
           {
 	          retry_waiting_requests();
           }),
       m_context{_context, _clock, std::move(_names), region_name(_placement.region),
-          domain_name(_placement.domain), _backends, _fleet, _quotas, _rollouts, _limits, _crashes, m_reports,
-          _log, _metrics, std::minstd_rand(static_cast<unsigned>(_clock.steady().time_since_epoch().count())),
+          domain_name(_placement.domain), _backends, _fleet, _quotas, _rollouts, _limits, _crashes,
+          _exchanges, m_reports, _log, _metrics, std::minstd_rand(static_cast<unsigned>(_clock.steady().time_since_epoch().count())),
           {}, {}, {}, {}, false},
       m_bounds(_bounds), m_make_admission(std::move(_make_admission))
 {
@@ -223,6 +223,22 @@
 	return levels;
 }
 
+void forwarder::abandon_exchanges(const domain_name& _domain)
+{
+	std::vector<request_ptr> requests;
+	for (const auto& [number, request] : m_requests)
+	{
+		if (request->can_abandon(_domain))
+		{
+			requests.push_back(request);
+		}
+	}
+	for (const request_ptr& request : requests)
+	{
+		request->abandon_exchange();
+	}
+}
+
 void forwarder::retry_waiting_requests()
 {
 	for (auto& [name, service] : m_services)
--- a/src/entry_node/forwarder_p.h
+++ b/src/entry_node/forwarder_p.h
@@ -16,8 +16,8 @@
 #include "entry_node/crash_guard_p.h"
 #include "entry_node/customer_quotas_p.h"
 #include "entry_node/entry_log_p.h"
+#include "entry_node/exchange_maker_p.h"
 #include "entry_node/rollouts_p.h"
-#include "entry_node/upstream_p.h"
 #include "steering/fleet_view_p.h"
 #include "steering/load_level_log_p.h"
 #include "steering/loop_gap_p.h"
@@ -71,6 +71,7 @@
 	rollout_routing_base& rollouts;
 	limit_admission_base& limits;
 	crash_admission_base& crashes;
+	exchange_maker_base& exchanges;
 	backend_report_listener_base& reports;
 	entry_log& log;
 	metrics& exported_metrics;
@@ -105,7 +106,7 @@
 	    const placement& _placement, shared_bounds _bounds, admission_factory _make_admission,
 	    backend_registry& _backends, const fleet_view_base& _fleet, quota_admission_base& _quotas,
 	    rollout_routing_base& _rollouts, limit_admission_base& _limits, crash_admission_base& _crashes,
-	    entry_log& _log, metrics& _metrics);
+	    exchange_maker_base& _exchanges, entry_log& _log, metrics& _metrics);
 	~forwarder() override;
 
 	/// Accepts a request of a caller.
@@ -129,6 +130,9 @@
 	}
 	/// Tries to send queued requests again; call it when backend servers were added or changed.
 	void retry_waiting_requests() override;
+	/// Ends direct exchanges with the backend servers of a failure domain whose path is broken, so that their
+	/// requests are sent another way if they may be.
+	void abandon_exchanges(const domain_name& _domain);
 	/// Updates rates, and at longer intervals the shares of regions; call it at a steady interval.
 	void tick();
 	/// @returns Arriving requests of callers at this node, without retries.
@@ -143,6 +147,11 @@
 	}
 	/// @returns Load level of each service and region that ever had one.
 	rate_by_service_and_region load_levels() const;
+	/// @returns Receiver of the reports of backend servers, also for exchanges that others start.
+	backend_report_listener_base& report_listener()
+	{
+		return m_reports;
+	}
 	const forwarder_counters& counters() const
 	{
 		return m_context.counters;
--- a/src/entry_node/http_listener_p.h
+++ b/src/entry_node/http_listener_p.h
@@ -59,6 +59,11 @@
 	{
 		return m_address_hash;
 	}
+	/// @returns Address of the caller, without the port.
+	std::string address() const
+	{
+		return m_address.to_string();
+	}
 	/// @returns Whether a request waits for its response.
 	bool busy() const
 	{
@@ -87,6 +92,7 @@
 
 	tcp::socket m_socket;
 	http_listener& m_listener;
+	asio::ip::address m_address;
 	std::uint64_t m_address_hash;
 	asio::steady_timer m_timer;
 	beast::flat_buffer m_buffer;
--- /dev/null
+++ b/src/entry_node/relay_client.cpp
@@ -0,0 +1,222 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "entry_node/relay_client_p.h"
+
+namespace larkrack
+{
+namespace
+{
+/// Maximum idle time of a reused connection to a relay, milliseconds; shorter than the relay's own.
+constexpr std::chrono::milliseconds k_max_idle{4000};
+
+backend_signal signal_of(const relay_result& _message)
+{
+	switch (_message.result.end)
+	{
+	case exchange_outcome::answered:
+		return backend_signal::answered;
+	case exchange_outcome::not_run:
+		return backend_signal::refused;
+	case exchange_outcome::not_sent:
+		return _message.unreachable ? backend_signal::unreachable : backend_signal::not_tried;
+	case exchange_outcome::lost:
+		break;
+	}
+	return backend_signal::lost;
+}
+} // namespace
+
+relay_exchange::relay_exchange(const exchange_services& _services, relay_connections& _connections,
+    relay_listener_base& _listener, std::string _relay_ip, backend_ptr _backend, upstream_request _request,
+    std::chrono::milliseconds _connect_timeout, handler _handler)
+    : m_services(_services), m_connections(_connections), m_listener(_listener),
+      m_relay_ip(std::move(_relay_ip)), m_backend(std::move(_backend)), m_request(std::move(_request)),
+      m_connect_timeout(_connect_timeout), m_handler(std::move(_handler)), m_timer(_services.io),
+      m_reports(_services.clock, _services.names, _services.reports, m_backend, true)
+{
+	const endpoint where{m_relay_ip, m_connections.port};
+	m_message = make_request(http::verb::post, k_relay_target, where,
+	    encode(relay_request{m_backend->registered.id, m_backend->registered.started_ms, m_request}));
+	m_message.set(http::field::content_type, "application/cbor");
+}
+
+void relay_exchange::start()
+{
+	++m_backend->load.in_flight;
+	m_connection = m_connections.pool.take({m_relay_ip, m_connections.port}, k_max_idle);
+	if (m_connection)
+	{
+		write();
+		return;
+	}
+	connect();
+}
+
+void relay_exchange::connect()
+{
+	m_connection = std::make_shared<client_connection>(m_services.io.get_executor());
+	beast::error_code failed;
+	const tcp::endpoint where(asio::ip::make_address(m_relay_ip, failed), m_connections.port);
+	tcp::socket& socket = m_connection->stream.socket();
+	socket.open(tcp::v4(), failed);
+	if (!m_connections.own_address.empty())
+	{
+		// The relay knows this node by its address. Without the address it refuses the request.
+		beast::error_code ignored;
+		socket.bind({asio::ip::make_address(m_connections.own_address, ignored), 0}, ignored);
+	}
+	m_timer.expires_after(m_connect_timeout);
+	m_timer.async_wait(
+	    [self = shared_from_this()](beast::error_code _error)
+	    {
+		    if (!_error && !self->m_done && !self->m_sent)
+		    {
+			    self->fail_relay("relay_timeout");
+		    }
+	    });
+	socket.async_connect(where,
+	    [self = shared_from_this(), connection = m_connection](beast::error_code _error)
+	    {
+		    if (self->m_done)
+		    {
+			    return;
+		    }
+		    if (_error)
+		    {
+			    self->fail_relay("relay_unreachable");
+			    return;
+		    }
+		    beast::error_code ignored; // Without the option small packets are only delayed.
+		    connection->stream.socket().set_option(tcp::no_delay(true), ignored);
+		    self->write();
+	    });
+}
+
+void relay_exchange::write()
+{
+	if (!m_backend->accepts_requests_now(m_services.clock.steady()))
+	{
+		exchange_result result;
+		result.detail = "not_wanted";
+		result.withheld = true;
+		finish(std::move(result), backend_signal::not_tried);
+		return;
+	}
+	m_sent = true;
+	m_sent_at = m_services.clock.steady();
+	m_timer.cancel();
+	http::async_write(m_connection->stream, m_message,
+	    [self = shared_from_this(), connection = m_connection](beast::error_code _error, std::size_t)
+	    {
+		    self->m_written = !_error; // read() handles the error.
+	    });
+	read();
+}
+
+void relay_exchange::read()
+{
+	m_parser.emplace();
+	m_parser->body_limit(INT64_MAX); // A download may have any length.
+	http::async_read(m_connection->stream, m_connection->buffer, *m_parser,
+	    [self = shared_from_this(), connection = m_connection](beast::error_code _error, std::size_t)
+	    {
+		    if (self->m_done)
+		    {
+			    return;
+		    }
+		    if (_error)
+		    {
+			    self->m_listener.on_relay_refused(self->m_relay_ip);
+			    self->fail(exchange_outcome::lost, "relay_lost", backend_signal::not_tried);
+			    return;
+		    }
+		    self->on_response();
+	    });
+}
+
+void relay_exchange::on_response()
+{
+	const bool understood = http::status::ok == m_parser->get().result() &&
+	                        k_relay_content_type == m_parser->get()[http::field::content_type];
+	if (!understood)
+	{
+		fail_relay("relay_refused");
+		return;
+	}
+	result<relay_result> decoded = decode_relay_result(m_parser->get().body());
+	relay_result* message = value_of(decoded);
+	if (nullptr == message)
+	{
+		fail(exchange_outcome::lost, "relay_broken_answer", backend_signal::not_tried);
+		return;
+	}
+	if (m_written && m_parser->get().keep_alive())
+	{
+		m_connections.pool.give({m_relay_ip, m_connections.port},
+		    std::make_unique<client_connection>(std::move(*m_connection)));
+		m_connection.reset();
+	}
+	m_listener.on_relayed(m_services.clock.steady() - m_sent_at - message->taken);
+	if (message->result.response)
+	{
+		m_reports.read(*message->result.response, true);
+	}
+	if (exchange_outcome::answered != message->result.end)
+	{
+		message->result.response.reset();
+	}
+	finish(std::move(message->result), signal_of(*message));
+}
+
+void relay_exchange::fail_relay(const char* _detail)
+{
+	m_listener.on_relay_refused(m_relay_ip);
+	exchange_result result;
+	result.detail = _detail;
+	result.relay_failed = true;
+	finish(std::move(result), backend_signal::not_tried);
+}
+
+void relay_exchange::fail(exchange_outcome _end, const char* _detail, backend_signal _signal)
+{
+	exchange_result result;
+	result.end = _end;
+	result.detail = _detail;
+	finish(std::move(result), _signal);
+}
+
+void relay_exchange::finish(exchange_result&& _result, backend_signal _signal)
+{
+	m_done = true;
+	--m_backend->load.in_flight;
+	m_backend->on_exchange_end(_signal, m_services.clock.steady(),
+	    _result.slots_free ? refusal_report::slots_free : refusal_report::none);
+	close();
+	const handler decided = std::exchange(m_handler, nullptr);
+	decided(std::move(_result));
+}
+
+void relay_exchange::close()
+{
+	m_timer.cancel();
+	if (m_connection)
+	{
+		beast::error_code ignored; // The connection is discarded in any case.
+		m_connection->stream.socket().close(ignored);
+		m_connection.reset();
+	}
+}
+
+void relay_exchange::cancel(std::chrono::milliseconds)
+{
+	if (m_done)
+	{
+		return;
+	}
+	m_done = true;
+	m_handler = nullptr;
+	--m_backend->load.in_flight;
+	close();
+}
+} // namespace larkrack
--- /dev/null
+++ b/src/entry_node/relay_server_p.h
@@ -0,0 +1,89 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// Relay: sends requests of other nodes to backend servers that those cannot reach, and returns the results.
+///
+/// The other node has decided on everything but the connection. This node checks what only it knows: that the
+/// sender is a node of the fleet, that the message is one well-formed request, that the backend server is the
+/// incarnation meant and accepts requests of this node, that its own path works, and that time is left. It
+/// never uses a relay itself, so that a request has one further hop at most. It does not count the request as
+/// in flight, since the other node does, and reports a crash of the backend server in its place.
+///
+/// Owns the relayed requests. Relies on the listener for other nodes, and on node_paths.
+#pragma once
+
+#include "entry_node/crash_guard_p.h"
+#include "entry_node/relay_messages_p.h"
+#include "entry_node/upstream_p.h"
+#include "steering/loop_gap_p.h"
+
+#include <unordered_set>
+
+namespace larkrack
+{
+/// Counters since the start, for the metrics page.
+struct relay_counters
+{
+	std::uint64_t relayed = 0; ///< Requests of other nodes that were sent to a backend server.
+	std::uint64_t refused = 0; ///< Requests of other nodes that were refused.
+};
+
+/// Forwards requests of other nodes.
+class relay_server
+{
+public:
+	/// @returns Whether an address belongs to a node of the fleet.
+	using sender_check = std::function<bool(const std::string& _ip)>;
+
+	relay_server(const exchange_services& _services, backend_registry& _backends, node_paths& _paths,
+	    crash_admission_base& _crashes, sender_check _is_node);
+	~relay_server();
+	relay_server(const relay_server&) = delete;
+	relay_server& operator=(const relay_server&) = delete;
+
+	/// Handles a request to forward.
+	void handle_request(const std::shared_ptr<caller_session>& _session, const caller_request& _request);
+	/// Handles a query about the paths of this node.
+	void handle_path_query(const std::shared_ptr<caller_session>& _session, const caller_request& _request);
+	/// Returns requests that wait for a failure domain whose path is broken now to their senders, as far as they
+	/// may be sent again.
+	void abandon_requests(const domain_name& _domain);
+	/// @returns Requests of other nodes without a result yet.
+	std::size_t in_flight() const
+	{
+		return m_requests.size();
+	}
+	/// Must be called periodically.
+	void tick()
+	{
+		m_gap.on_iteration(m_services.clock.steady());
+	}
+	/// Refuses further requests.
+	void begin_stop()
+	{
+		m_stopping = true;
+	}
+	const relay_counters& counters() const
+	{
+		return m_counters;
+	}
+
+private:
+	class relayed_request;
+	void refuse(const std::shared_ptr<caller_session>& _session, http::status _status);
+	/// @returns Why a request is not sent, or nothing.
+	std::optional<relay_result> reason_not_to_send(const relay_request& _message) const;
+	static void respond(const std::shared_ptr<caller_session>& _session, const relay_result& _result);
+
+	exchange_services m_services;
+	backend_registry& m_backends;
+	node_paths& m_paths;
+	crash_admission_base& m_crashes;
+	sender_check m_is_node;
+	loop_stall_detector m_gap;
+	relay_counters m_counters;
+	std::unordered_set<std::shared_ptr<relayed_request>> m_requests;
+	bool m_stopping = false;
+};
+} // namespace larkrack
--- a/src/entry_node/upstream.cpp
+++ b/src/entry_node/upstream.cpp
@@ -19,8 +19,6 @@
 /// An idle connection is closed this long before the backend server would close it. Longer: more new
 /// connections. Shorter: requests are sent on connections that are being closed.
 constexpr std::chrono::milliseconds k_idle_margin{1000};
-/// Assumed Keep-Alive timeout of a backend server that states none.
-constexpr std::chrono::milliseconds k_default_keep_alive{4000};
 /// Maximum idle time of a connection that is reused for an at-most-once request. Longer: more such requests
 /// are lost on stale connections, and they cannot be retried. Shorter: more new connections.
 constexpr std::chrono::milliseconds k_max_idle_at_most_once{1500};
@@ -121,23 +119,46 @@
 	m_backend->drop_idle(self);
 }
 
-upstream_exchange::upstream_exchange(asio::io_context& _context, const clock_base& _clock,
-    const header_names& _names, backend_report_listener_base& _listener, backend_ptr _backend,
-    upstream_request _request, std::chrono::milliseconds _connect_timeout, handler _handler)
-    : m_context(_context), m_clock(_clock), m_names(_names), m_listener(_listener),
-      m_backend(std::move(_backend)), m_request(std::move(_request)), m_connect_timeout(_connect_timeout),
-      m_handler(std::move(_handler)), m_timer(_context)
+upstream_exchange::upstream_exchange(const exchange_services& _services, path_listener_base& _paths,
+    backend_ptr _backend, upstream_request _request, std::chrono::milliseconds _connect_timeout,
+    handler _handler)
+    : m_services(_services), m_paths(_paths), m_backend(std::move(_backend)), m_request(std::move(_request)),
+      m_bytes(std::make_shared<const std::string>(bytes_of_request(m_request, m_request.time_left))),
+      m_reports(_services.clock, _services.names, _services.reports, m_backend, !m_request.relayed),
+      m_connect_timeout(_connect_timeout), m_handler(std::move(_handler)), m_timer(_services.io)
 {
+	m_request.before = {};
+	m_request.after = {};
+}
+
+const std::string& upstream_exchange::relay() const
+{
+	static const std::string s_none;
+	return s_none;
+}
+
+void upstream_exchange::count_in_flight(int _change)
+{
+	m_backend->load.in_flight += m_request.relayed ? 0 : _change;
+	if (_change > 0)
+	{
+		m_paths.on_exchange_start(*m_backend);
+	}
+	else
+	{
+		m_paths.on_exchange_end(*m_backend);
+	}
 }
 
 void upstream_exchange::start()
 {
-	++m_backend->load.in_flight;
+	count_in_flight(1);
+	m_started_at = m_services.clock.steady();
 	const std::chrono::milliseconds max_idle_time =
 	    m_request.at_most_once ? k_max_idle_at_most_once : k_max_idle_repeatable;
 	while (const std::shared_ptr<upstream_connection> connection = m_backend->take_idle())
 	{
-		if (connection->reuse(m_clock.steady(), max_idle_time))
+		if (connection->reuse(m_services.clock.steady(), max_idle_time))
 		{
 			m_connection = connection;
 			write();
@@ -149,15 +170,15 @@
 
 void upstream_exchange::connect()
 {
-	m_connecting_since = m_clock.steady();
-	m_connection = std::make_shared<upstream_connection>(m_context, m_backend);
+	m_connecting_since = m_services.clock.steady();
+	m_connection = std::make_shared<upstream_connection>(m_services.io, m_backend);
 	m_timer.expires_after(m_connect_timeout);
 	m_timer.async_wait(
 	    [self = shared_from_this()](beast::error_code _error)
 	    {
 		    if (!_error && !self->m_done && !self->m_sent)
 		    {
-			    self->fail(exchange_outcome::not_sent, "connect_timeout", backend_signal::unreachable);
+			    self->fail_connect("connect_timeout");
 		    }
 	    });
 	m_connection->socket.async_connect(m_backend->address,
@@ -169,10 +190,11 @@
 		    }
 		    if (_error)
 		    {
-			    self->fail(exchange_outcome::not_sent, "connect_failed", backend_signal::unreachable);
+			    self->fail_connect("connect_failed");
 			    return;
 		    }
-		    self->m_connect_time = self->m_clock.steady() - self->m_connecting_since;
+		    self->m_paths.on_connected(*self->m_backend);
+		    self->m_connect_time = self->m_services.clock.steady() - self->m_connecting_since;
 		    beast::error_code ignored; // Without the option small packets are only delayed.
 		    self->m_connection->socket.set_option(tcp::no_delay(true), ignored);
 		    self->write_if_accepted();
@@ -181,12 +203,12 @@
 
 void upstream_exchange::write_if_accepted()
 {
-	if (m_backend->accepts_requests_now(m_clock.steady()))
+	if (m_backend->accepts_requests_now(m_services.clock.steady()))
 	{
 		write();
 		return;
 	}
-	m_connection->keep_idle(k_default_keep_alive, m_clock.steady());
+	m_connection->keep_idle(k_default_keep_alive, m_services.clock.steady());
 	m_connection.reset();
 	exchange_result result;
 	result.detail = "not_wanted";
@@ -199,8 +221,8 @@
 	m_sent = true;
 	m_timer.cancel();
 	// The response may arrive before the whole request was sent, so reading starts at once.
-	asio::async_write(m_connection->socket, asio::buffer(*m_request.bytes),
-	    [self = shared_from_this(), connection = m_connection, bytes = m_request.bytes](
+	asio::async_write(m_connection->socket, asio::buffer(*m_bytes),
+	    [self = shared_from_this(), connection = m_connection, bytes = m_bytes](
 	        beast::error_code _error, std::size_t)
 	    {
 		    self->m_written = !_error; // read() handles the error.
@@ -241,7 +263,7 @@
 
 bool upstream_exchange::matches_request(const http::response_header<>& _head) const
 {
-	const auto id = _head.find(m_names.request_id);
+	const auto id = _head.find(m_services.names.request_id);
 	return _head.end() == id || id->value() == m_request.request_id;
 }
 
@@ -253,6 +275,7 @@
 		read(); // An interim response (1xx); the final response follows.
 		return;
 	}
+	m_paths.on_response(*m_backend, m_services.clock.steady() - m_started_at);
 	handle_report(m_parser->get());
 	if (m_cancelled)
 	{
@@ -266,8 +289,8 @@
 	}
 	caller_response response = m_parser->release();
 	const bool wrong_server = http::status::misdirected_request == response.result();
-	const bool not_run = wrong_server || has_header(response, m_names.not_run);
-	if (!wrong_server && !is_from_backend(response))
+	const bool not_run = wrong_server || has_header(response, m_services.names.not_run);
+	if (!wrong_server && !m_reports.is_from_backend(response))
 	{
 		fail(exchange_outcome::lost, "unsigned_answer", backend_signal::lost);
 		return;
@@ -298,32 +321,9 @@
 	fail(exchange_outcome::lost, "foreign_answer", backend_signal::lost);
 }
 
-bool upstream_exchange::is_from_backend(const http::response_header<>& _head) const
-{
-	return has_header(_head, m_names.not_run) || has_header(_head, m_names.signature) ||
-	       has_header(_head, m_names.request_id);
-}
-
 void upstream_exchange::handle_report(const http::response_header<>& _head)
 {
-	if (!is_from_backend(_head))
-	{
-		return;
-	}
-	backend_report report =
-	    parse_backend_report(_head, m_names, !has_header(_head, m_names.not_run), m_clock.steady());
-	if (!matches_request(_head) || m_cancelled)
-	{
-		// Load and limit may be outdated, or the exchange is no longer counted. Rest and leaving stay valid.
-		report.load.reset();
-		report.slowness.reset();
-		report.limit.reset();
-	}
-	if (report.load)
-	{
-		apply_load(report);
-	}
-	m_listener.on_backend_report(m_backend, report);
+	m_reports.read(_head, matches_request(_head) && !m_cancelled);
 }
 
 void upstream_exchange::handle_partial_report()
@@ -334,23 +334,9 @@
 	}
 }
 
-void upstream_exchange::apply_load(const backend_report& _report)
-{
-	// The reported load no longer includes the exchange that ends now.
-	--m_backend->load.in_flight;
-	const steady_time now = m_clock.steady();
-	m_backend->load.on_report(*_report.load, now);
-	++m_backend->load.in_flight;
-	m_reported_free_slot = _report.load->has_free_slot();
-	if (_report.slowness)
-	{
-		m_backend->slowness.on_report(*_report.slowness, now);
-	}
-}
-
 refusal_report upstream_exchange::report_of(backend_signal _signal) const
 {
-	const bool free = backend_signal::refused == _signal && m_request.by_completion && m_reported_free_slot;
+	const bool free = backend_signal::refused == _signal && m_request.by_completion && m_reports.reported_free_slot();
 	return free ? refusal_report::slots_free : refusal_report::none;
 }
 
@@ -361,7 +347,7 @@
 	{
 		return;
 	}
-	m_connection->keep_idle(keep_alive_timeout(_response), m_clock.steady());
+	m_connection->keep_idle(keep_alive_timeout(_response), m_services.clock.steady());
 	m_connection.reset();
 }
 
@@ -373,12 +359,21 @@
 	finish(std::move(result), _signal);
 }
 
+void upstream_exchange::fail_connect(const char* _detail)
+{
+	m_paths.on_connect_failed(*m_backend);
+	exchange_result result;
+	result.detail = _detail;
+	result.no_connection = true;
+	finish(std::move(result), backend_signal::unreachable);
+}
+
 void upstream_exchange::finish(exchange_result&& _result, backend_signal _signal)
 {
 	m_done = true;
 	m_timer.cancel();
-	--m_backend->load.in_flight;
-	m_backend->on_exchange_end(_signal, m_clock.steady(), report_of(_signal));
+	count_in_flight(-1);
+	m_backend->on_exchange_end(_signal, m_services.clock.steady(), report_of(_signal));
 	close_connection();
 	const auto handler = std::move(m_handler);
 	m_handler = nullptr;
@@ -406,7 +401,7 @@
 	}
 	m_handler = nullptr;
 	handle_partial_report();
-	--m_backend->load.in_flight;
+	count_in_flight(-1);
 	m_cancelled = true;
 	if (!m_sent || _linger <= std::chrono::milliseconds(0))
 	{
--- a/src/entry_node/upstream_request_bytes.cpp
+++ b/src/entry_node/upstream_request_bytes.cpp
@@ -39,11 +39,12 @@
 }
 } // namespace
 
-std::string upstream_request_bytes(const caller_request& _request, const header_names& _names,
-    std::chrono::milliseconds _time_left, const backend_id& _target, const customer_name& _customer)
+upstream_request make_upstream_request(const caller_request& _request, const header_names& _names,
+    const backend_id& _target, const customer_name& _customer)
 {
-	std::string bytes;
-	bytes.reserve(k_header_reserve + _request.body().size());
+	upstream_request made;
+	std::string& bytes = made.before;
+	bytes.reserve(k_header_reserve);
 	append_text(bytes, _request.method_string());
 	bytes += ' ';
 	append_text(bytes, _request.target());
@@ -56,19 +57,23 @@
 			append_header(bytes, field.name_string(), field.value());
 		}
 	}
-	append_header(bytes, _names.timeout_ms, std::to_string(std::max<std::int64_t>(1, _time_left.count())));
-	append_header(bytes, _names.target_id, _target.text);
+	bytes += _names.timeout_ms;
+	bytes += ": ";
+	std::string& rest = made.after;
+	rest.reserve(k_header_reserve + _request.body().size());
+	rest += "\r\n";
+	append_header(rest, _names.target_id, _target.text);
 	if (!_customer.empty())
 	{
-		append_header(bytes, _names.customer, _customer.text);
+		append_header(rest, _names.customer, _customer.text);
 	}
 	if (_request.has_content_length() || _request.chunked() || !_request.body().empty())
 	{
-		append_header(bytes, "Content-Length", std::to_string(_request.body().size()));
+		append_header(rest, "Content-Length", std::to_string(_request.body().size()));
 	}
-	bytes += "\r\n";
-	bytes += _request.body();
-	return bytes;
+	rest += "\r\n";
+	rest += _request.body();
+	return made;
 }
 
 caller_response make_response(unsigned _status)
--- a/src/entry_node/upstream_request_bytes_p.h
+++ b/src/entry_node/upstream_request_bytes_p.h
@@ -14,13 +14,12 @@
 
 namespace larkrack
 {
-/// @param[in] _time_left Time until the deadline; the header states at least 1 ms.
 /// @param[in] _target The only backend server that may run the request.
 /// @param[in] _customer Customer that the request belongs to; empty: none.
-/// @returns The caller's request as bytes: without hop-by-hop headers and API key, with headers for the time
-/// left, the target, the customer and the length of the body.
-std::string upstream_request_bytes(const caller_request& _request, const header_names& _names,
-    std::chrono::milliseconds _time_left, const backend_id& _target, const customer_name& _customer);
+/// @returns The caller's request, its bytes set: without hop-by-hop headers and API key, with headers for the
+/// time left, the target, the customer and the length of the body.
+upstream_request make_upstream_request(const caller_request& _request, const header_names& _names,
+    const backend_id& _target, const customer_name& _customer);
 /// @returns A response without a body.
 caller_response make_response(unsigned _status);
 /// @param[in] _retry_after_s Value of Retry-After, seconds.
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -208,6 +208,47 @@
 	std::vector<request_fingerprint> answered;
 };
 
+/// Paths of a node that always uses its own connections.
+class direct_paths : public path_steering_base
+{
+public:
+	void on_exchange_start(const backend_server&) override
+	{
+	}
+	void on_exchange_end(const backend_server&) override
+	{
+	}
+	void on_response(const backend_server&, steady_time::duration) override
+	{
+	}
+	void on_connected(const backend_server&) override
+	{
+	}
+	void on_connect_failed(const backend_server&) override
+	{
+	}
+	bool sends_directly(const backend_server&, bool) override
+	{
+		return true;
+	}
+	std::optional<relay_candidate> choose_relay(
+	    const backend_server&, const std::vector<std::string>&) override
+	{
+		return std::nullopt;
+	}
+	void on_relay_refused(const std::string&) override
+	{
+	}
+	bool examining() const override
+	{
+		return false;
+	}
+	bool in_doubt(const backend_server&) const override
+	{
+		return false;
+	}
+};
+
 /// What a scripted_admission decides and what it was told.
 struct admission_script
 {
@@ -507,9 +548,14 @@
 		bounds.max_shift = 0.15;
 		bounds.retries = {
 		    0.2 / k_retry_used_fraction, 50.0 / k_retry_used_fraction, std::chrono::milliseconds(10000)};
+		m_exchanges = std::make_unique<exchange_maker>(*m_context, m_clock, header_names(),
+		    region_name("east"), m_paths,
+		    [](steady_time::duration)
+		    {
+		    });
 		m_forwarder = std::make_unique<forwarder>(*m_context, m_clock, header_names(),
 		    placement{"n1", "east-a", "east"}, bounds, m_make_admission, *m_registry, m_fleet, m_quotas,
-		    m_rollouts, m_limits, m_crashes, *m_log, m_metrics);
+		    m_rollouts, m_limits, m_crashes, *m_exchanges, *m_log, m_metrics);
 		m_listener = std::make_unique<http_listener>(
 		    *m_context,
 		    [this](const std::shared_ptr<caller_session>& _session, caller_request&& _request)
@@ -530,6 +576,7 @@
 		m_backends.clear();
 		m_listener.reset();
 		m_forwarder.reset();
+		m_exchanges.reset();
 		m_registry.reset();
 		m_context.reset();
 	}
@@ -614,6 +661,8 @@
 	std::unique_ptr<backend_registry> m_registry;
 	std::unique_ptr<entry_log> m_log;
 	metrics m_metrics;
+	direct_paths m_paths;
+	std::unique_ptr<exchange_maker> m_exchanges;
 	std::unique_ptr<forwarder> m_forwarder;
 	std::unique_ptr<http_listener> m_listener;
 	std::vector<std::unique_ptr<scripted_backend>> m_backends;
--- a/tests/node_group_fixture.h
+++ b/tests/node_group_fixture.h
@@ -9,6 +9,8 @@
 
 #include "entry_fixture.h"
 
+#include "entry_node/relay_server_p.h"
+
 #include "steering/node_ring_p.h"
 #include "steering/rendezvous_p.h"
 
@@ -21,6 +23,12 @@
 	return "n" + std::to_string(_number);
 }
 
+/// @returns Address at which a node listens for the other nodes.
+inline std::string peer_address_of(std::size_t _number)
+{
+	return "127.0.1." + std::to_string(_number + 1);
+}
+
 /// Fleet view in which a node sees all others. The address of a node is its number.
 class full_fleet_view : public fleet_view_single_node
 {
@@ -44,6 +52,18 @@
 		const ring_owners owners = m_ring.owners_of(_thing);
 		return {holder(owners.first), holder(owners.backup)};
 	}
+	std::vector<relay_candidate> relay_candidates() const override
+	{
+		std::vector<relay_candidate> others;
+		for (std::size_t i = 0; i < k_group_nodes; ++i)
+		{
+			if (i != m_self)
+			{
+				others.push_back({peer_address_of(i), region_name("east"), domain_name("east-a")});
+			}
+		}
+		return others;
+	}
 	std::vector<std::string> region_addresses() const override
 	{
 		std::vector<std::string> others;
@@ -74,8 +94,8 @@
 	using sender = backend_limits::sender;
 
 	group_node(asio::io_context& _context, const clock_base& _clock, std::size_t _number,
-	    const std::vector<backend_record>& _records, const sender& _send)
-	    : m_clock(_clock), m_fleet(_number),
+	    const std::vector<backend_record>& _records, const sender& _send, std::uint16_t _peer_port)
+	    : m_context(_context), m_clock(_clock), m_fleet(_number),
 	      m_registry(std::unordered_map<std::string, std::string>{{"east-a", "east"}, {"east-b", "east"}}),
 	      m_log(name_of(_number), -1), m_limits(_context, _clock, m_fleet, m_registry,
 	                                       placement{name_of(_number), "east-a", "east"}, m_log, _send),
@@ -83,9 +103,48 @@
 	          [](const request_block&)
 	          {
 	          }),
+	      m_peer_caller(_context.get_executor()),
+	      m_paths(
+	          _context, _clock, m_registry, m_fleet, region_name("east"), m_log,
+	          [this](const relay_candidate& _node, const std::string& _body,
+	              node_paths::response_handler _handler)
+	          {
+		          ask(_node, _body, std::move(_handler));
+	          },
+	          {[this]
+	              {
+		              m_forwarder.retry_waiting_requests();
+	              },
+	              [this](const domain_name& _domain)
+	              {
+		              m_forwarder.abandon_exchanges(_domain);
+		              m_relays.abandon_requests(_domain);
+	              }}),
+	      m_exchanges(_context, _clock, header_names(), region_name("east"), m_paths,
+	          [](steady_time::duration)
+	          {
+	          }),
 	      m_forwarder(_context, _clock, header_names(), placement{name_of(_number), "east-a", "east"},
-	          shared_bounds(), make_admission_factory(admission_kind::arrival), m_registry, m_fleet, m_quotas,
-	          m_rollouts, m_limits, m_crashes, m_log, m_metrics),
+	          group_bounds(), make_admission_factory(admission_kind::arrival), m_registry, m_fleet, m_quotas,
+	          m_rollouts, m_limits, m_crashes, m_exchanges, m_log, m_metrics),
+	      m_relays({_context, _clock, m_exchanges.names(), m_forwarder.report_listener()}, m_registry, m_paths,
+	          m_crashes,
+	          [](const std::string& _ip)
+	          {
+		          return 0 == _ip.find("127.0.1.");
+	          }),
+	      m_peers(
+	          _context,
+	          [this](const std::shared_ptr<caller_session>& _session, const caller_request& _request)
+	          {
+		          if (k_relay_target == _request.target())
+		          {
+			          m_relays.handle_request(_session, _request);
+			          return;
+		          }
+		          m_relays.handle_path_query(_session, _request);
+	          },
+	          1000),
 	      m_listener(
 	          _context,
 	          [this](const std::shared_ptr<caller_session>& _session, caller_request&& _request)
@@ -98,6 +157,9 @@
 		{
 			m_registry.put(record, _clock.steady());
 		}
+		CPPUNIT_ASSERT(
+		    !m_peers.listen(tcp::endpoint(asio::ip::make_address(peer_address_of(_number)), _peer_port)));
+		m_exchanges.set_relay_port(m_peers.address().port(), peer_address_of(_number));
 		m_forwarder.set_routes(entry_fixture::routes(1));
 		CPPUNIT_ASSERT(!m_listener.listen(tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)));
 	}
@@ -105,6 +167,10 @@
 	{
 		return m_listener.address();
 	}
+	std::uint16_t peer_port() const
+	{
+		return m_peers.address().port();
+	}
 	const crash_guard& crashes() const
 	{
 		return m_crashes;
@@ -128,10 +194,35 @@
 	{
 		m_limits.tick();
 		m_crashes.tick();
+		m_paths.tick();
+		m_relays.tick();
 		m_forwarder.tick();
 	}
 
 private:
+	/// @returns Bounds with a retry budget for the few nodes of the group.
+	static shared_bounds group_bounds()
+	{
+		shared_bounds bounds;
+		bounds.retries = {0.2, 50.0, std::chrono::milliseconds(10000)};
+		return bounds;
+	}
+	void ask(const relay_candidate& _node, const std::string& _body, node_paths::response_handler _handler)
+	{
+		start(m_context,
+		    [this, _node, _body, handler = std::move(_handler)](const yield_context& _yield)
+		    {
+			    const endpoint where{_node.ip, peer_port()};
+			    result<http_response> reply =
+			        m_peer_caller.call(where, make_request(http::verb::post, k_paths_target, where, _body),
+			            std::chrono::milliseconds(1000), _yield);
+			    const http_response* response = value_of(reply);
+			    const bool valid = nullptr != response && http::status::ok == response->result();
+			    handler(valid ? std::make_optional(response->body()) : std::nullopt);
+		    });
+	}
+
+	asio::io_context& m_context;
 	const clock_base& m_clock;
 	full_fleet_view m_fleet;
 	scripted_quotas m_quotas;
@@ -141,7 +232,12 @@
 	backend_limits m_limits;
 	crash_guard m_crashes;
 	metrics m_metrics;
+	http_caller m_peer_caller;
+	node_paths m_paths;
+	exchange_maker m_exchanges;
 	forwarder m_forwarder;
+	relay_server m_relays;
+	http_listener m_peers;
 	http_listener m_listener;
 };
 
@@ -180,7 +276,8 @@
 					    m_nodes.at(to)->receive(_bytes, std::to_string(i));
 				    });
 			};
-			m_nodes.push_back(std::make_unique<group_node>(_context, _clock, i, _records.at(i), send));
+			m_nodes.push_back(std::make_unique<group_node>(
+			    _context, _clock, i, _records.at(i), send, m_nodes.empty() ? 0 : at(0).peer_port()));
 		}
 	}
 	group_node& at(std::size_t _number)
