Take a refused connection for a crash only where the path to its neighbours works

What callers saw: a request that ran as several nodes lost their paths was refused at all nodes, as one that crashes backend servers. Cause: crash_probe took it that only an ended process refuses connections. A broken path may reset open ones and refuse new ones, at many backend servers at once, and three of them block the request for the whole fleet. Evidence: partition_test cut_nodes_get_no_popular_request_blocked was red (blocked at the nodes); passes now, as does crashing_request_test, in which a request still is blocked after three crashes.

--- a/src/entry_node/crash_guard.cpp
+++ b/src/entry_node/crash_guard.cpp
@@ -56,6 +56,7 @@
 
 crash_guard::~crash_guard()
 {
+	*m_alive = false;
 	for (auto& [incarnation, suspected] : m_suspected_crashes)
 	{
 		suspected.probe->cancel();
@@ -94,15 +95,32 @@
 }
 
 void crash_guard::on_probed(std::uint32_t _incarnation, bool _crashed)
+{
+	if (!_crashed || nullptr == m_witness)
+	{
+		on_path_confirmed(_incarnation, _crashed);
+		return;
+	}
+	// A broken path may refuse connections too.
+	m_witness->confirm_path(*m_suspected_crashes.at(_incarnation).backend,
+	    [this, alive = m_alive, _incarnation](bool _works)
+	    {
+		    if (*alive)
+		    {
+			    on_path_confirmed(_incarnation, _works);
+		    }
+	    });
+}
+
+void crash_guard::on_path_confirmed(std::uint32_t _incarnation, bool _works)
 {
 	const auto it = m_suspected_crashes.find(_incarnation);
 	const suspected_crash suspected = std::move(it->second);
 	m_suspected_crashes.erase(it);
-	if (!_crashed)
+	if (_works)
 	{
-		return;
+		on_backend_crashed(*suspected.backend, suspected.requests);
 	}
-	on_backend_crashed(*suspected.backend, suspected.requests);
 }
 
 void crash_guard::on_backend_crashed(
--- a/src/entry_node/crash_guard_p.h
+++ b/src/entry_node/crash_guard_p.h
@@ -37,6 +37,7 @@
 #include "entry_node/crash_messages_p.h"
 #include "entry_node/crash_probe_p.h"
 #include "entry_node/entry_log_p.h"
+#include "entry_node/node_paths_p.h"
 #include "steering/crash_evidence_p.h"
 #include "steering/fleet_view_p.h"
 #include "steering/served_lately_p.h"
@@ -101,6 +102,11 @@
 	    writer _write);
 	~crash_guard() override;
 
+	/// Sets who tells a crash from a broken path; without one, each refused connection counts as a crash.
+	void set_path_witness(path_witness_base* _witness)
+	{
+		m_witness = _witness;
+	}
 	bool tracks_head(std::uint64_t _head) const override;
 	bool has_blocked_requests() const override
 	{
@@ -173,6 +179,8 @@
 	};
 
 	void on_probed(std::uint32_t _incarnation, bool _crashed);
+	/// Ends a suspicion: reports the crash, unless the path to the backend server does not work.
+	void on_path_confirmed(std::uint32_t _incarnation, bool _works);
 	/// Reports the crash of a backend server to the counting nodes of a request that it was running, unless
 	/// the request was served recently.
 	void report_crash(std::uint32_t _incarnation, const request_fingerprint& _request);
@@ -212,6 +220,8 @@
 	entry_log& m_log;
 	sender m_send;
 	writer m_write;
+	path_witness_base* m_witness = nullptr;
+	std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 	std::map<std::uint32_t, suspected_crash> m_suspected_crashes; ///< By hash of the incarnation.
 	crash_evidence m_observed;                                    ///< Crashes that this node observed.
 	crash_evidence m_counted; ///< Crashes that any node observed, for requests that this node counts.
--- a/src/entry_node/entry_node.cpp
+++ b/src/entry_node/entry_node.cpp
@@ -194,6 +194,7 @@
 	m_forwarder.set_backend_choice(_settings.backend_choice);
 	m_replica.set_rollouts(&m_rollouts);
 	m_replica.set_blocks(&m_crashes);
+	m_crashes.set_path_witness(&m_paths);
 	if (_settings.peers)
 	{
 		m_exchanges.set_relay_port(_settings.peers->port, _settings.ip);
--- a/tests/node_group_fixture.h
+++ b/tests/node_group_fixture.h
@@ -157,6 +157,7 @@
 		{
 			m_registry.put(record, _clock.steady());
 		}
+		m_crashes.set_path_witness(&m_paths);
 		CPPUNIT_ASSERT(
 		    !m_peers.listen(tcp::endpoint(asio::ip::make_address(peer_address_of(_number)), _peer_port)));
 		m_exchanges.set_relay_port(m_peers.address().port(), peer_address_of(_number));
