Give up unanswered requests only after three usual response times, and only if they may be sent again

What callers saw: 502 at a node that was being stopped, for a request at which its backend server was at work. Cause: once few callers are left, three requests in flight without a response for half a second look like lost responses; the request was given up and sent again as a trial of that path, which was given up at once as well. Why it works: missing responses count after three mean response times, which do not shrink with the rate; only a first attempt is used as a trial; a request without another permitted attempt is left to its deadline. steering_path_test rare_requests_after_busy_time_do_not_break_path fails with the former bound of 500 ms.

--- a/src/entry_node/exchange_maker.cpp
+++ b/src/entry_node/exchange_maker.cpp
@@ -26,7 +26,8 @@
     exchange_base::handler _handler)
 {
 	const exchange_services services{m_context, m_clock, m_names, _reports};
-	const bool directly = 0 == m_connections.port || m_paths.sends_directly(*_backend, _request.at_most_once);
+	const bool may_try = _request.first_attempt && !_request.at_most_once;
+	const bool directly = 0 == m_connections.port || m_paths.sends_directly(*_backend, may_try);
 	const std::optional<relay_candidate> relay =
 	    directly ? std::nullopt : m_paths.choose_relay(*_backend, _homes);
 	if (!relay)
--- a/src/entry_node/forwarded_request_attempts.cpp
+++ b/src/entry_node/forwarded_request_attempts.cpp
@@ -239,6 +239,7 @@
 	service_steering& steering = m_owner.service_entry(m_service).steering;
 	request.by_completion = steering.choice.by_completion();
 	request.at_most_once = repeat_rule::at_most_once == m_route->repeat;
+	request.first_attempt = m_tried.empty();
 	m_state = state::sent;
 	m_tried.push_back(_backend->registered.id);
 	m_context.backends.mark_in_use(*_backend);
@@ -366,7 +367,9 @@
 {
 	const bool waits_directly = state::sent == m_state && m_exchange && m_exchange->relay().empty() &&
 	                            m_exchange->backend()->registered.domain == _domain;
-	return waits_directly && (!m_exchange->sent() || repeat_rule::repeatable == m_route->repeat);
+	const bool may_repeat =
+	    repeat_rule::repeatable == m_route->repeat && m_history.reached + 1 < m_route->max_attempts;
+	return waits_directly && (!m_exchange->sent() || may_repeat);
 }
 
 void forwarded_request::abandon_exchange()
--- a/src/entry_node/node_paths.cpp
+++ b/src/entry_node/node_paths.cpp
@@ -95,7 +95,7 @@
 	}
 }
 
-bool node_paths::sends_directly(const backend_server& _backend, bool _at_most_once)
+bool node_paths::sends_directly(const backend_server& _backend, bool _may_try)
 {
 	if (path_use::by_relay != _backend.path)
 	{
@@ -104,7 +104,7 @@
 	const steady_time now = m_clock.steady();
 	if (m_monitor.unresponsive(domain_of(_backend)))
 	{
-		return !_at_most_once && m_monitor.take_trial(domain_of(_backend), now);
+		return _may_try && m_monitor.take_trial(domain_of(_backend), now);
 	}
 	return _backend.idle_connections > 0 && m_monitor.open_connections_work(domain_of(_backend), now);
 }
--- a/src/entry_node/node_paths_p.h
+++ b/src/entry_node/node_paths_p.h
@@ -43,9 +43,9 @@
 class path_steering_base : public path_listener_base
 {
 public:
-	/// @param[in] _at_most_once Whether the request must not run twice.
+	/// @param[in] _may_try Whether the request may be lost to see whether an unresponsive path works again.
 	/// @returns Whether a request to a backend server is sent over this node's own connections.
-	virtual bool sends_directly(const backend_server& _backend, bool _at_most_once) = 0;
+	virtual bool sends_directly(const backend_server& _backend, bool _may_try) = 0;
 	/// @param[in] _homes Regions that the request must stay in; empty: any.
 	/// @returns The node that forwards a request to a backend server, or nothing.
 	virtual std::optional<relay_candidate> choose_relay(
@@ -101,7 +101,7 @@
 	void on_response(const backend_server& _backend, steady_time::duration _taken) override;
 	void on_connected(const backend_server& _backend) override;
 	void on_connect_failed(const backend_server& _backend) override;
-	bool sends_directly(const backend_server& _backend, bool _at_most_once) override;
+	bool sends_directly(const backend_server& _backend, bool _may_try) override;
 	std::optional<relay_candidate> choose_relay(
 	    const backend_server& _backend, const std::vector<std::string>& _homes) override;
 	void on_relay_refused(const std::string& _ip) override;
--- a/src/steering/path_monitor.cpp
+++ b/src/steering/path_monitor.cpp
@@ -45,8 +45,9 @@
 
 bool response_silence::unresponsive(steady_time _now) const
 {
-	return _now - m_waiting_since >
-	       std::max<steady_time::duration>(k_unresponsive_factor * limit(), k_min_unresponsive);
+	const steady_time::duration least = std::max<steady_time::duration>(
+	    k_min_unresponsive, k_unresponsive_times * m_mean_time);
+	return _now - m_waiting_since > std::max<steady_time::duration>(k_unresponsive_factor * limit(), least);
 }
 
 void path_monitor::on_exchange_start(const domain_name& _domain, steady_time _now)
--- a/src/steering/path_monitor_p.h
+++ b/src/steering/path_monitor_p.h
@@ -18,8 +18,8 @@
 ///   the node counts as cut off from all of them.
 /// - One established connection ends all of that; broken paths are checked at each k_check_interval.
 /// - A path is also broken while connections are established but k_min_unanswered requests have gone without
-///   any response for k_unresponsive_factor times longer than usual: responses may be lost while requests are
-///   not. Only a response ends that; one request in each trial_interval() still goes directly.
+///   any response for k_unresponsive_factor times longer than usual, and for k_unresponsive_times mean response
+///   times: responses may be lost while requests are not. The latter bound holds where requests become rare. Only a response ends that; one request in each trial_interval() still goes directly.
 /// - Open connections may work while new ones fail: responses since the first failure show that.
 ///
 /// "Longer than usual" is k_silent_gaps mean intervals between responses, at least k_min_silence and at most
@@ -71,8 +71,9 @@
 constexpr int k_min_unanswered = 3;
 /// Multiple of the usual time without a response after which it does.
 constexpr int k_unresponsive_factor = 2;
-/// Minimum time without a response after which it does, milliseconds.
-constexpr std::chrono::milliseconds k_min_unresponsive{500};
+/// Minimum time without a response after which it does, milliseconds and mean response times.
+constexpr std::chrono::milliseconds k_min_unresponsive{800};
+constexpr int k_unresponsive_times = 3;
 /// Minimum interval between two requests that are sent directly over an unresponsive path, milliseconds.
 constexpr std::chrono::milliseconds k_path_trial_interval{1000};
 /// Weight of the latest response in the mean interval between responses and the mean response time.
--- a/tests/steering_path_test.cpp
+++ b/tests/steering_path_test.cpp
@@ -35,6 +35,7 @@
 	CPPUNIT_TEST(unanswered_requests_are_checked_sooner_where_responses_are_frequent);
 	CPPUNIT_TEST(slow_responses_of_rare_requests_are_not_checked);
 	CPPUNIT_TEST(established_connections_without_responses_are_unresponsive_until_response);
+	CPPUNIT_TEST(rare_requests_after_busy_time_do_not_break_path);
 	CPPUNIT_TEST(unresponsive_path_gets_one_trial_an_interval);
 	CPPUNIT_TEST(open_connections_work_while_responses_arrive_after_failure);
 	CPPUNIT_TEST(contact_is_unknown_while_path_is_broken);
@@ -120,6 +121,19 @@
 		m_monitor.on_response(k_domain_a, m_now, k_usual_time);
 		CPPUNIT_ASSERT(!m_monitor.broken(k_domain_a));
 	}
+	/// Guards against requests that are given up at a node to which few callers are left.
+	void rare_requests_after_busy_time_do_not_break_path()
+	{
+		const ms time{700};
+		answer_regularly(k_domain_a, k_usual_gap, time, 200);
+		for (int i = 0; i < k_min_unanswered; ++i)
+		{
+			m_monitor.on_exchange_start(k_domain_a, m_now);
+		}
+		m_now += 2 * time;
+		m_monitor.tick(m_now);
+		CPPUNIT_ASSERT(!m_monitor.broken(k_domain_a));
+	}
 	void unresponsive_path_gets_one_trial_an_interval()
 	{
 		CPPUNIT_ASSERT(!m_monitor.take_trial(k_domain_a, m_now));
