Refuse at once where no backend server of a service is usable and no path is in doubt

What callers saw: 503 after 41 ms, the time for which a request waits for a slot, though none could become free. Cause: a request without any usable backend server waited in the queue like one without a free slot. Why it works: only the end of an ejection or a change of the registry would help, which the wait seldom meets; the caller gets the usual time to come back.

--- a/src/entry_node/forwarded_request_admission.cpp
+++ b/src/entry_node/forwarded_request_admission.cpp
@@ -77,6 +77,12 @@
 		refuse(reason::resting);
 		return;
 	}
+	const bool examining = m_none_usable && m_context.exchanges.examining();
+	if (m_none_usable && !examining)
+	{
+		refuse(m_history.unsent > 0 ? reason::unreachable : reason::no_backend); // No slot becomes free.
+		return;
+	}
 	const steady_time now = admission_time();
 	const admission_decision decision = m_admission->on_no_slot(m_admission_request, now);
 	note_decision(decision);
@@ -89,7 +95,7 @@
 	m_queued_at = now;
 	++m_context.counters.queued;
 	steady_time::duration wait = decision.wait_until - now;
-	if (m_none_usable && m_context.exchanges.examining())
+	if (examining)
 	{
 		wait = std::max<steady_time::duration>(wait, k_max_path_wait);
 	}
--- a/src/entry_node/forwarded_request_p.h
+++ b/src/entry_node/forwarded_request_p.h
@@ -13,6 +13,7 @@
 /// | --- | --- | --- |
 /// | initial | no configuration, no route, node stopping, key refused, quota used up | ended |
 /// | initial | admission refuses the request | ended |
+/// | initial | no backend server of the service is usable, and no path is in doubt | ended |
 /// | initial | a backend server can take the request | sent |
 /// | initial | no backend server can take the request | queued |
 /// | initial, queued | blocked, since it crashed backend servers | ended, or initial if granted a trial |
--- a/tests/node_group_fixture.h
+++ b/tests/node_group_fixture.h
@@ -14,6 +14,8 @@
 #include "steering/node_ring_p.h"
 #include "steering/rendezvous_p.h"
 
+#include <unistd.h>
+
 namespace larkrack
 {
 constexpr std::size_t k_group_nodes = 9;
@@ -23,10 +25,19 @@
 	return "n" + std::to_string(_number);
 }
 
+/// @returns Begin of the addresses of this process's nodes, on loopback: test programs may run at once.
+inline std::string peer_network()
+{
+	constexpr int k_values = 250;
+	const int process = getpid();
+	return "127." + std::to_string(1 + process % k_values) + "." + std::to_string(process / k_values % k_values) +
+	       ".";
+}
+
 /// @returns Address at which a node listens for the other nodes.
 inline std::string peer_address_of(std::size_t _number)
 {
-	return "127.0.1." + std::to_string(_number + 1);
+	return peer_network() + std::to_string(_number + 1);
 }
 
 /// Fleet view in which a node sees all others. The address of a node is its number.
@@ -131,7 +142,7 @@
 	          m_crashes,
 	          [](const std::string& _ip)
 	          {
-		          return 0 == _ip.find("127.0.1.");
+		          return 0 == _ip.find(peer_network());
 	          }),
 	      m_peers(
 	          _context,
