Drop a query of path_monitor that only a test called, and move a handler that was copied

Cause: check-unreached and the linter (performance-unnecessary-value-param) refuse both. path_monitor::silent told what due_checks() already decides by; the assertion beside it in slow_responses_of_rare_requests_are_not_checked says the same by due_checks() and stays.

--- a/src/entry_node/node_paths_checks.cpp
+++ b/src/entry_node/node_paths_checks.cpp
@@ -150,11 +150,11 @@
 {
 	const steady_time now = m_clock.steady();
 	const auto pending = std::make_shared<std::size_t>(1);
-	const auto finish = [this, pending, _domains, _handler]
+	const auto finish = [this, pending, _domains, handler = std::move(_handler)]
 	{
 		if (0 == --*pending)
 		{
-			_handler(own_report(_domains));
+			handler(own_report(_domains));
 		}
 	};
 	std::size_t checks = 0;
--- a/src/steering/path_monitor.cpp
+++ b/src/steering/path_monitor.cpp
@@ -202,12 +202,6 @@
 	return last > failing_since && _now - last < k_open_connection_proof;
 }
 
-bool path_monitor::silent(const domain_name& _domain, steady_time _now) const
-{
-	const domain_path* path = find(_domain);
-	return nullptr != path && path->in_flight > 0 && path->responses.silent(_now);
-}
-
 bool path_monitor::check_is_due(const domain_path& _path, steady_time _now) const
 {
 	const steady_time::duration since_check = _now - _path.last_check_at;
--- a/src/steering/path_monitor_p.h
+++ b/src/steering/path_monitor_p.h
@@ -146,8 +146,6 @@
 	bool suspected(const domain_name& _domain) const;
 	/// @returns Whether open connections to a failure domain still get responses.
 	bool open_connections_work(const domain_name& _domain, steady_time _now) const;
-	/// @returns Whether requests in flight at a failure domain have gone unanswered for longer than usual.
-	bool silent(const domain_name& _domain, steady_time _now) const;
 	/// @returns Failure domains for which connections are to be attempted now.
 	std::vector<domain_name> due_checks(steady_time _now) const;
 	/// @returns Backend servers of a failure domain to which a connection failed since one was established.
--- a/tests/steering_path_test.cpp
+++ b/tests/steering_path_test.cpp
@@ -100,7 +100,6 @@
 		m_monitor.on_exchange_start(k_domain_a, m_now);
 		m_now += slow + slow / 2;
 		CPPUNIT_ASSERT(m_monitor.due_checks(m_now).empty());
-		CPPUNIT_ASSERT(!m_monitor.silent(k_domain_a, m_now));
 	}
 	void established_connections_without_responses_are_unresponsive_until_response()
 	{
