--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -34,6 +34,8 @@
 	CPPUNIT_TEST(readers_are_the_same_four_in_every_view);
 	CPPUNIT_TEST(reader_without_connection_to_the_store_is_replaced);
 	CPPUNIT_TEST(readers_in_store_outage_are_only_three);
+	CPPUNIT_TEST(readers_of_a_failure_domain_that_is_cut_off_take_over_in_time);
+	CPPUNIT_TEST(reader_that_hears_nobody_takes_over_in_time);
 	CPPUNIT_TEST(store_response_reported_by_node_of_the_region_is_known);
 	CPPUNIT_TEST(interval_grows_with_the_failure_domain);
 	CPPUNIT_TEST(targets_include_far_node_once_per_cycle);
@@ -282,6 +284,125 @@
 		CPPUNIT_ASSERT_EQUAL(3, readers);
 	}
 
+	/// @returns The nodes of a fleet of nine failure domains in three regions; the first ones are "east-0".
+	static std::vector<node_heartbeat> large_fleet(std::size_t _nodes)
+	{
+		std::vector<node_heartbeat> all;
+		for (std::size_t i = 0; i < _nodes; ++i)
+		{
+			const std::string region = 0 == i % 3 ? "east" : 1 == i % 3 ? "north" : "west";
+			node_heartbeat one = node("n" + std::to_string(i), region);
+			one.domain = domain_name(region + "-" + std::to_string(i / 3 % 3));
+			all.push_back(one);
+		}
+		return all;
+	}
+
+	/// Sends a heartbeat of each node for which a condition holds to a view.
+	template <typename Condition>
+	static void hear(
+	    fleet& _view, const std::vector<node_heartbeat>& _all, std::uint64_t _sequence, const Condition& _heard)
+	{
+		for (node_heartbeat one : _all)
+		{
+			one.sequence = _sequence;
+			if (_heard(one))
+			{
+				_view.on_heartbeat(one);
+			}
+		}
+	}
+
+	/// @returns Time from the cut of a failure domain until one of its nodes reads the store.
+	std::chrono::milliseconds time_until_read(std::size_t _nodes)
+	{
+		const std::vector<node_heartbeat> all = large_fleet(_nodes);
+		// The last failure domain of the region without any of the readers.
+		std::set<std::string> with_reader;
+		std::vector<fleet> views;
+		for (const node_heartbeat& one : all)
+		{
+			if (one.region == region_name("east"))
+			{
+				views.emplace_back(m_clock, one, *m_registry, m_log);
+			}
+		}
+		const auto any = [](const node_heartbeat&)
+		{
+			return true;
+		};
+		for (fleet& view : views)
+		{
+			hear(view, all, 2, any);
+			if (view.reader().reads)
+			{
+				with_reader.insert(view.self().domain.text);
+			}
+		}
+		std::string cut = "east-0";
+		for (const std::string domain : {"east-0", "east-1", "east-2"})
+		{
+			cut = 0 == with_reader.count(domain) ? domain : cut;
+		}
+		const auto same_domain = [&cut](const node_heartbeat& _one)
+		{
+			return _one.domain == domain_name(cut);
+		};
+		constexpr std::chrono::milliseconds k_tick{100};
+		std::chrono::milliseconds passed{0};
+		for (std::uint64_t round = 3; passed < std::chrono::seconds(10); ++round)
+		{
+			for (fleet& view : views)
+			{
+				if (view.self().domain == domain_name(cut) && view.reader().reads)
+				{
+					return passed;
+				}
+			}
+			m_clock.advance(k_tick);
+			passed += k_tick;
+			for (fleet& view : views)
+			{
+				if (view.self().domain == domain_name(cut))
+				{
+					hear(view, all, round, same_domain);
+				}
+			}
+		}
+		return passed;
+	}
+
+	/// Guards the age of the configuration in a failure domain that reaches the store and no other node.
+	void readers_of_a_failure_domain_that_is_cut_off_take_over_in_time()
+	{
+		for (const std::size_t nodes : {std::size_t{12}, std::size_t{65}, std::size_t{295}, std::size_t{986}})
+		{
+			const std::chrono::milliseconds passed = time_until_read(nodes);
+			CPPUNIT_ASSERT_MESSAGE(std::to_string(nodes) + " nodes: " + std::to_string(passed.count()) + " ms",
+			    passed <= std::chrono::milliseconds(1500));
+		}
+	}
+
+	/// Guards the same at a node that reaches the store and no other node.
+	void reader_that_hears_nobody_takes_over_in_time()
+	{
+		for (const std::size_t nodes : {std::size_t{12}, std::size_t{295}, std::size_t{986}})
+		{
+			const std::vector<node_heartbeat> all = large_fleet(nodes);
+			for (std::size_t i = 0; i < 9; ++i)
+			{
+				fleet view(m_clock, all[i], *m_registry, m_log);
+				hear(view, all, 2,
+				    [](const node_heartbeat&)
+				    {
+					    return true;
+				    });
+				m_clock.advance(std::chrono::milliseconds(1500));
+				CPPUNIT_ASSERT_MESSAGE(std::to_string(nodes) + " nodes", view.reader().reads);
+			}
+		}
+	}
+
 	void store_response_reported_by_node_of_the_region_is_known()
 	{
 		fleet view = view_of("n1", 3);
--- a/tests/steering_retry_budget_test.cpp
+++ b/tests/steering_retry_budget_test.cpp
@@ -15,6 +15,7 @@
 {
 	CPPUNIT_TEST_SUITE(steering_retry_budget_test);
 	CPPUNIT_TEST(budget_in_any_window_stays_within_ratio_and_slack);
+	CPPUNIT_TEST(budget_spent_late_in_an_interval_is_not_granted_again_within_the_window);
 	CPPUNIT_TEST(budget_slack_is_divided_by_the_nodes);
 	CPPUNIT_TEST(budget_drops_first_attempts_after_their_window);
 	CPPUNIT_TEST(new_bucket_is_empty_then_grants_at_its_rate);
@@ -72,6 +73,20 @@
 		return granted;
 	}
 
+	/// Guards against a window that forgets an interval before all of its retries are a window old.
+	void budget_spent_late_in_an_interval_is_not_granted_again_within_the_window()
+	{
+		const std::chrono::milliseconds window(10000);
+		retry_budget budget({0.0, 40.0 / k_retry_used_fraction, window});
+		budget.set_nodes(1.0);
+		const steady_time begin{std::chrono::hours(1)};
+		CPPUNIT_ASSERT(budget.spend(begin));
+		const steady_time late = begin + std::chrono::milliseconds(990);
+		CPPUNIT_ASSERT_EQUAL(39, granted(budget, late));
+		CPPUNIT_ASSERT(granted(budget, late + window - std::chrono::milliseconds(1)) <= 1);
+		CPPUNIT_ASSERT(granted(budget, late + 2 * window) >= 39);
+	}
+
 	void budget_slack_is_divided_by_the_nodes()
 	{
 		const steady_time now{std::chrono::hours(1)};
