Read the configuration before a watch that would begin behind it

Cause: a reader sends changes without the configuration, which fits no datagram; the others take the revision of those changes and are to fetch the configuration from a node that has it. Once none is in reach, a node becomes a reader itself, and its watch begins after that revision: the store never sends it the configuration again. Class: one mark of progress for two things that travel apart. Why it works: the replica keeps the revision up to which the configuration is confirmed by the store beside that of all other keys.

--- a/src/entry_node/store_sync.cpp
+++ b/src/entry_node/store_sync.cpp
@@ -8,6 +8,8 @@
 
 #include "larkrack/config.h"
 
+#include <algorithm>
+
 namespace larkrack
 {
 store_sync::store_sync(asio::io_context& _context, const clock_base& _clock, store_base& _store,
@@ -106,19 +108,27 @@
 		return false;
 	}
 	m_replica.replace(reply.values, reply.store_revision);
+	m_replica.on_routes_confirmed(reply.store_revision);
 	m_log.write(log_line(event::store_resynced)
 	                .number("keys", static_cast<std::int64_t>(reply.values.size()))
 	                .number("revision", reply.store_revision));
 	return true;
 }
 
-void store_sync::read_routes(const yield_context& _yield)
+bool store_sync::read_routes(const yield_context& _yield)
 {
+	const std::int64_t known_before = m_replica.revision();
 	const range_reply reply = m_store.range("read_routes", m_codec.routes_key(), false, _yield);
-	if (call_status::done == reply.status && !reply.values.empty())
+	if (call_status::done != reply.status)
+	{
+		return false;
+	}
+	if (!reply.values.empty())
 	{
 		m_replica.apply(reply.values.front());
 	}
+	m_replica.on_routes_confirmed(std::max(known_before, reply.store_revision));
+	return true;
 }
 
 void store_sync::write_rollout_status(
@@ -149,8 +159,14 @@
 
 watch_end store_sync::watch(const yield_context& _yield)
 {
+	if (!m_replica.routes_confirmed() && !read_routes(_yield))
+	{
+		return watch_end::broken;
+	}
+	// Another node may have told of later changes during the read.
+	const std::int64_t known = std::min(m_replica.revision(), m_replica.routes_confirmed_to());
 	return m_store.watch(
-	    "watch", m_codec.prefix(), m_replica.revision() + 1,
+	    "watch", m_codec.prefix(), known + 1,
 	    [this, &_yield](const watch_batch& _batch)
 	    {
 		    record_result(true);
@@ -158,6 +174,7 @@
 		    changes.after = m_replica.revision();
 		    changes.batch = _batch;
 		    m_replica.apply(_batch);
+		    m_replica.on_routes_confirmed(_batch.store_revision);
 		    if (!_batch.puts.empty() || !_batch.deletes.empty())
 		    {
 			    m_coordination.on_store_changes(changes);
--- a/src/entry_node/store_sync_p.h
+++ b/src/entry_node/store_sync_p.h
@@ -62,8 +62,10 @@
 	{
 		m_stopping = true;
 	}
-	/// Reads only the configuration, when another node has announced a newer one.
-	void read_routes(const yield_context& _yield);
+	/// Reads only the configuration: another node has announced a newer one, or the replica holds all other
+	/// keys up to a later revision than the configuration.
+	/// @returns Whether the store answered.
+	bool read_routes(const yield_context& _yield);
 	/// Writes the status of a rollout if its key is at the expected revision, and applies the resulting
 	/// value of the key to the replica.
 	void write_rollout_status(
@@ -85,7 +87,8 @@
 	/// afterwards.
 	/// @returns Whether all keys were read.
 	bool read_all(bool _allow_stale, const yield_context& _yield);
-	/// Watches from the replica's revision on, until this node is no longer a reader or the watch ends.
+	/// Watches from the replica's revision on, until this node is no longer a reader or the watch ends. Reads the
+	/// configuration first if it may have changed before that revision.
 	watch_end watch(const yield_context& _yield);
 	void keep_registered(const yield_context& _yield);
 	/// @returns Lease id of the registration; 0 on failure.
