Rank as a reader among the nodes that are heard

Callers saw: in a failure domain that is cut off from all others, the configuration in force is as old as the time after which far nodes count as dead. Cause: a node ranks itself among the readers of its region by who counts as live. That time grows with the fleet: 2.0 s with 65 nodes, 3.3 s with 300 and 9.9 s with 2,000, where 2.5 s are permitted for the configuration. Class: a bound for one purpose (look-ups, which may list a dead node for a while) used for another. Why it works: many nodes are heard each second at any size, so silence from all outside of the failure domain, or from all, for a second tells a cut long before each node counts as dead. The node then ranks itself among those it hears.

--- a/src/entry_node/fleet.cpp
+++ b/src/entry_node/fleet.cpp
@@ -131,6 +131,7 @@
 	member.last_seen_at = now;
 	if (proximity::domain == where || !liveness().sends_digests())
 	{
+	m_last_outside_at = proximity::domain == where ? m_last_outside_at : now;
 		// Otherwise heartbeats are rarer than requests are long, and the counts would include requests that
 		// ended long ago.
 		m_backends.set_in_flight_of_node(_heartbeat.node, _heartbeat.in_flight);
--- a/src/entry_node/fleet_answers.cpp
+++ b/src/entry_node/fleet_answers.cpp
@@ -90,10 +90,14 @@
 reader_decision fleet::reader() const
 {
 	const steady_time now = m_clock.steady();
+	const reader_scope scope = plan_reader_scope(now - m_last_heartbeat_at, now - m_last_outside_at);
 	std::vector<const node_heartbeat*> live;
 	for (const auto& [name, member] : m_members)
 	{
-		if (is_live_in_region(member, now))
+		const bool in_scope =
+		    reader_scope::region == scope ||
+		    (reader_scope::failure_domain == scope && proximity::domain == member.domain->where);
+		if (in_scope && is_live_in_region(member, now))
 		{
 			live.push_back(&member.last);
 		}
--- a/src/entry_node/fleet_digests.cpp
+++ b/src/entry_node/fleet_digests.cpp
@@ -17,6 +17,7 @@
 		return; // Nodes of this failure domain send heartbeats to each other.
 	}
 	const steady_time now = m_clock.steady();
+	m_last_outside_at = now;
 	for (const digest_row& row : _digest.rows)
 	{
 		fleet_member& member = m_members[row.last.node];
--- a/src/entry_node/fleet_p.h
+++ b/src/entry_node/fleet_p.h
@@ -253,3 +253,4 @@
 	steady_time m_last_heartbeat_at{}; ///< Time of the latest heartbeat of any node, also by digests.
 };
 } // namespace larkrack
+	steady_time m_last_outside_at{};   ///< Latest word of a node of another failure domain.
--- a/src/steering/store_readers.cpp
+++ b/src/steering/store_readers.cpp
@@ -26,6 +26,13 @@
 constexpr int k_max_catch_up_doublings = 4;
 /// Wait of a node that reads the store itself, in milliseconds: its own watch delivers the change soon,
 /// within the time for which changes are collected (k_batch_delay).
+/// Maximum of that wait in milliseconds, also for a reader. Longer: a configuration that could not be fetched
+/// for a while arrives later than permitted. Shorter: more calls in vain.
+constexpr std::chrono::milliseconds k_max_config_catch_up_delay{1000};
+/// Milliseconds of silence after which a node counts itself, or its failure domain, as cut off from the
+/// readers of its region. Longer: changes arrive later there. Shorter: a few lost datagrams make a small fleet
+/// open more watches.
+constexpr std::chrono::milliseconds k_reader_isolation_timeout{1000};
 constexpr std::chrono::milliseconds k_reader_catch_up_delay{400};
 /// @returns The node to ask among those that meet the condition: of this node's failure domain if possible,
 /// else of its region, else any.
@@ -50,6 +57,15 @@
 	return chosen;
 }
 } // namespace
+reader_scope plan_reader_scope(steady_time::duration _silence, steady_time::duration _outside_silence)
+{
+	if (_silence > k_reader_isolation_timeout)
+	{
+		return reader_scope::alone;
+	}
+	return _outside_silence > k_reader_isolation_timeout ? reader_scope::failure_domain : reader_scope::region;
+}
+
 
 reader_decision plan_reader(const node_heartbeat& _self, const std::vector<const node_heartbeat*>& _live)
 {
--- a/src/steering/store_readers_p.h
+++ b/src/steering/store_readers_p.h
@@ -13,7 +13,9 @@
 /// briefly for datagrams that may be on their way, then asks a node that has the revision: one of its failure
 /// domain or region if possible, chosen by a hash that changes with each heartbeat, so that the load of these
 /// requests is spread. The configuration has a version of its own and is requested separately, so that a
-/// large configuration does not delay other changes.
+/// large configuration does not delay other changes. A node that hears nobody outside of its failure domain, or
+/// nobody at all, for k_reader_isolation_timeout ranks itself among those that it hears, long before each
+/// silent node counts as dead: many nodes are heard each second, whatever the size of the fleet.
 ///
 /// Alternatives (docs/DESIGN.md, "State"):
 /// - every node reads: 0.36 of a day's worth for calls on a quiet day of 80 nodes, score 0.19; four of a
@@ -46,6 +48,18 @@
 	std::size_t rank = 0; ///< Number of nodes of its region that rank before it.
 };
 
+/// Nodes among which a node ranks itself as a reader.
+enum class reader_scope
+{
+	region,         ///< The live nodes of its region.
+	failure_domain, ///< Those of its failure domain: it hears no other nodes.
+	alone,          ///< It hears nobody.
+};
+
+/// @param[in] _silence Time since any other node was heard.
+/// @param[in] _outside_silence Time since a node of another failure domain was heard.
+reader_scope plan_reader_scope(steady_time::duration _silence, steady_time::duration _outside_silence);
+
 /// @param[in] _self This node.
 /// @param[in] _live The other live nodes, of all regions.
 reader_decision plan_reader(const node_heartbeat& _self, const std::vector<const node_heartbeat*>& _live);
