Read the store for a configuration that is known to exist, whatever its holders do

Cause: the steps to get it were one sequence, a peer, the store and a peer again, with 1, 1.5 and 1 s each; the store was left out if this node's last call there had failed, however long ago, and everything was given up once the nodes that had told of the version counted as dead. A reader's wait doubled up to 6.4 s. Class: a bound that is a sum of timeouts of others. Why it works: the highest version ever told is kept. 0.4 s after a node knows that it is behind, or as soon as a node sent none, the store is read beside the requests to other nodes, with a backoff below a second, until it has answered; its answer decides what is newest. Observability: event 1924 config_fetched with source, result and times; metrics config_revision and config_behind_seconds.

--- a/src/base/events_p.h
+++ b/src/base/events_p.h
@@ -84,7 +84,8 @@
 	X(1920, backend_leaving, info, "A backend server said beside an answer that it leaves.")                 \
 	X(1921, load_level_changed, info, "The load level of a service in a region is in another band.")         \
 	X(1922, path_lost, warning, "This node does not reach the backend servers of a failure domain.")         \
-	X(1923, path_regained, info, "This node reaches the backend servers of a failure domain again.")
+	X(1923, path_regained, info, "This node reaches the backend servers of a failure domain again.")         \
+	X(1924, config_fetched, info, "A node or the store was asked for a newer configuration.")
 
 /// Log event; the value is its number in the catalogue.
 enum class event : std::uint16_t
--- a/src/entry_node/entry_node_answers.cpp
+++ b/src/entry_node/entry_node_answers.cpp
@@ -195,6 +195,10 @@
 	gauge("nodes", "Other nodes that were heard of.", static_cast<double>(m_fleet.members().size()));
 	gauge("config_version", "Version of the configuration in force.",
 	    m_forwarder.routes() ? static_cast<double>(m_forwarder.routes()->version()) : 0.0);
+	gauge("config_revision", "Revision up to which the configuration is known to be the newest one.",
+	    static_cast<double>(m_replica.routes_confirmed_to()));
+	gauge("config_behind_seconds", "Time for which a newer configuration has been known of; 0: none.",
+	    to_s(m_config_catch_up.behind_for(m_clock.steady())));
 	gauge("store_revision", "Revision up to which the store's keys are known.",
 	    static_cast<double>(m_replica.revision()));
 	gauge("store_reached", "Whether the store answered the last call.", m_sync.health().reached ? 1.0 : 0.0);
--- a/src/entry_node/entry_node_p.h
+++ b/src/entry_node/entry_node_p.h
@@ -16,6 +16,7 @@
 #include "entry_node/packed_pages_p.h"
 #include "entry_node/relay_server_p.h"
 #include "entry_node/store_sync_p.h"
+#include "steering/config_catch_up_p.h"
 #include "steering/store_start_p.h"
 
 #include <array>
@@ -115,9 +116,13 @@
 	/// Requests the next page from a node and applies it.
 	/// @returns Whether a valid page arrived.
 	bool fetch_page(const std::string& _ip, const yield_context& _yield);
+	/// Gets a configuration that another node has told of: from another node, and beside it from the store once
+	/// that is due. Neither waits for the other, so that a node that does not answer costs no time.
 	void fetch_missed_routes();
+	void read_missed_routes();
 	void fetch_routes(const yield_context& _yield);
-	void fetch_routes_from_peer(std::size_t _max_bytes, const yield_context& _yield);
+	/// @returns Address of the node that was asked; empty: none has a newer configuration.
+	std::string fetch_routes_from_peer(std::size_t _max_bytes, const yield_context& _yield);
 	/// Requests changes from a node and applies them.
 	/// @param[in] _routes_revision Revision of the configuration that this node has.
 	/// @param[in] _max_routes_bytes Maximum size in bytes of a configuration that the response may include.
@@ -194,6 +199,9 @@
 	bool m_stopping = false;
 	bool m_fetching_changes = false; ///< A fetch of changes or pages is scheduled or running.
 	bool m_fetching_routes = false;  ///< A fetch of the configuration is scheduled or running.
+	bool m_reading_routes = false;   ///< The configuration is being read from the store.
+	config_catch_up m_config_catch_up;
+	std::minstd_rand m_random;
 	int m_routes_failures = 0;       ///< Consecutive fetches that brought no newer configuration.
 };
 } // namespace larkrack
--- a/src/entry_node/entry_node_peers.cpp
+++ b/src/entry_node/entry_node_peers.cpp
@@ -295,7 +295,9 @@
 		return;
 	}
 	fetch_missed_changes();
+	m_config_catch_up.update(routes_version(), m_fleet.newest_config_told(), m_clock.steady());
 	fetch_missed_routes();
+	read_missed_routes();
 }
 
 void entry_node::fetch_missed_changes()
@@ -354,23 +356,67 @@
 	    });
 }
 
+void entry_node::read_missed_routes()
+{
+	if (m_reading_routes || !m_config_catch_up.store_read_due(m_clock.steady()))
+	{
+		return;
+	}
+	m_reading_routes = true;
+	m_config_catch_up.on_store_read_begins();
+	start(m_context,
+	    [this](const yield_context& _yield)
+	    {
+		    const steady_time begin = m_clock.steady();
+		    const steady_time::duration behind = m_config_catch_up.behind_for(begin);
+		    const bool answered = m_sync.read_routes(_yield);
+		    const steady_time now = m_clock.steady();
+		    m_config_catch_up.on_store_read(answered, routes_version(), now, m_random);
+		    m_log.write(log_line(event::config_fetched)
+		                    .text("from", "store")
+		                    .text("result", answered ? "answered" : "no_answer")
+		                    .number("config", static_cast<std::int64_t>(routes_version()))
+		                    .number("told", static_cast<std::int64_t>(m_fleet.newest_config_told()))
+		                    .number("behind_ms", to_ms(behind).count())
+		                    .number("ms", to_ms(now - begin).count()));
+		    m_reading_routes = false;
+	    });
+}
+
 void entry_node::fetch_routes(const yield_context& _yield)
 {
-	fetch_routes_from_peer(k_max_peer_routes_bytes, _yield);
-	// A large configuration is read from the store if it is reachable: the links of nodes are narrow.
-	if (0 == m_sync.health().failures && nullptr != m_fleet.peer_with_newer_routes(routes_version()))
+	// A large configuration is read from the store if it answers: the links of nodes are narrow.
+	const bool any_size = m_sync.health().failures > 0 || m_config_catch_up.store_failed();
+	const std::uint64_t before = routes_version();
+	const steady_time begin = m_clock.steady();
+	const std::string peer = fetch_routes_from_peer(
+	    any_size ? std::numeric_limits<std::size_t>::max() : k_max_peer_routes_bytes, _yield);
+	if (routes_version() > before)
 	{
-		m_sync.read_routes(_yield);
+		return;
 	}
-	fetch_routes_from_peer(std::numeric_limits<std::size_t>::max(), _yield);
+	const steady_time now = m_clock.steady();
+	m_log.write(log_line(event::config_fetched)
+	                .text("from", peer)
+	                .text("result", "no_config")
+	                .number("config", static_cast<std::int64_t>(before))
+	                .number("told", static_cast<std::int64_t>(m_fleet.newest_config_told()))
+	                .number("behind_ms", to_ms(m_config_catch_up.behind_for(now)).count())
+	                .number("ms", to_ms(now - begin).count()));
+	m_config_catch_up.on_peer_without_config(now);
+	read_missed_routes();
 }
 
-void entry_node::fetch_routes_from_peer(std::size_t _max_bytes, const yield_context& _yield)
+std::string entry_node::fetch_routes_from_peer(std::size_t _max_bytes, const yield_context& _yield)
 {
-	if (const node_heartbeat* newer = m_fleet.peer_with_newer_routes(routes_version()))
+	const node_heartbeat* newer = m_fleet.peer_with_newer_routes(routes_version());
+	if (nullptr == newer)
 	{
-		fetch_changes(std::string(newer->ip), m_replica.routes_revision(), _max_bytes, _yield);
+		return "";
 	}
+	const std::string ip = newer->ip;
+	fetch_changes(ip, m_replica.routes_revision(), _max_bytes, _yield);
+	return ip;
 }
 
 std::uint64_t entry_node::routes_version() const
--- a/src/entry_node/fleet.cpp
+++ b/src/entry_node/fleet.cpp
@@ -100,6 +100,7 @@
 	m_highest_config = std::max(m_highest_config, _live.config_version);
 }
 
+	m_newest_config_told = std::max(m_newest_config_told, _live.config_version);
 contact_reply fleet::on_heartbeat(const node_heartbeat& _heartbeat)
 {
 	if (_heartbeat.node == m_self.node)
--- a/src/entry_node/fleet_p.h
+++ b/src/entry_node/fleet_p.h
@@ -124,6 +124,11 @@
 	/// @returns A live node that has a newer version of the configuration than the given one, or null.
 	/// Iterates over all nodes only if one of them may have a newer version.
 	const node_heartbeat* peer_with_newer_routes(std::uint64_t _config_version) const;
+	/// @returns Highest version of the configuration that any node has told of, live or not.
+	std::uint64_t newest_config_told() const
+	{
+		return m_newest_config_told;
+	}
 	/// @param[out] _view Receives whether a live node of this failure domain, of this region or of any region
 	/// has the store's keys, and how many nodes of this failure domain that lack them rank before this node.
 	void fill_copy_view(copy_view& _view) const;
@@ -254,3 +259,4 @@
 };
 } // namespace larkrack
 	steady_time m_last_outside_at{};   ///< Latest word of a node of another failure domain.
+	mutable std::uint64_t m_newest_config_told = 0;
--- a/src/steering/store_readers.cpp
+++ b/src/steering/store_readers.cpp
@@ -25,6 +25,7 @@
 /// vain.
 constexpr int k_max_catch_up_doublings = 4;
 /// Wait of a node that reads the store itself, in milliseconds: its own watch delivers the change soon,
+constexpr std::chrono::milliseconds k_reader_catch_up_delay{400};
 /// within the time for which changes are collected (k_batch_delay).
 /// Maximum of that wait in milliseconds, also for a reader. Longer: a configuration that could not be fetched
 /// for a while arrives later than permitted. Shorter: more calls in vain.
@@ -33,7 +34,6 @@
 /// readers of its region. Longer: changes arrive later there. Shorter: a few lost datagrams make a small fleet
 /// open more watches.
 constexpr std::chrono::milliseconds k_reader_isolation_timeout{1000};
-constexpr std::chrono::milliseconds k_reader_catch_up_delay{400};
 /// @returns The node to ask among those that meet the condition: of this node's failure domain if possible,
 /// else of its region, else any.
 template <typename Condition>
@@ -96,7 +96,9 @@
 
 std::chrono::milliseconds config_catch_up_delay(bool _reads, int _tries)
 {
-	return catch_up_delay(_reads) * (1 << std::min(_tries, k_max_catch_up_doublings));
+	const std::chrono::milliseconds delay =
+	    catch_up_delay(_reads) * (1 << std::min(_tries, k_max_catch_up_doublings));
+	return std::min(delay, k_max_config_catch_up_delay);
 }
 
 const node_heartbeat* choose_peer(const node_heartbeat& _self, std::int64_t _store_revision,
--- a/tests/forms/daemon_log_forms_test.cpp
+++ b/tests/forms/daemon_log_forms_test.cpp
@@ -147,6 +147,7 @@
 1921 load_level_changed info
 1922 path_lost warning
 1923 path_regained info
+1924 config_fetched info
 )",
 		    table);
 	}
--- a/tests/forms/event_catalogue_form_test.cpp
+++ b/tests/forms/event_catalogue_form_test.cpp
@@ -105,6 +105,8 @@
 		        "This node does not reach the backend servers of a failure domain."},
 		    {1923, "path_regained", severity::info,
 		        "This node reaches the backend servers of a failure domain again."},
+		    {1924, "config_fetched", severity::info,
+		        "A node or the store was asked for a newer configuration."},
 		};
 		CPPUNIT_ASSERT_EQUAL(std::size(known), event_catalogue().size());
 		for (std::size_t i = 0; i < std::size(known); ++i)
--- a/tests/steering_nodes_test.cpp
+++ b/tests/steering_nodes_test.cpp
@@ -521,6 +521,7 @@
 		CPPUNIT_ASSERT(std::chrono::milliseconds(60) == config_catch_up_delay(false, 0));
 		CPPUNIT_ASSERT(std::chrono::milliseconds(120) == config_catch_up_delay(false, 1));
 		CPPUNIT_ASSERT(std::chrono::milliseconds(960) == config_catch_up_delay(false, 1000));
+		CPPUNIT_ASSERT(std::chrono::milliseconds(1000) == config_catch_up_delay(true, 1000));
 	}
 
 	void peer_changes_with_the_heartbeats()
