--- a/src/entry_node/forwarded_request.cpp
+++ b/src/entry_node/forwarded_request.cpp
@@ -259,6 +259,12 @@
 	{
 		line.text("relay", m_relay);
 	}
+	if (m_denied_retry)
+	{
+		line.number("window_first", m_denied_retry->first_attempts)
+		    .number("window_retries", m_denied_retry->retries)
+		    .decimal("window_allowed", m_denied_retry->allowed);
+	}
 	describe_admission(line);
 	m_context.log.write(line);
 }
--- a/src/entry_node/forwarded_request_attempts.cpp
+++ b/src/entry_node/forwarded_request_attempts.cpp
@@ -393,8 +393,11 @@
 	{
 		return retry_permission::free == decision;
 	}
-	if (!m_owner.service_entry(m_service).steering.retries.spend(m_context.clock.steady()))
+	retry_budget& retries = m_owner.service_entry(m_service).steering.retries;
+	const steady_time now = m_context.clock.steady();
+	if (!retries.spend(now))
 	{
+		m_denied_retry = retries.counts(now);
 		++m_context.counters.retries_denied;
 		return false;
 	}
--- a/src/entry_node/forwarded_request_p.h
+++ b/src/entry_node/forwarded_request_p.h
@@ -28,6 +28,7 @@
 
 #include "entry_node/forwarder_p.h"
 #include "steering/attempt_rules_p.h"
+#include "steering/retry_budget_p.h"
 
 namespace larkrack
 {
@@ -209,6 +210,7 @@
 	work_sample m_expected;                  ///< State of the backend server when the request was sent.
 	std::vector<backend_id> m_without_token; ///< Backend servers whose limit had no token left.
 	attempt_history m_history;
+	std::optional<retry_counts> m_denied_retry; ///< Counts with which the retry budget denied a retry.
 	admission_base* m_admission = nullptr; ///< Of m_service; null: not asked yet.
 	admission_request m_admission_request; ///< Set once m_admission is.
 	admission_end m_admission_end;         ///< What attempts have told so far.
--- a/src/entry_node/forwarder.cpp
+++ b/src/entry_node/forwarder.cpp
@@ -99,7 +99,7 @@
 	                                                      }})};
 	forwarded_service& service = m_services.emplace(_service, std::move(fresh)).first->second;
 	service.steering.choice.set(m_backend_choice);
-	service.steering.retries.set_nodes(m_context.fleet.sharers().nodes);
+	service.steering.retries.set_slack_part(1.0 / m_context.fleet.sharers().nodes);
 	update(_service, service.steering, m_context.clock.steady());
 	return service;
 }
@@ -137,7 +137,7 @@
 	{
 		service_steering& steering = service.steering;
 		steering.tick(elapsed_s);
-		steering.retries.set_nodes(nodes);
+		steering.retries.set_slack_part(1.0 / nodes);
 		if (!plan_due)
 		{
 			continue;
--- a/tests/retry_budget_model_test.cpp
+++ b/tests/retry_budget_model_test.cpp
@@ -103,7 +103,7 @@
 		    std::make_unique<retry_budget>(retry_limits{m_shape.ratio, m_shape.slack, k_window});
 		node.census = {};
 		node.started = m_now;
-		node.budget->set_nodes(1.0);
+		node.budget->set_slack_part(1.0);
 	}
 
 	void kill_node(std::size_t _node)
@@ -134,7 +134,7 @@
 			known += other != _node && hears(_node, other) ? 1 : 0;
 		}
 		node.census.on_nodes_counted(known, 1);
-		node.budget->set_nodes(node.census.sharers().nodes);
+		node.budget->set_slack_part(1.0 / node.census.sharers().nodes);
 	}
 
 	void on_request(model_node& _node)
--- a/tests/steering_retry_budget_test.cpp
+++ b/tests/steering_retry_budget_test.cpp
@@ -16,7 +16,7 @@
 	CPPUNIT_TEST_SUITE(steering_retry_budget_test);
 	CPPUNIT_TEST(budget_in_any_window_stays_within_ratio_and_slack);
 	CPPUNIT_TEST(budget_spent_late_in_an_interval_is_not_granted_again_within_the_window);
-	CPPUNIT_TEST(budget_slack_is_divided_by_the_nodes);
+	CPPUNIT_TEST(budget_slack_is_used_by_the_part_of_the_node);
 	CPPUNIT_TEST(budget_drops_first_attempts_after_their_window);
 	CPPUNIT_TEST(new_bucket_is_empty_then_grants_at_its_rate);
 	CPPUNIT_TEST_SUITE_END();
@@ -25,8 +25,8 @@
 	void budget_in_any_window_stays_within_ratio_and_slack()
 	{
 		retry_budget budget(
-		    {0.2 / k_retry_used_fraction, 5.0 / k_retry_used_fraction, std::chrono::milliseconds(10000)});
-		budget.set_nodes(1.0);
+		    {0.2 / k_retry_used_fraction, 5.0 / k_slack_used_fraction, std::chrono::milliseconds(10000)});
+		budget.set_slack_part(1.0);
 		steady_time now{std::chrono::hours(1)};
 		std::vector<std::pair<steady_time, bool>> history;
 		for (int i = 0; i < 6000; ++i)
@@ -77,8 +77,8 @@
 	void budget_spent_late_in_an_interval_is_not_granted_again_within_the_window()
 	{
 		const std::chrono::milliseconds window(10000);
-		retry_budget budget({0.0, 40.0 / k_retry_used_fraction, window});
-		budget.set_nodes(1.0);
+		retry_budget budget({0.0, 40.0 / k_slack_used_fraction, window});
+		budget.set_slack_part(1.0);
 		const steady_time begin{std::chrono::hours(1)};
 		CPPUNIT_ASSERT(budget.spend(begin));
 		const steady_time late = begin + std::chrono::milliseconds(990);
@@ -87,17 +87,17 @@
 		CPPUNIT_ASSERT(granted(budget, late + 2 * window) >= 39);
 	}
 
-	void budget_slack_is_divided_by_the_nodes()
+	void budget_slack_is_used_by_the_part_of_the_node()
 	{
 		const steady_time now{std::chrono::hours(1)};
-		const retry_limits limits{0.0, 40.0 / k_retry_used_fraction, std::chrono::milliseconds(10000)};
+		const retry_limits limits{0.0, 40.0 / k_slack_used_fraction, std::chrono::milliseconds(10000)};
 		retry_budget unset(limits);
 		CPPUNIT_ASSERT_EQUAL(0, granted(unset, now));
 		retry_budget alone(limits);
-		alone.set_nodes(0.0);
+		alone.set_slack_part(1.0);
 		CPPUNIT_ASSERT_EQUAL(40, granted(alone, now));
 		retry_budget one_of_ten(limits);
-		one_of_ten.set_nodes(10.0);
+		one_of_ten.set_slack_part(0.1);
 		CPPUNIT_ASSERT_EQUAL(4, granted(one_of_ten, now));
 	}
 
