Leave room for a life before, and for nodes that are not heard, in the retry budget

Cause: a node divided the slack by the most nodes that it had heard in this life. One that starts knows itself alone and had the whole slack until it heard the others; in an island it kept it. And each start forgot what the life before had spent in the window. Class: a sum over all nodes bounded by what each believes of the others, from its first moment on. Why it works: the first window of a life has no slack and the quarter of the ratio that a life before can't have used, so the parts of both lives fit the budget. Afterwards a failure domain of the settings from which nobody was ever heard counts with as many nodes as the largest one heard, and a node that never heard anybody has no slack.

--- a/src/entry_node/entry_node.cpp
+++ b/src/entry_node/entry_node.cpp
@@ -63,6 +63,16 @@
 	return self;
 }
 
+std::vector<domain_name> domains_of(const entry_settings& _settings)
+{
+	std::vector<domain_name> domains;
+	for (const auto& [domain, region] : _settings.region_of)
+	{
+		domains.emplace_back(domain);
+	}
+	return domains;
+}
+
 std::size_t caller_connections(const entry_settings& _settings)
 {
 	const int free = std::max(k_min_shared_descriptors, _settings.max_descriptors - k_reserved_descriptors);
@@ -193,6 +203,7 @@
       m_peer_caller(m_context.get_executor())
 {
 	m_forwarder.set_backend_choice(_settings.backend_choice);
+	m_fleet.set_domains(domains_of(_settings));
 	m_replica.set_rollouts(&m_rollouts);
 	m_replica.set_blocks(&m_crashes);
 	m_crashes.set_path_witness(&m_paths);
@@ -255,6 +266,7 @@
 	                .text("domain", m_settings.place.domain)
 	                .text("callers", address_text(m_settings.callers)));
 	m_copy_started_at = m_clock.steady();
+	m_forwarder.set_started_at(m_copy_started_at);
 	add_seeds(m_settings.seeds);
 	watch_signals();
 	receive_datagrams();
--- a/src/entry_node/entry_node_answers.cpp
+++ b/src/entry_node/entry_node_answers.cpp
@@ -211,6 +211,17 @@
 			    {{"service", service.text}, {"region", region.text}}, level);
 		}
 	}
+	for (const auto& [service, window] : m_forwarder.retry_windows())
+	{
+		const auto set = [this, &service = service](const char* _name, const char* _help, double _value)
+		{
+			m_metrics.set(_name, _help, "service", service.text, _value);
+		};
+		set("larkrack_retry_first_attempts", "First attempts in the last window of the retry budget.",
+		    window.first_attempts);
+		set("larkrack_retry_spent", "Retries in the last window of the retry budget.", window.retries);
+		set("larkrack_retry_allowed", "Retries that this node may make in a window.", window.allowed);
+	}
 	for (const auto& [use, calls] : m_store->calls())
 	{
 		m_metrics.set(
--- a/src/entry_node/fleet.cpp
+++ b/src/entry_node/fleet.cpp
@@ -70,7 +70,9 @@
 	{
 		in_region += proximity::far == domain.where ? 0 : domain.nodes;
 		domain.liveness_timeout = pace.liveness_timeout(domain.where, domain.nodes - 1);
+		m_census.on_domain_counted(name, domain.nodes + (name == m_self.domain ? 1 : 0));
 	}
+	m_census.on_domain_counted(m_self.domain, 1);
 	m_census.on_nodes_counted(m_members.size() + 1, in_region);
 	m_live.outdated = true;
 }
@@ -98,9 +100,9 @@
 {
 	m_highest_revision = std::max(m_highest_revision, _live.store_revision);
 	m_highest_config = std::max(m_highest_config, _live.config_version);
+	m_newest_config_told = std::max(m_newest_config_told, _live.config_version);
 }
 
-	m_newest_config_told = std::max(m_newest_config_told, _live.config_version);
 contact_reply fleet::on_heartbeat(const node_heartbeat& _heartbeat)
 {
 	if (_heartbeat.node == m_self.node)
@@ -129,10 +131,10 @@
 	member.last = _heartbeat;
 	member.heard_at = now;
 	m_last_heartbeat_at = now;
+	m_last_outside_at = proximity::domain == where ? m_last_outside_at : now;
 	member.last_seen_at = now;
 	if (proximity::domain == where || !liveness().sends_digests())
 	{
-	m_last_outside_at = proximity::domain == where ? m_last_outside_at : now;
 		// Otherwise heartbeats are rarer than requests are long, and the counts would include requests that
 		// ended long ago.
 		m_backends.set_in_flight_of_node(_heartbeat.node, _heartbeat.in_flight);
--- a/src/entry_node/fleet_p.h
+++ b/src/entry_node/fleet_p.h
@@ -148,6 +148,16 @@
 	{
 		return m_census.sharers();
 	}
+	fleet_extent extent() const override
+	{
+		return m_census.extent();
+	}
+	/// Sets the failure domains that the settings name.
+	void set_domains(const std::vector<domain_name>& _domains)
+	{
+		m_census.set_domains(_domains);
+		on_node_count_changed();
+	}
 	double warmup_share(const backend_state& _backend) const override;
 	rate_by_region demand_of_others(const service_name& _service) const override;
 	rate_by_region single_region_demand_of_others(const service_name& _service) const override;
@@ -255,8 +265,8 @@
 	mutable std::int64_t m_highest_revision = 0;
 	/// Upper bound of the configuration versions of the live nodes.
 	mutable std::uint64_t m_highest_config = 0;
+	mutable std::uint64_t m_newest_config_told = 0;
 	steady_time m_last_heartbeat_at{}; ///< Time of the latest heartbeat of any node, also by digests.
+	steady_time m_last_outside_at{};   ///< Latest word of a node of another failure domain.
 };
 } // namespace larkrack
-	steady_time m_last_outside_at{};   ///< Latest word of a node of another failure domain.
-	mutable std::uint64_t m_newest_config_told = 0;
--- a/src/entry_node/forwarder.cpp
+++ b/src/entry_node/forwarder.cpp
@@ -99,11 +99,18 @@
 	                                                      }})};
 	forwarded_service& service = m_services.emplace(_service, std::move(fresh)).first->second;
 	service.steering.choice.set(m_backend_choice);
-	service.steering.retries.set_slack_part(1.0 / m_context.fleet.sharers().nodes);
-	update(_service, service.steering, m_context.clock.steady());
+	const steady_time now = m_context.clock.steady();
+	service.steering.retries.set_full_from(m_started_at + m_bounds.retries.window);
+	service.steering.retries.set_slack_part(retry_slack_part(now));
+	update(_service, service.steering, now);
 	return service;
 }
 
+double forwarder::retry_slack_part(steady_time _now) const
+{
+	return slack_share(m_context.fleet.extent(), _now - m_started_at, m_bounds.retries.window);
+}
+
 double forwarder::weight_of(group_id _group) const
 {
 	const customer* found =
@@ -130,14 +137,14 @@
 	                             ? k_rate_time_constant_s
 	                             : std::chrono::duration<double>(now - m_last_tick).count();
 	m_last_tick = now;
-	const double nodes = m_context.fleet.sharers().nodes;
+	const double slack_part = retry_slack_part(now);
 	const bool plan_due = now - m_last_plan >= min_plan_interval(m_context.backends.size());
 	m_last_plan = plan_due ? now : m_last_plan;
 	for (auto& [name, service] : m_services)
 	{
 		service_steering& steering = service.steering;
 		steering.tick(elapsed_s);
-		steering.retries.set_slack_part(1.0 / nodes);
+		steering.retries.set_slack_part(slack_part);
 		if (!plan_due)
 		{
 			continue;
@@ -211,6 +218,17 @@
 	return sent;
 }
 
+std::map<service_name, retry_counts> forwarder::retry_windows() const
+{
+	const steady_time now = m_context.clock.steady();
+	std::map<service_name, retry_counts> windows;
+	for (const auto& [name, service] : m_services)
+	{
+		windows.emplace(name, service.steering.retries.counts(now));
+	}
+	return windows;
+}
+
 rate_by_service_and_region forwarder::load_levels() const
 {
 	rate_by_service_and_region levels;
--- a/src/entry_node/forwarder_p.h
+++ b/src/entry_node/forwarder_p.h
@@ -123,6 +123,12 @@
 	{
 		m_backend_choice = _setting;
 	}
+	/// Sets the start of this node; until a window has passed since, retries leave room for those of a life
+	/// before. By default there was none.
+	void set_started_at(steady_time _at)
+	{
+		m_started_at = _at;
+	}
 	/// Refuses new requests from now on; requests in flight continue.
 	void begin_stop()
 	{
@@ -145,6 +151,8 @@
 	{
 		return m_reports;
 	}
+	/// @returns Counts of the retry budget of each service over its last window.
+	std::map<service_name, retry_counts> retry_windows() const;
 	/// @returns Load level of each service and region that ever had one.
 	rate_by_service_and_region load_levels() const;
 	/// @returns Receiver of the reports of backend servers, also for exchanges that others start.
@@ -179,6 +187,8 @@
 	/// @returns The request of a service that is tried first; null when none waits.
 	request_ptr first_waiting(const forwarded_service& _service) const;
 	void update(const service_name& _name, service_steering& _steering, steady_time _now);
+	/// @returns Part of the slack of each retry budget that this node may use, 0 to 1.
+	double retry_slack_part(steady_time _now) const;
 	/// @returns Weight of a group in fair shares: the limit of the customer, requests per second; 1 without.
 	double weight_of(group_id _group) const;
 	/// Tells the admission of a service its current conditions, if it uses them.
@@ -193,6 +203,7 @@
 	std::map<std::string, service_split> m_splits;             ///< Key: name of the route.
 	std::unordered_map<std::uint64_t, request_ptr> m_requests; ///< By request_number.
 	request_number m_last_number;
+	steady_time m_started_at{};
 	steady_time m_last_tick{};
 	steady_time m_last_plan{}; ///< Last update of the shares of regions.
 };
--- a/src/steering/fleet_view_p.h
+++ b/src/steering/fleet_view_p.h
@@ -43,6 +43,14 @@
 public:
 	/// @returns Nodes that share the budgets.
 	virtual budget_sharing sharers() const = 0;
+	/// @returns The same by failure domain; one failure domain unless overridden.
+	virtual fleet_extent extent() const
+	{
+		fleet_extent extent;
+		extent.nodes = static_cast<std::size_t>(sharers().nodes);
+		extent.domain_nodes = extent.nodes;
+		return extent;
+	}
 	/// @returns Requests per second for a service, by region of the nodes that received them; without this
 	/// node.
 	virtual rate_by_region demand_of_others(const service_name& _service) const = 0;
--- a/src/steering/shared_budgets.cpp
+++ b/src/steering/shared_budgets.cpp
@@ -24,6 +24,33 @@
 	m_max_in_region = std::max(m_max_in_region, _in_region);
 }
 
+void node_count_maximum::set_domains(const std::vector<domain_name>& _domains)
+{
+	for (const domain_name& domain : _domains)
+	{
+		m_max_in_domain.emplace(domain, 0);
+	}
+}
+
+void node_count_maximum::on_domain_counted(const domain_name& _domain, std::size_t _nodes)
+{
+	std::size_t& most = m_max_in_domain[_domain];
+	most = std::max(most, _nodes);
+}
+
+fleet_extent node_count_maximum::extent() const
+{
+	fleet_extent extent;
+	extent.nodes = m_max_nodes;
+	extent.domains = std::max(extent.domains, m_max_in_domain.size());
+	for (const auto& [domain, nodes] : m_max_in_domain)
+	{
+		extent.domain_nodes = std::max(extent.domain_nodes, nodes);
+		extent.unseen_domains += 0 == nodes ? 1 : 0;
+	}
+	return extent;
+}
+
 double connections_of_node(int _limit, const budget_sharing& _sharing)
 {
 	return std::max(1.0, _limit / _sharing.nodes);
--- a/src/steering/shared_budgets_p.h
+++ b/src/steering/shared_budgets_p.h
@@ -20,10 +20,16 @@
 ///   16 requests arrived in a second where 13.2 were allowed;
 /// - division by the nodes that are seen now: in a network partition both sides would spend the whole budget.
 ///
-/// Owns the maximum node counts (node_count_maximum). Relies on node_liveness for which nodes are live.
+/// Owns the maximum node counts (node_count_maximum), from which slack_share_p.h derives the part of a slack.
+/// Relies on node_liveness for which nodes are live.
 #pragma once
 
+#include "steering/names_p.h"
+#include "steering/slack_share_p.h"
+
 #include <cstddef>
+#include <map>
+#include <vector>
 
 namespace larkrack
 {
@@ -37,8 +43,14 @@
 class node_count_maximum
 {
 public:
+	/// Sets the failure domains that the settings name; none: those that are seen.
+	void set_domains(const std::vector<domain_name>& _domains);
 	/// Updates the maxima with the number of nodes seen now.
 	void on_nodes_counted(std::size_t _nodes, std::size_t _in_region);
+	/// Updates the maximum of one failure domain.
+	void on_domain_counted(const domain_name& _domain, std::size_t _nodes);
+	/// @returns Nodes that share the budgets, by failure domain.
+	fleet_extent extent() const;
 	/// @returns Number of nodes that share the budgets.
 	budget_sharing sharers() const
 	{
@@ -53,6 +65,7 @@
 private:
 	std::size_t m_max_nodes = 1;
 	std::size_t m_max_in_region = 1;
+	std::map<domain_name, std::size_t> m_max_in_domain; ///< 0: no node of it was ever seen.
 };
 
 /// @param[in] _limit Connections that one backend server accepts from all nodes; more than 0.
--- a/src/steering/store_readers.cpp
+++ b/src/steering/store_readers.cpp
@@ -20,13 +20,12 @@
 /// Milliseconds for which a node waits for datagrams before it asks another node. Longer: a lost datagram is
 /// replaced later. Shorter: nodes ask for changes that are already on their way.
 constexpr std::chrono::milliseconds k_catch_up_delay{60};
-/// Maximum doublings of that wait while a newer configuration is unavailable, or refused by this node: up to
-/// 1 s for a node that does not read the store. More: the configuration arrives later. Fewer: more calls in
-/// vain.
+/// Maximum doublings of that wait while a newer configuration is unavailable, or refused by this node. More:
+/// the configuration arrives later. Fewer: more calls in vain.
 constexpr int k_max_catch_up_doublings = 4;
 /// Wait of a node that reads the store itself, in milliseconds: its own watch delivers the change soon,
-constexpr std::chrono::milliseconds k_reader_catch_up_delay{400};
 /// within the time for which changes are collected (k_batch_delay).
+constexpr std::chrono::milliseconds k_reader_catch_up_delay{400};
 /// Maximum of that wait in milliseconds, also for a reader. Longer: a configuration that could not be fetched
 /// for a while arrives later than permitted. Shorter: more calls in vain.
 constexpr std::chrono::milliseconds k_max_config_catch_up_delay{1000};
@@ -57,6 +56,7 @@
 	return chosen;
 }
 } // namespace
+
 reader_scope plan_reader_scope(steady_time::duration _silence, steady_time::duration _outside_silence)
 {
 	if (_silence > k_reader_isolation_timeout)
@@ -66,7 +66,6 @@
 	return _outside_silence > k_reader_isolation_timeout ? reader_scope::failure_domain : reader_scope::region;
 }
 
-
 reader_decision plan_reader(const node_heartbeat& _self, const std::vector<const node_heartbeat*>& _live)
 {
 	const auto order = [](const node_heartbeat& _node)
--- a/tests/retry_budget_model_test.cpp
+++ b/tests/retry_budget_model_test.cpp
@@ -13,6 +13,7 @@
 #include "steering/shared_budgets_p.h"
 
 #include <algorithm>
+#include <array>
 #include <cstdlib>
 #include <iostream>
 #include <random>
@@ -101,9 +102,15 @@
 		model_node& node = m_nodes[_node];
 		node.budget =
 		    std::make_unique<retry_budget>(retry_limits{m_shape.ratio, m_shape.slack, k_window});
+		node.budget->set_full_from(now() + k_window);
 		node.census = {};
 		node.started = m_now;
-		node.budget->set_slack_part(1.0);
+		std::vector<domain_name> domains;
+		for (std::size_t domain = 0; domain < k_domains; ++domain)
+		{
+			domains.push_back(name_of_domain(domain));
+		}
+		node.census.set_domains(domains);
 	}
 
 	void kill_node(std::size_t _node)
@@ -125,16 +132,29 @@
 		       m_island_of(_node, node) == m_island_of(_other, other);
 	}
 
+	static domain_name name_of_domain(std::size_t _domain)
+	{
+		return domain_name("d" + std::to_string(_domain));
+	}
+
 	void update_census(std::size_t _node)
 	{
 		model_node& node = m_nodes[_node];
 		std::size_t known = 1;
+		std::array<std::size_t, k_domains> by_domain{};
+		by_domain[node.domain] = 1;
 		for (std::size_t other = 0; other < m_nodes.size(); ++other)
 		{
-			known += other != _node && hears(_node, other) ? 1 : 0;
+			const std::size_t heard = other != _node && hears(_node, other) ? 1 : 0;
+			known += heard;
+			by_domain[m_nodes[other].domain] += heard;
 		}
 		node.census.on_nodes_counted(known, 1);
-		node.budget->set_slack_part(1.0 / node.census.sharers().nodes);
+		for (std::size_t domain = 0; domain < k_domains; ++domain)
+		{
+			node.census.on_domain_counted(name_of_domain(domain), by_domain[domain]);
+		}
+		node.budget->set_slack_part(slack_share(node.census.extent(), m_now - node.started, k_window));
 	}
 
 	void on_request(model_node& _node)
