--- a/src/entry_node/entry_node_p.h
+++ b/src/entry_node/entry_node_p.h
@@ -116,8 +116,8 @@
 	/// Requests the next page from a node and applies it.
 	/// @returns Whether a valid page arrived.
 	bool fetch_page(const std::string& _ip, const yield_context& _yield);
-	/// Gets a configuration that another node has told of: from another node, and beside it from the store once
-	/// that is due. Neither waits for the other, so that a node that does not answer costs no time.
+	/// Gets a configuration that another node has told of: from another node, and beside it from the store
+	/// once that is due. Neither waits for the other, so that a node that does not answer costs no time.
 	void fetch_missed_routes();
 	void read_missed_routes();
 	void fetch_routes(const yield_context& _yield);
@@ -202,6 +202,6 @@
 	bool m_reading_routes = false;   ///< The configuration is being read from the store.
 	config_catch_up m_config_catch_up;
 	std::minstd_rand m_random;
-	int m_routes_failures = 0;       ///< Consecutive fetches that brought no newer configuration.
+	int m_routes_failures = 0; ///< Consecutive fetches that brought no newer configuration.
 };
 } // namespace larkrack
--- a/src/entry_node/fleet_answers.cpp
+++ b/src/entry_node/fleet_answers.cpp
@@ -94,9 +94,8 @@
 	std::vector<const node_heartbeat*> live;
 	for (const auto& [name, member] : m_members)
 	{
-		const bool in_scope =
-		    reader_scope::region == scope ||
-		    (reader_scope::failure_domain == scope && proximity::domain == member.domain->where);
+		const bool in_scope = reader_scope::region == scope || (reader_scope::failure_domain == scope &&
+		                                                           proximity::domain == member.domain->where);
 		if (in_scope && is_live_in_region(member, now))
 		{
 			live.push_back(&member.last);
--- a/src/entry_node/forwarded_request_p.h
+++ b/src/entry_node/forwarded_request_p.h
@@ -211,12 +211,12 @@
 	std::vector<backend_id> m_without_token; ///< Backend servers whose limit had no token left.
 	attempt_history m_history;
 	std::optional<retry_counts> m_denied_retry; ///< Counts with which the retry budget denied a retry.
-	admission_base* m_admission = nullptr; ///< Of m_service; null: not asked yet.
-	admission_request m_admission_request; ///< Set once m_admission is.
-	admission_end m_admission_end;         ///< What attempts have told so far.
-	admission_decision m_decision;         ///< The latest one.
-	steady_time m_queued_at{};             ///< Begin of the wait in the queue.
-	steady_time::duration m_waited{0};     ///< Time of the waits in the queue that have ended.
+	admission_base* m_admission = nullptr;      ///< Of m_service; null: not asked yet.
+	admission_request m_admission_request;      ///< Set once m_admission is.
+	admission_end m_admission_end;              ///< What attempts have told so far.
+	admission_decision m_decision;              ///< The latest one.
+	steady_time m_queued_at{};                  ///< Begin of the wait in the queue.
+	steady_time::duration m_waited{0};          ///< Time of the waits in the queue that have ended.
 	state m_state = state::initial;
 	std::optional<request_fingerprint> m_fingerprint;
 	trial_state m_trial = trial_state::none;
--- a/src/entry_node/state_replica_p.h
+++ b/src/entry_node/state_replica_p.h
@@ -154,8 +154,8 @@
 	/// large and is transferred separately: a node may know all other changes and lack the configuration.
 	/// @returns Changes since these revisions, or all keys when the changes are not known any more.
 	store_changes changes_after(std::int64_t _revision, std::int64_t _routes_revision = 0) const;
-	/// Notes that the configuration is the newest one up to a revision of the store, as only the store itself can
-	/// tell: other nodes send the configuration apart from all other keys.
+	/// Notes that the configuration is the newest one up to a revision of the store, as only the store itself
+	/// can tell: other nodes send the configuration apart from all other keys.
 	void on_routes_confirmed(std::int64_t _revision)
 	{
 		m_routes_confirmed_to = std::max(m_routes_confirmed_to, _revision);
@@ -246,8 +246,8 @@
 	/// Revision of the delete in m_deletes by key, to ignore older values of the key that arrive late.
 	std::map<std::string, std::int64_t> m_deleted_at;
 	std::int64_t m_deletes_complete_after = 0; ///< All deletes after this revision are known.
-	std::int64_t m_revision = 0;            ///< All keys but the configuration are known up to it.
-	std::int64_t m_routes_confirmed_to = 0; ///< The configuration is the newest one up to it.
+	std::int64_t m_revision = 0;               ///< All keys but the configuration are known up to it.
+	std::int64_t m_routes_confirmed_to = 0;    ///< The configuration is the newest one up to it.
 	std::optional<copy_in_progress> m_copy;
 	rollout_listener_base* m_rollouts = nullptr;
 	block_listener_base* m_blocks = nullptr;
--- a/src/entry_node/store_sync_p.h
+++ b/src/entry_node/store_sync_p.h
@@ -87,8 +87,8 @@
 	/// afterwards.
 	/// @returns Whether all keys were read.
 	bool read_all(bool _allow_stale, const yield_context& _yield);
-	/// Watches from the replica's revision on, until this node is no longer a reader or the watch ends. Reads the
-	/// configuration first if it may have changed before that revision.
+	/// Watches from the replica's revision on, until this node is no longer a reader or the watch ends. Reads
+	/// the configuration first if it may have changed before that revision.
 	watch_end watch(const yield_context& _yield);
 	void keep_registered(const yield_context& _yield);
 	/// @returns Lease id of the registration; 0 on failure.
--- a/src/steering/config_catch_up_p.h
+++ b/src/steering/config_catch_up_p.h
@@ -17,7 +17,8 @@
 /// whatever the nodes that have it do: they may be dead, frozen, cut off, slow or without the configuration.
 ///
 /// Alternatives:
-/// - one sequence of a peer, the store and a peer again, each with a timeout of its own: 3.5 s, and nothing at
+/// - one sequence of a peer, the store and a peer again, each with a timeout of its own: 3.5 s, and nothing
+/// at
 ///   all once the peers that told of the version count as dead;
 /// - each node reads the store at once: a call for each node and change.
 ///
@@ -32,8 +33,8 @@
 namespace larkrack
 {
 /// Milliseconds for which a node that knows of a newer configuration leaves it to other nodes to send it.
-/// Longer: the configuration arrives later when they cannot. Shorter: calls to the store while an answer is on
-/// its way over a full link.
+/// Longer: the configuration arrives later when they cannot. Shorter: calls to the store while an answer is
+/// on its way over a full link.
 constexpr std::chrono::milliseconds k_store_read_delay{400};
 
 /// What one node knows about configurations that are newer than its own.
--- a/src/steering/retry_budget.cpp
+++ b/src/steering/retry_budget.cpp
@@ -14,8 +14,7 @@
 	{
 		m_intervals.pop_front();
 	}
-	if (m_intervals.empty() ||
-	    m_intervals.back().begin + m_limits.window / k_retry_window_intervals <= _now)
+	if (m_intervals.empty() || m_intervals.back().begin + m_limits.window / k_retry_window_intervals <= _now)
 	{
 		m_intervals.push_back({_now, {}, 0, 0});
 	}
@@ -36,8 +35,8 @@
 		counts.retries += slice.end + m_limits.window > _now ? slice.retries : 0;
 	}
 	const double used = _now < m_full_from ? k_retry_used_fraction_at_start : k_retry_used_fraction;
-	counts.allowed = used * m_limits.ratio * counts.first_attempts +
-	                 k_slack_used_fraction * m_slack_part * m_limits.slack;
+	counts.allowed =
+	    used * m_limits.ratio * counts.first_attempts + k_slack_used_fraction * m_slack_part * m_limits.slack;
 	return counts;
 }
 
--- a/src/steering/retry_budget_p.h
+++ b/src/steering/retry_budget_p.h
@@ -10,12 +10,11 @@
 /// attempts and retries of the service.
 ///
 /// Algorithm: a budget over a sliding window. With r the ratio and s the slack, a retry is granted while
-/// `retries + 1 <= k_retry_used_fraction * r * first attempts + k_slack_used_fraction * part * s` over the last
-/// window. The ratio
-/// needs no division, because each node earns retries by its own first attempts. Intervals of first attempts
-/// are forgotten when their begin is a window old, intervals of retries when their end is, so that the counts
-/// err on the side of fewer retries. In the first window of its life, k_retry_used_fraction_at_start applies:
-/// the node before it may have used its budget up, and nobody tells.
+/// `retries + 1 <= k_retry_used_fraction * r * first attempts + k_slack_used_fraction * part * s` over the
+/// last window. The ratio needs no division, because each node earns retries by its own first attempts.
+/// Intervals of first attempts are forgotten when their begin is a window old, intervals of retries when
+/// their end is, so that the counts err on the side of fewer retries. In the first window of its life,
+/// k_retry_used_fraction_at_start applies: the node before it may have used its budget up, and nobody tells.
 ///
 /// Alternatives (retry_budget_model_test, highest use of the budget of all nodes, 1 is allowed):
 /// - intervals of retries that are forgotten with their begin: the budget is granted again nine tenths of a
--- a/src/steering/slack_share.cpp
+++ b/src/steering/slack_share.cpp
@@ -10,7 +10,8 @@
 	return static_cast<double>(_extent.nodes + _extent.unseen_domains * _extent.domain_nodes);
 }
 
-double slack_share(const fleet_extent& _extent, steady_time::duration _uptime, std::chrono::milliseconds _window)
+double slack_share(
+    const fleet_extent& _extent, steady_time::duration _uptime, std::chrono::milliseconds _window)
 {
 	const bool alone = 1 == _extent.nodes && _extent.domains > 1;
 	if (_uptime < _window || alone)
--- a/src/steering/store_readers.cpp
+++ b/src/steering/store_readers.cpp
@@ -30,8 +30,8 @@
 /// for a while arrives later than permitted. Shorter: more calls in vain.
 constexpr std::chrono::milliseconds k_max_config_catch_up_delay{1000};
 /// Milliseconds of silence after which a node counts itself, or its failure domain, as cut off from the
-/// readers of its region. Longer: changes arrive later there. Shorter: a few lost datagrams make a small fleet
-/// open more watches.
+/// readers of its region. Longer: changes arrive later there. Shorter: a few lost datagrams make a small
+/// fleet open more watches.
 constexpr std::chrono::milliseconds k_reader_isolation_timeout{1000};
 /// @returns The node to ask among those that meet the condition: of this node's failure domain if possible,
 /// else of its region, else any.
@@ -63,7 +63,8 @@
 	{
 		return reader_scope::alone;
 	}
-	return _outside_silence > k_reader_isolation_timeout ? reader_scope::failure_domain : reader_scope::region;
+	return _outside_silence > k_reader_isolation_timeout ? reader_scope::failure_domain
+	                                                     : reader_scope::region;
 }
 
 reader_decision plan_reader(const node_heartbeat& _self, const std::vector<const node_heartbeat*>& _live)
--- a/src/steering/store_readers_p.h
+++ b/src/steering/store_readers_p.h
@@ -13,8 +13,8 @@
 /// briefly for datagrams that may be on their way, then asks a node that has the revision: one of its failure
 /// domain or region if possible, chosen by a hash that changes with each heartbeat, so that the load of these
 /// requests is spread. The configuration has a version of its own and is requested separately, so that a
-/// large configuration does not delay other changes. A node that hears nobody outside of its failure domain, or
-/// nobody at all, for k_reader_isolation_timeout ranks itself among those that it hears, long before each
+/// large configuration does not delay other changes. A node that hears nobody outside of its failure domain,
+/// or nobody at all, for k_reader_isolation_timeout ranks itself among those that it hears, long before each
 /// silent node counts as dead: many nodes are heard each second, whatever the size of the fleet.
 ///
 /// Alternatives (docs/DESIGN.md, "State"):
--- a/tests/config_age_model_test.cpp
+++ b/tests/config_age_model_test.cpp
@@ -2,10 +2,10 @@
 // License: BSD 2-Clause, see LICENSE.
 
 /// @file
-/// Model of the ways in which a failure domain without a reader of the store keeps its configuration young when
-/// it is cut off from all other nodes: how old a configuration gets, and the calls to the store in calm. The
-/// intervals of heartbeats and the rules of readers are those of production. With LARKRACK_FIGURES set, prints
-/// both for each way and size.
+/// Model of the ways in which a failure domain without a reader of the store keeps its configuration young
+/// when it is cut off from all other nodes: how old a configuration gets, and the calls to the store in calm.
+/// The intervals of heartbeats and the rules of readers are those of production. With LARKRACK_FIGURES set,
+/// prints both for each way and size.
 
 #include "fixtures.h"
 
@@ -148,8 +148,8 @@
 		{
 			play(way::liveness, nodes);
 			const figures chosen = play(way::isolation, nodes);
-			CPPUNIT_ASSERT_MESSAGE(std::to_string(nodes) + " nodes: " +
-			                           std::to_string(chosen.worst_age.count()) + " ms",
+			CPPUNIT_ASSERT_MESSAGE(
+			    std::to_string(nodes) + " nodes: " + std::to_string(chosen.worst_age.count()) + " ms",
 			    chosen.worst_age <= k_max_age);
 		}
 	}
--- a/tests/config_order_model_test.cpp
+++ b/tests/config_order_model_test.cpp
@@ -129,8 +129,8 @@
 			read_all(one, m_history[draw(m_history.size())]);
 			break;
 		case 4:
-			one.replica.apply(
-			    other.replica.changes_after(one.replica.revision(), std::numeric_limits<std::int64_t>::max()));
+			one.replica.apply(other.replica.changes_after(
+			    one.replica.revision(), std::numeric_limits<std::int64_t>::max()));
 			break;
 		case 5:
 			one.replica.apply(
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -300,8 +300,8 @@
 
 	/// Sends a heartbeat of each node for which a condition holds to a view.
 	template <typename Condition>
-	static void hear(
-	    fleet& _view, const std::vector<node_heartbeat>& _all, std::uint64_t _sequence, const Condition& _heard)
+	static void hear(fleet& _view, const std::vector<node_heartbeat>& _all, std::uint64_t _sequence,
+	    const Condition& _heard)
 	{
 		for (node_heartbeat one : _all)
 		{
@@ -378,7 +378,8 @@
 		for (const std::size_t nodes : {std::size_t{12}, std::size_t{65}, std::size_t{295}, std::size_t{986}})
 		{
 			const std::chrono::milliseconds passed = time_until_read(nodes);
-			CPPUNIT_ASSERT_MESSAGE(std::to_string(nodes) + " nodes: " + std::to_string(passed.count()) + " ms",
+			CPPUNIT_ASSERT_MESSAGE(
+			    std::to_string(nodes) + " nodes: " + std::to_string(passed.count()) + " ms",
 			    passed <= std::chrono::milliseconds(1500));
 		}
 	}
--- a/tests/retry_budget_model_test.cpp
+++ b/tests/retry_budget_model_test.cpp
@@ -26,7 +26,8 @@
 
 constexpr ms k_step{10};
 constexpr ms k_window{10000};
-constexpr ms k_hearing_time{300}; ///< From the start of the later one of two nodes until they know each other.
+constexpr ms k_hearing_time{
+    300}; ///< From the start of the later one of two nodes until they know each other.
 constexpr std::size_t k_domains = 6;
 constexpr int k_max_attempts = 3;
 
@@ -100,8 +101,7 @@
 	void start_node(std::size_t _node)
 	{
 		model_node& node = m_nodes[_node];
-		node.budget =
-		    std::make_unique<retry_budget>(retry_limits{m_shape.ratio, m_shape.slack, k_window});
+		node.budget = std::make_unique<retry_budget>(retry_limits{m_shape.ratio, m_shape.slack, k_window});
 		node.budget->set_full_from(now() + k_window);
 		node.census = {};
 		node.started = m_now;
@@ -234,7 +234,8 @@
 		const double use = highest_use();
 		if (nullptr != std::getenv("LARKRACK_FIGURES"))
 		{
-			std::cout << "retries, " << m_shape.nodes << " nodes, " << _what << ": highest use " << use << "\n";
+			std::cout << "retries, " << m_shape.nodes << " nodes, " << _what << ": highest use " << use
+			          << "\n";
 		}
 		CPPUNIT_ASSERT_MESSAGE(std::string(_what) + ": " + std::to_string(use), use <= 1.0);
 	}
--- a/tests/store_sync_test.cpp
+++ b/tests/store_sync_test.cpp
@@ -59,8 +59,8 @@
 		m_versions.clear();
 		m_others = scripted_coordination();
 		m_store = std::make_unique<store_memory>(m_engine, m_clock);
-		m_registry =
-		    std::make_unique<backend_registry>(std::unordered_map<std::string, std::string>{{"east-a", "east"}});
+		m_registry = std::make_unique<backend_registry>(
+		    std::unordered_map<std::string, std::string>{{"east-a", "east"}});
 		m_replica = std::make_unique<state_replica>(
 		    m_clock, m_codec, *m_registry, m_log,
 		    [this](std::shared_ptr<const routing_table> _routes)
