--- a/src/entry_node/entry_node.cpp
+++ b/src/entry_node/entry_node.cpp
@@ -200,7 +200,8 @@
           k_other_connections),
       m_datagram_socket(m_context), m_signals(m_context, SIGTERM, SIGINT, SIGHUP), m_tick_timer(m_context),
       m_stop_timer(m_context), m_fetch_timer(m_context), m_fetch_routes_timer(m_context),
-      m_peer_caller(m_context.get_executor())
+      m_peer_caller(m_context.get_executor()),
+      m_random(static_cast<unsigned>(std::hash<std::string>()(_settings.place.node)))
 {
 	m_forwarder.set_backend_choice(_settings.backend_choice);
 	m_fleet.set_domains(domains_of(_settings));
--- a/src/entry_node/entry_node_p.h
+++ b/src/entry_node/entry_node_p.h
@@ -201,7 +201,7 @@
 	bool m_fetching_routes = false;  ///< A fetch of the configuration is scheduled or running.
 	bool m_reading_routes = false;   ///< The configuration is being read from the store.
 	config_catch_up m_config_catch_up;
-	std::minstd_rand m_random;
+	std::minstd_rand m_random; ///< For pauses between reads of the configuration.
 	int m_routes_failures = 0; ///< Consecutive fetches that brought no newer configuration.
 };
 } // namespace larkrack
--- a/src/entry_node/fleet_p.h
+++ b/src/entry_node/fleet_p.h
@@ -265,7 +265,7 @@
 	mutable std::int64_t m_highest_revision = 0;
 	/// Upper bound of the configuration versions of the live nodes.
 	mutable std::uint64_t m_highest_config = 0;
-	mutable std::uint64_t m_newest_config_told = 0;
+	mutable std::uint64_t m_newest_config_told = 0; ///< Of any node, live or not.
 	steady_time m_last_heartbeat_at{}; ///< Time of the latest heartbeat of any node, also by digests.
 	steady_time m_last_outside_at{};   ///< Latest word of a node of another failure domain.
 };
--- a/src/entry_node/forwarder_p.h
+++ b/src/entry_node/forwarder_p.h
@@ -203,7 +203,7 @@
 	std::map<std::string, service_split> m_splits;             ///< Key: name of the route.
 	std::unordered_map<std::uint64_t, request_ptr> m_requests; ///< By request_number.
 	request_number m_last_number;
-	steady_time m_started_at{};
+	steady_time m_started_at{}; ///< Start of this node; epoch: no life before it.
 	steady_time m_last_tick{};
 	steady_time m_last_plan{}; ///< Last update of the shares of regions.
 };
