Refuse no request that may have run

Cause: a request whose first attempt had ended without an answer, and whose next one found no connection, waits for a verdict on the path; when that wait is over it is refused whatever came before. Class: a promise made where the history is not looked at. Why it works: refuse() alone makes the promise, for every reason, and asks the history first; refusals of blocked requests go through it as well. What may have run ends as any other request that may have run (502, or the kept answer).

--- a/src/entry_node/entry_node_peers.cpp
+++ b/src/entry_node/entry_node_peers.cpp
@@ -414,7 +414,7 @@
 	{
 		return "";
 	}
-	const std::string ip = newer->ip;
+	std::string ip = newer->ip;
 	fetch_changes(ip, m_replica.routes_revision(), _max_bytes, _yield);
 	return ip;
 }
--- a/src/entry_node/forwarded_request.cpp
+++ b/src/entry_node/forwarded_request.cpp
@@ -188,6 +188,11 @@
 
 void forwarded_request::refuse(reason _reason, double _retry_after_s)
 {
+	if (m_history.may_have_run || m_history.response_kept)
+	{
+		finish_with(response_without_retry(m_history, _reason)); // It waited after an attempt.
+		return;
+	}
 	respond(make_refusal(k_status_refused, _retry_after_s), outcome::not_run, _reason);
 }
 
--- a/src/entry_node/forwarded_request_blocks.cpp
+++ b/src/entry_node/forwarded_request_blocks.cpp
@@ -89,7 +89,7 @@
 
 void forwarded_request::refuse_blocked()
 {
-	respond(make_refusal(k_status_refused, k_blocked_retry_after_s), outcome::not_run, reason::ends_backends);
+	refuse(reason::ends_backends, k_blocked_retry_after_s);
 }
 
 void forwarded_request::report_exchange(const backend_ptr& _backend, const exchange_result& _result)
--- a/src/entry_node/forwarded_request_p.h
+++ b/src/entry_node/forwarded_request_p.h
@@ -165,6 +165,7 @@
 	bool take_retry();
 
 	void refuse(reason _reason);
+	/// Refuses the request, unless a backend server may have run it: a refusal promises that none has.
 	void refuse(reason _reason, double _retry_after_s);
 	/// @param[in] _default_s Retry-After unless all backend servers rest, seconds.
 	/// @returns Retry-After for a refusal, seconds.
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -241,12 +241,14 @@
 	}
 	bool examining() const override
 	{
-		return false;
+		return in_examination;
 	}
 	bool in_doubt(const backend_server&) const override
 	{
 		return false;
 	}
+
+	bool in_examination = false; ///< Whether a path is in doubt, as set by the test.
 };
 
 /// What a scripted_admission decides and what it was told.
