Take the configuration by reference in two tests

Cause: the linter refuses a shared pointer that is copied for each call of a test's handler. Change: store_sync_test, config_order_model_test; nothing that they assert.

--- a/tests/config_order_model_test.cpp
+++ b/tests/config_order_model_test.cpp
@@ -34,7 +34,7 @@
 		    : registry(std::unordered_map<std::string, std::string>{{"east-a", "east"}}),
 		      replica(
 		          _test.m_clock, _test.m_codec, registry, _test.m_log,
-		          [this](std::shared_ptr<const routing_table> _routes)
+		          [this](const std::shared_ptr<const routing_table>& _routes)
 		          {
 			          went_back = went_back || _routes->version() <= version;
 			          version = _routes->version();
--- a/tests/store_sync_test.cpp
+++ b/tests/store_sync_test.cpp
@@ -63,7 +63,7 @@
 		    std::unordered_map<std::string, std::string>{{"east-a", "east"}});
 		m_replica = std::make_unique<state_replica>(
 		    m_clock, m_codec, *m_registry, m_log,
-		    [this](std::shared_ptr<const routing_table> _routes)
+		    [this](const std::shared_ptr<const routing_table>& _routes)
 		    {
 			    m_versions.push_back(_routes->version());
 		    },
