--- a/tests/forms/programs.py
+++ b/tests/forms/programs.py
@@ -47,7 +47,11 @@
     (1202, "config_refused"): "why revision",
     (1301, "peer_up"): "peer incarnation silent_ms",
     (1302, "peer_suspected"): "peer incarnation silent_ms",
-    (1901, "request_ended"): "id route service config status outcome reason region backend attempts unsent ms",
+    # The last three fields: the retry budget, which is small right after a start, denied a retry.
+    (1901, "request_ended"): (
+        "id route service config status outcome reason region backend attempts unsent ms "
+        "window_first window_retries window_allowed"
+    ),
     (1902, "attempt_failed"): "id service backend why busy ms",
     (1903, "backend_changed"): "backend service domain state warmup_ms revision",
     (1904, "backend_removed"): "backend",
@@ -66,6 +70,8 @@
 larkrack_caller_connections gauge Open connections of callers.
 larkrack_callers_left gauge Callers that left before their answer.
 larkrack_cold_runs gauge Requests sent to backend servers that are not their key's own.
+larkrack_config_behind_seconds gauge Time for which a newer configuration has been known of; 0: none.
+larkrack_config_revision gauge Revision up to which the configuration is known to be the newest one.
 larkrack_config_version gauge Version of the configuration in force.
 larkrack_in_flight gauge Requests whose answer is due.
 larkrack_invalid_work_times gauge Answers of backend servers with an invalid work time.
@@ -89,6 +95,9 @@
 larkrack_rests_asked gauge Answers of backend servers that asked for rest.
 larkrack_retries_denied gauge Retries that the budget did not allow.
 larkrack_retries_total counter Second tries of this entry VM.
+larkrack_retry_allowed gauge Retries that this node may make in a window.
+larkrack_retry_first_attempts gauge First attempts in the last window of the retry budget.
+larkrack_retry_spent gauge Retries in the last window of the retry budget.
 larkrack_store_calls gauge Calls to the store by use.
 larkrack_store_reached gauge Whether the store answered the last call.
 larkrack_store_revision gauge Revision up to which the store's keys are known.
@@ -97,6 +106,9 @@
 METRIC_LABELS = {
     "larkrack_requests_total": {("outcome", "reason", "service")},
     "larkrack_request_seconds_bucket": {("le",)},
+    "larkrack_retry_allowed": {("service",)},
+    "larkrack_retry_first_attempts": {("service",)},
+    "larkrack_retry_spent": {("service",)},
     "larkrack_store_calls": {("use",)},
 }
 BUCKETS = [
