--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -19,6 +19,7 @@
 sys.path.insert(0, os.path.join(ROOT, "platform", "soak"))
 
 import kv_store  # noqa: E402
+import proxy  # noqa: E402
 import wire  # noqa: E402
 
 PROGRAM = os.path.join(ROOT, "target", "bin", "larkrack-edge")  # "run" of deploy/system.toml.
@@ -82,11 +83,28 @@
         self.id = "i-%08x" % random.getrandbits(32)
         self.busy = 0
         self.free = asyncio.Semaphore(slots)
+        self.server = None
+        self.writers = set()
+        self.tasks = []
 
     async def start(self):
-        await asyncio.start_server(self._connection, *self.address)
+        self.server = await asyncio.start_server(self._connection, *self.address, reuse_address=True)
         await self._register()
-        self.lab.spawn(self._heartbeat())
+        self.tasks.append(self.lab.spawn(self._heartbeat()))
+
+    def crash(self):
+        """Ends without notice: all connections are reset, and new ones are refused. Its entry lapses."""
+        self.lab.record.line("backend dies  %s with %d requests" % (self.id, self.busy))
+        self.server.close()
+        for writer in list(self.writers):
+            proxy.reset(writer)
+        for task in self.tasks:
+            task.cancel()
+        self.lab.spawn(self._lapse())
+
+    async def _lapse(self):
+        await asyncio.sleep(3 * HEARTBEAT_S)
+        await self.lab.store.remove("servers/" + self.id)
 
     async def _register(self):
         entry = {
@@ -103,6 +121,7 @@
                 await self._register()
 
     async def _connection(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 request = await wire.read_message(reader)
@@ -113,6 +132,7 @@
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def _respond(self, request):
@@ -195,6 +215,10 @@
         if self.process.returncode is None:
             self.process.send_signal(number)
 
+    async def kill(self):
+        self.signal(signal.SIGKILL)
+        await self.process.wait()
+
     async def ready(self):
         try:
             reader, writer = await asyncio.open_connection(self.ip, self.lab.port("readiness"))
