--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -163,7 +163,10 @@
                     return wire.response(504, headers)
         finally:
             self.busy -= 1
-        return wire.response(200, headers, ("done %s" % request_id).encode())
+        return wire.response(200, headers, self.body_of(request_id))
+
+    def body_of(self, request_id):
+        return ("done %s" % request_id).encode()
 
     def _load(self):
         return "%d,%d,%d" % (min(self.busy, self.slots), max(0, self.busy - self.slots), self.slots)
@@ -263,6 +266,7 @@
         self.store = kv_store.KvStore(random.Random(1))
         self.store_ip = self.net + "250"
         self.nodes, self.backends, self.tasks = [], [], []
+        self.backend_class = Backend
         self.first_port = None
 
     def port(self, name):
@@ -288,7 +292,7 @@
         self.spawn(self.store.expire_leases())
         await self.store.put("op/config", json.dumps(config))
         for ip, (service, zone, work_s, slots) in zip(backend_ips, backends):
-            one = Backend(self, service, zone, (ip, self.first_port + BACKEND_PORT), work_s, slots)
+            one = self.backend_class(self, service, zone, (ip, self.first_port + BACKEND_PORT), work_s, slots)
             self.backends.append(one)
             await one.start()
         seeds = ["%s:%d" % (ip, self.port("peers")) for ip in node_ips[:3]]
