--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -311,11 +311,11 @@
     async def end(self):
         # The connections of the stand-ins end in any order now.
         asyncio.get_running_loop().set_exception_handler(lambda _loop, _context: None)
-        for one in self.nodes:
-            if one.process is not None and one.process.returncode is None:
-                one.signal(signal.SIGCONT)
-                one.signal(signal.SIGKILL)
-                await one.process.wait()
+        running = [one for one in self.nodes if one.process is not None and one.process.returncode is None]
+        for one in running:
+            one.signal(signal.SIGKILL)
+        for one in running:
+            await one.process.wait()
         for task in self.tasks:
             task.cancel()
         self.temporary.cleanup()
@@ -334,6 +334,15 @@
 
     async def run():
         lab = Lab(folder)
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+
+        def stop():
+            """At a SIGTERM the processes are ended, too; a second one changes nothing."""
+            loop.remove_signal_handler(signal.SIGTERM)
+            signal.signal(signal.SIGTERM, signal.SIG_IGN)
+            task.cancel()
+
+        loop.add_signal_handler(signal.SIGTERM, stop)
         try:
             violations = await case(lab)
             for text in violations:
@@ -341,9 +350,9 @@
             lab.record.line("%d violations" % len(violations))
             print("%d violations" % len(violations))
             return 1 if violations else 0
-        except (CannotRun, OSError) as failed:
-            lab.record.line("could not run: %s" % failed)
-            print("could not run: %s" % failed)
+        except (CannotRun, OSError, asyncio.CancelledError) as failed:
+            lab.record.line("could not run: %r" % failed)
+            print("could not run: %r" % failed)
             return 2
         finally:
             await lab.end()
