--- a/src/entry_node/caller_identity.cpp
+++ b/src/entry_node/caller_identity.cpp
@@ -3,6 +3,8 @@
 
 #include "entry_node/caller_identity_p.h"
 
+#include "steering/request_times_p.h"
+
 namespace larkrack
 {
 namespace
@@ -28,6 +30,23 @@
 	return _routes.find({host.data(), host.size()}, {target.data(), target.size()});
 }
 
+std::optional<std::string_view> stated_timeout(const caller_request& _request, const header_names& _names)
+{
+	const auto field = _request.find(_names.timeout_ms);
+	if (_request.end() == field)
+	{
+		return std::nullopt;
+	}
+	return std::string_view(field->value().data(), field->value().size());
+}
+
+std::chrono::milliseconds timeout_of(
+    const caller_request& _request, const route* _route, const header_names& _names)
+{
+	return request_timeout(
+	    stated_timeout(_request, _names), nullptr == _route ? std::chrono::milliseconds(0) : _route->timeout);
+}
+
 caller_identity identify(const caller_request& _request, const route& _route,
     const customer_directory& _customers, const header_names& _names)
 {
--- /dev/null
+++ b/src/entry_node/caller_session_p.h
@@ -0,0 +1,168 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// One connection of an HTTP/1.1 caller: reads one request at a time, hands it to the listener's handler, and
+/// sends the response.
+///
+/// The outcome of a request has one owner, the step of its session. Each change of the step ends the
+/// operations of the step before: their handlers compare the number of the step that began them with the
+/// current one, and do nothing if it differs. A request that the session itself refuses (refuse_unread()) has
+/// left the steps that can dispatch it, so that it is never passed on, whatever was read meanwhile.
+///
+/// | step | what ends it | next |
+/// | --- | --- | --- |
+/// | idle | first byte of a request | head |
+/// | idle | idle timeout, and nothing waits to be read | closed |
+/// | head | headers complete | body, or serve without a body |
+/// | body | body complete | serve |
+/// | head, body | invalid, too large, or late with nothing left to read | send, as refused |
+/// | serve | respond() | send |
+/// | send | response written, connection is kept | idle |
+/// | send | response written, last one on the connection | drain |
+/// | drain | the caller closes, or k_close_timeout | closed |
+///
+/// A timeout judges the caller by what has come, not by what was read: bytes that wait in the socket are read
+/// first, and the time for which the event loop stood still does not count.
+///
+/// Owns its socket; kept alive by its pending operations. Relies on http_listener for limits and handlers.
+#pragma once
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace larkrack
+{
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+using caller_request = http::request<http::string_body>;
+using caller_response = http::response<http::string_body>;
+
+class http_listener;
+
+/// Connection from a caller.
+class caller_session : public std::enable_shared_from_this<caller_session>
+{
+public:
+	caller_session(tcp::socket _socket, const tcp::endpoint& _caller, http_listener& _listener);
+
+	/// Reads the first request.
+	void start();
+	/// Sends the response to the current request, then reads the next request. Without effect once the
+	/// request has its response or the connection is closed.
+	/// @param[in] _response Its Content-Length is set here, unless the request was HEAD and the response
+	/// states one.
+	void respond(caller_response _response);
+	/// Sets the handler for a caller that disconnects before its response was sent.
+	void set_disconnect_handler(std::function<void()> _handler)
+	{
+		m_disconnect_handler = std::move(_handler);
+	}
+	/// Closes the connection without a response.
+	void close();
+	/// Closes the connection if it carries no request.
+	void close_if_idle();
+	/// @returns Hash of the caller's address, without the port.
+	std::uint64_t address_hash() const
+	{
+		return m_address_hash;
+	}
+	/// @returns Address of the caller, without the port.
+	std::string address() const
+	{
+		return m_address.to_string();
+	}
+	/// @returns Whether a request waits for its response, or its response is being sent.
+	bool busy() const
+	{
+		return step::serve == m_step || step::send == m_step;
+	}
+	/// @returns Time from the end of the headers of the current request to the end of its body; 0 if the body
+	/// came with the headers.
+	std::chrono::steady_clock::duration body_time() const
+	{
+		return m_body_time;
+	}
+
+private:
+	enum class step
+	{
+		idle,  ///< Waiting for the first byte of a request.
+		head,  ///< Reading the headers of a request.
+		body,  ///< Reading the body of a request.
+		serve, ///< The handler owes a response.
+		send,  ///< A response is being sent.
+		drain, ///< The last response was sent; waiting for the caller to close.
+		closed,
+	};
+	/// Begins a step, which ends the pending operations of the step before.
+	void enter(step _step);
+	bool is_current(unsigned _step_number) const
+	{
+		return m_step_number == _step_number;
+	}
+	void wait_request();
+	void read_head();
+	/// Reads on, then continues with parse().
+	void read_more();
+	void on_read(beast::error_code _error, std::size_t _size);
+	/// Parses what has been read, and continues as far as that allows.
+	void parse();
+	/// @returns Whether the current step has read all that it needs.
+	bool is_part_complete() const;
+	void on_head();
+	void read_body();
+	/// Sends "100 Continue", then reads the body.
+	void send_continue();
+	/// Ends a request that cannot be read: answers an invalid one, closes a broken connection.
+	void on_read_failed(beast::error_code _error);
+	/// Refuses the current request, which was not read whole, and never will be: the only way to a response
+	/// of the session's own.
+	void refuse_unread(http::status _status);
+	void dispatch_request();
+	void watch_for_disconnect();
+	/// Starts the timer of the current step.
+	void start_timer(std::chrono::steady_clock::duration _timeout);
+	void on_timeout();
+	/// @returns How much longer the caller may take to send the request, since it kept within the limits as
+	/// far as this node can tell; 0: it is late.
+	std::chrono::steady_clock::duration reading_time_left();
+	bool has_unread_bytes();
+	void send_response(caller_response&& _response);
+	void on_sent(beast::error_code _error);
+	/// Shuts down the sending side, then closes the connection once the caller has closed it, or after
+	/// k_close_timeout.
+	void drain_and_close();
+
+	tcp::socket m_socket;
+	http_listener& m_listener;
+	asio::ip::address m_address;
+	std::uint64_t m_address_hash;
+	asio::steady_timer m_timer;
+	beast::flat_buffer m_buffer;
+	std::optional<http::request_parser<http::string_body>> m_parser;
+	std::optional<caller_response> m_response;
+	std::function<void()> m_disconnect_handler;
+	step m_step = step::idle;
+	unsigned m_step_number = 0;
+	/// Time for which the event loop had stood still when the timer was started.
+	std::chrono::steady_clock::duration m_stalled_before{};
+	std::chrono::steady_clock::time_point m_body_began_at{};
+	std::chrono::steady_clock::time_point m_body_deadline{};
+	std::chrono::steady_clock::duration m_body_time{};
+	bool m_got_bytes = false; ///< Bytes have come since the timer was started.
+	bool m_sending_continue = false;
+	bool m_keep_alive = true;
+	bool m_head_request = false;
+};
+} // namespace larkrack
--- a/src/entry_node/entry_node.cpp
+++ b/src/entry_node/entry_node.cpp
@@ -217,6 +217,11 @@
 	    {
 		    return m_forwarder.check_before_body(_request);
 	    });
+	m_callers.set_body_time_rule(
+	    [this](const caller_request& _request)
+	    {
+		    return m_forwarder.body_time_limit(_request);
+	    });
 }
 
 entry_node::~entry_node() = default;
@@ -412,6 +417,15 @@
 	    });
 }
 
+void entry_node::tick_listeners()
+{
+	const auto now = std::chrono::time_point_cast<steady_time::duration>(std::chrono::steady_clock::now());
+	for (http_listener* listener : {&m_callers, &m_readiness, &m_lookups, &m_peers, &m_metrics_listener})
+	{
+		listener->tick(now);
+	}
+}
+
 void entry_node::tick()
 {
 	m_replica.tick();
@@ -425,6 +439,7 @@
 	m_exchanges.tick();
 	m_rollouts.tick();
 	m_packed_pages.tick(m_clock.steady());
+	tick_listeners();
 	// Some of the backend servers are enough to become ready. Affinity keys that run on a backend server that
 	// is still unknown are served late, but refusing callers until all 10,002 backend servers are known makes
 	// them wait for 13 s after a power loss of all nodes.
--- a/src/entry_node/entry_node_answers.cpp
+++ b/src/entry_node/entry_node_answers.cpp
@@ -166,6 +166,8 @@
 	    static_cast<double>(m_forwarder.reports().invalid_work_times()));
 	gauge("in_flight", "Requests whose answer is due.", static_cast<double>(m_forwarder.in_flight()));
 	gauge("caller_connections", "Open connections of callers.", static_cast<double>(m_callers.connections()));
+	gauge("unread_refusals", "Requests of callers that were refused before they were read whole.",
+	    static_cast<double>(m_callers.unread_refusals()));
 	gauge("backend_servers", "Backend servers in the registry.", static_cast<double>(m_backends.size()));
 	gauge("limited_backends", "Backend servers that name a limit of their requests.",
 	    static_cast<double>(m_backends.limited()));
--- a/src/entry_node/entry_node_p.h
+++ b/src/entry_node/entry_node_p.h
@@ -79,6 +79,8 @@
 	/// Runs periodic work: ticks of the components, heartbeats, digests, fetches from other nodes, log
 	/// output.
 	void tick();
+	/// Lets the listeners notice when the event loop stood still.
+	void tick_listeners();
 	void receive_datagrams();
 	void send_heartbeats();
 	/// Sends a heartbeat to the given nodes now, outside of the schedule.
--- a/src/entry_node/forwarded_request.cpp
+++ b/src/entry_node/forwarded_request.cpp
@@ -14,13 +14,20 @@
 /// HTTP status for a request that matches no route.
 constexpr unsigned k_status_no_route = 404;
 
+/// @returns When the headers of the request of a session arrived: its caller waits since then.
+steady_time arrival_of(request_context& _context, const caller_session& _session)
+{
+	const steady_time now = _context.clock.steady();
+	const auto body_time = std::chrono::duration_cast<steady_time::duration>(_session.body_time());
+	return std::min(_context.gap.arrival(now), now - body_time);
+}
 } // namespace
 
 forwarded_request::forwarded_request(request_context& _context, request_owner_base& _owner,
     request_number _number, std::shared_ptr<caller_session> _session, caller_request&& _request)
     : m_context(_context), m_owner(_owner), m_number(_number), m_session(std::move(_session)),
       m_request(std::move(_request)), m_request_id(m_request[_context.names.request_id]),
-      m_routes(_context.routes), m_arrived_at(_context.gap.arrival(_context.clock.steady())),
+      m_routes(_context.routes), m_arrived_at(arrival_of(_context, *m_session)),
       m_deadline_timer(_context.io), m_wait_timer(_context.io)
 {
 }
@@ -91,8 +98,7 @@
 
 void forwarded_request::select_service_and_region()
 {
-	const std::chrono::milliseconds time_limit = timeout();
-	m_deadline = m_arrived_at + time_limit;
+	m_deadline = m_arrived_at + timeout_of(m_request, m_route, m_context.names);
 	const std::vector<route_target>& targets = m_route->targets;
 	const route_target& target =
 	    1 == targets.size() ? targets.front() : m_owner.split_for(*m_route).next(targets);
@@ -123,21 +129,6 @@
 	    });
 }
 
-std::chrono::milliseconds forwarded_request::timeout() const
-{
-	return request_timeout(stated_timeout(), m_route->timeout);
-}
-
-std::optional<std::string_view> forwarded_request::stated_timeout() const
-{
-	const auto field = m_request.find(m_context.names.timeout_ms);
-	if (m_request.end() == field)
-	{
-		return std::nullopt;
-	}
-	return std::string_view(field->value().data(), field->value().size());
-}
-
 affinity_key forwarded_request::key_of_request() const
 {
 	if (!m_route->sticky)
--- a/src/entry_node/forwarded_request_admission.cpp
+++ b/src/entry_node/forwarded_request_admission.cpp
@@ -1,6 +1,7 @@
 // Copyright 2026 the larkrack developers. All rights reserved.
 // License: BSD 2-Clause, see LICENSE.
 
+#include "entry_node/caller_identity_p.h"
 #include "entry_node/forwarded_request_p.h"
 #include "entry_node/upstream_request_bytes_p.h"
 #include "steering/rendezvous_p.h"
@@ -50,7 +51,7 @@
 	request.route = rendezvous_weight(m_route->name, 0);
 	request.region = m_region_choice.region;
 	request.objective = m_route->objective;
-	if (const std::optional<std::string_view> stated = stated_timeout())
+	if (const std::optional<std::string_view> stated = stated_timeout(m_request, m_context.names))
 	{
 		request.stated_timeout = parse_timeout(*stated);
 	}
--- a/src/entry_node/forwarded_request_p.h
+++ b/src/entry_node/forwarded_request_p.h
@@ -122,9 +122,6 @@
 	/// Checks key, deadline and block again after a wait.
 	/// @returns Whether the request must not be sent: it was refused, has ended, or asks for a trial.
 	bool refuse_after_wait();
-	std::chrono::milliseconds timeout() const;
-	/// @returns Text of the caller's header with its timeout; nothing when there is none.
-	std::optional<std::string_view> stated_timeout() const;
 	affinity_key key_of_request() const;
 	/// @returns Seconds left until the objective of the route, or until the deadline if there is none.
 	double time_left_s(steady_time _now) const;
--- a/src/entry_node/forwarder.cpp
+++ b/src/entry_node/forwarder.cpp
@@ -75,6 +75,12 @@
 	return http::status::unauthorized;
 }
 
+std::chrono::milliseconds forwarder::body_time_limit(const caller_request& _request) const
+{
+	const route* found = m_context.routes ? find_route(_request, *m_context.routes) : nullptr;
+	return timeout_of(_request, found, m_context.names);
+}
+
 void forwarder::set_routes(std::shared_ptr<const routing_table> _routes)
 {
 	if (m_context.routes && m_context.routes->version() >= _routes->version())
--- a/src/entry_node/forwarder_p.h
+++ b/src/entry_node/forwarder_p.h
@@ -115,6 +115,8 @@
 	/// refusal are checked once the request was read.
 	/// @returns The status to refuse the request with, or nothing.
 	std::optional<http::status> check_before_body(const caller_request& _request);
+	/// @returns Time that the body of a request may take: nobody waits for the answer after its deadline.
+	std::chrono::milliseconds body_time_limit(const caller_request& _request) const;
 	/// Applies a configuration to requests that arrive from now on. A version that is not newer than the
 	/// current one is ignored.
 	void set_routes(std::shared_ptr<const routing_table> _routes);
--- a/src/entry_node/relay_client.cpp
+++ b/src/entry_node/relay_client.cpp
@@ -25,6 +25,25 @@
 	}
 	return backend_signal::lost;
 }
+
+/// @returns Whether a relay promises by that status that it has not sent the request to a backend server, and
+/// never will. A 408 is no such promise: relays of earlier versions went on with a request after it. Other
+/// statuses are none that a relay gives.
+bool promises_not_sent(http::status _status)
+{
+	switch (_status)
+	{
+	case http::status::bad_request:
+	case http::status::forbidden:
+	case http::status::not_found:
+	case http::status::payload_too_large:
+	case http::status::request_header_fields_too_large:
+	case http::status::service_unavailable:
+		return true;
+	default:
+		return false;
+	}
+}
 } // namespace
 
 relay_exchange::relay_exchange(const exchange_services& _services, relay_connections& _connections,
@@ -137,9 +156,15 @@
 
 void relay_exchange::on_response()
 {
-	const bool understood = http::status::ok == m_parser->get().result() &&
-	                        k_relay_content_type == m_parser->get()[http::field::content_type];
-	if (!understood)
+	const http::status status = m_parser->get().result();
+	if (http::status::ok != status && !promises_not_sent(status))
+	{
+		m_listener.on_relay_refused(m_relay_ip);
+		fail(exchange_outcome::lost, "relay_broken_answer", backend_signal::not_tried);
+		return;
+	}
+	const bool other_version = k_relay_content_type != m_parser->get()[http::field::content_type];
+	if (http::status::ok != status || other_version)
 	{
 		fail_relay("relay_refused");
 		return;
--- a/src/entry_node/relay_client_p.h
+++ b/src/entry_node/relay_client_p.h
@@ -8,7 +8,8 @@
 ///
 /// | what happens | the exchange ends as |
 /// | --- | --- |
-/// | the relay is not reached, refuses, or is of another version | not_sent, relay_failed |
+/// | the relay is not reached, refuses as not sent, or is of another version | not_sent, relay_failed |
+/// | the relay answers with a status that promises nothing, such as 408 | lost |
 /// | the relay could not connect to the backend server, or it accepts no requests | not_sent |
 /// | the backend server did not run the request | not_run |
 /// | the connection to the relay breaks once a byte of the request was sent | lost |
@@ -75,8 +76,6 @@
 	void write();
 	void read();
 	void on_response();
-	/// Applies the headers of the backend server's response.
-	void apply_reports(const caller_response& _response);
 	void fail_relay(const char* _detail);
 	void fail(exchange_outcome _end, const char* _detail, backend_signal _signal);
 	void finish(exchange_result&& _result, backend_signal _signal);
--- a/src/steering/loop_gap_p.h
+++ b/src/steering/loop_gap_p.h
@@ -10,7 +10,8 @@
 /// Algorithm: if no iteration occurred for longer, everything that is read within k_stall_backlog_time after
 /// the stall may have arrived at any moment of it, and counts as arrived at its start. The caller has waited
 /// since then; a timeout counted from the read would outlast the caller's own, and a backend server would run
-/// a request that no caller awaits.
+/// a request that no caller awaits. The time of all stalls is summed, since a limit on what a caller may take
+/// does not include it.
 ///
 /// Relies on a clock that includes the time of a suspension.
 #pragma once
@@ -36,6 +37,7 @@
 		{
 			m_stall_began = m_last_iteration;
 			m_backlog_until = _now + k_stall_backlog_time;
+			m_total += _now - m_last_iteration;
 		}
 		m_last_iteration = _now;
 	}
@@ -51,9 +53,16 @@
 		return _now < m_backlog_until ? m_stall_began : _now;
 	}
 
+	/// @returns Time of all stalls so far.
+	steady_time::duration total() const
+	{
+		return m_total;
+	}
+
 private:
 	steady_time m_last_iteration{};
 	steady_time m_stall_began{};
 	steady_time m_backlog_until{};
+	steady_time::duration m_total{};
 };
 } // namespace larkrack
--- /dev/null
+++ b/tests/caller_session_test.cpp
@@ -0,0 +1,322 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// Orders of events on the connection of a caller. The event loop runs only where a test says so: while it
+/// does not, the node stands still, as a frozen VM does, and what callers send waits in the sockets.
+
+#include "fixtures.h"
+
+#include "entry_node/http_listener_p.h"
+
+#include <random>
+
+namespace larkrack
+{
+/// A listener whose event loop the test turns by hand, and a caller with blocking sockets.
+class caller_session_fixture : public CppUnit::TestFixture
+{
+public:
+	void setUp() override
+	{
+		m_listener = std::make_unique<http_listener>(
+		    m_context,
+		    [this](const std::shared_ptr<caller_session>& _session, caller_request&& _request)
+		    {
+			    handled.push_back(_request.body());
+			    _session->respond(caller_response(http::status::ok, 11));
+			    _session->respond(caller_response(http::status::bad_gateway, 11)); // One too many: no effect.
+		    },
+		    1000);
+		CPPUNIT_ASSERT(!m_listener->listen(tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)));
+		set_timeouts(k_header_timeout, std::chrono::seconds(10));
+	}
+	void tearDown() override
+	{
+		m_context.stop();
+		m_listener.reset();
+	}
+
+protected:
+	/// Shorter than the time for which a test stands still.
+	static constexpr std::chrono::milliseconds k_header_timeout{4};
+	static constexpr std::chrono::milliseconds k_idle_timeout{4};
+
+	void set_timeouts(std::chrono::milliseconds _header, std::chrono::milliseconds _idle)
+	{
+		caller_limits limits;
+		limits.header_bytes = 2048;
+		limits.body_bytes = 100000;
+		limits.header_timeout = _header;
+		limits.idle_timeout = _idle;
+		m_listener->set_limits(limits);
+	}
+	/// @returns A connected caller; the node has not accepted it yet.
+	tcp::socket connect()
+	{
+		tcp::socket socket(m_callers);
+		socket.connect(m_listener->address());
+		socket.set_option(tcp::no_delay(true)); // Each piece is on its way at once.
+		socket.non_blocking(true);
+		return socket;
+	}
+	static void send(tcp::socket& _caller, const std::string& _bytes)
+	{
+		beast::error_code ignored; // The node may have closed the connection.
+		asio::write(_caller, asio::buffer(_bytes), ignored);
+	}
+	/// Runs all handlers that are due.
+	void run_node()
+	{
+		m_context.restart();
+		m_context.poll();
+	}
+	/// Lets time pass while the node does not run.
+	static void stand_still(std::chrono::milliseconds _time)
+	{
+		const auto end = std::chrono::steady_clock::now() + _time;
+		while (std::chrono::steady_clock::now() < end)
+		{
+		}
+	}
+	/// Runs the node until a time has passed.
+	void run_node_for(std::chrono::milliseconds _time)
+	{
+		const auto end = std::chrono::steady_clock::now() + _time;
+		while (std::chrono::steady_clock::now() < end)
+		{
+			run_node();
+		}
+	}
+	/// Runs the node until no more bytes come from it.
+	/// @returns All bytes that the node has sent to a caller.
+	std::string answers(tcp::socket& _caller)
+	{
+		std::string all;
+		const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(20);
+		while (std::chrono::steady_clock::now() < end)
+		{
+			run_node();
+			std::array<char, 4096> bytes{};
+			beast::error_code error;
+			all.append(bytes.data(), _caller.read_some(asio::buffer(bytes), error));
+		}
+		return all;
+	}
+	static std::size_t count(const std::string& _text, const std::string& _part)
+	{
+		std::size_t found = 0;
+		for (std::size_t at = _text.find(_part); std::string::npos != at; at = _text.find(_part, at + 1))
+		{
+			++found;
+		}
+		return found;
+	}
+	static std::string head(const std::string& _more)
+	{
+		return "POST /pay/1 HTTP/1.1\r\nHost: shop.example\r\n" + _more + "\r\n";
+	}
+
+	std::vector<std::string> handled; ///< Bodies of the requests that were passed on.
+	asio::io_context m_context{1};
+	asio::io_context m_callers{1};
+	std::unique_ptr<http_listener> m_listener;
+};
+
+class caller_session_test : public caller_session_fixture
+{
+	CPPUNIT_TEST_SUITE(caller_session_test);
+	CPPUNIT_TEST(request_that_came_while_the_node_stood_still_is_served);
+	CPPUNIT_TEST(request_refused_as_late_is_never_passed_on);
+	CPPUNIT_TEST(request_in_any_order_of_events_has_one_outcome);
+	CPPUNIT_TEST(body_that_keeps_flowing_is_not_cut_by_the_timeout_of_the_headers);
+	CPPUNIT_TEST(body_that_is_incomplete_at_the_deadline_of_its_request_is_refused);
+	CPPUNIT_TEST(body_that_cannot_be_parsed_is_refused_and_never_passed_on);
+	CPPUNIT_TEST(time_for_which_the_node_stood_still_does_not_count);
+	CPPUNIT_TEST(idle_connection_whose_request_came_in_time_is_not_closed);
+	CPPUNIT_TEST_SUITE_END();
+
+protected:
+	/// One way to send the same request, in pieces.
+	struct upload
+	{
+		std::string name;
+		std::vector<std::string> pieces;
+	};
+	static std::vector<upload> uploads()
+	{
+		return {{"length", {head("Content-Length: 6\r\n"), "abc", "def"}},
+		    {"chunks", {head("Transfer-Encoding: chunked\r\n"), "3\r\nabc\r\n3\r\nd", "ef\r\n0\r\n\r\n"}},
+		    {"continue", {head("Expect: 100-continue\r\nContent-Length: 6\r\n"), "abc", "def"}},
+		    {"half a head",
+		        {"POST /pay/1 HTTP/1.1\r\nHost: sh", "op.example\r\nContent-Length: 6", "\r\n\r\nabcdef"}}};
+	}
+
+	/// Guards against a 408 for a request whose rest waits in the socket of a node that wakes, and against
+	/// its run after the 408 (review/1).
+	void request_that_came_while_the_node_stood_still_is_served()
+	{
+		for (const upload& one : uploads())
+		{
+			handled.clear();
+			tcp::socket caller = connect();
+			send(caller, one.pieces[0]);
+			run_node();
+			send(caller, one.pieces[1]);
+			send(caller, one.pieces[2]);
+			stand_still(2 * k_header_timeout);
+			const std::string sent = answers(caller);
+			CPPUNIT_ASSERT_EQUAL_MESSAGE(one.name + ": " + sent, std::size_t(1), count(sent, "HTTP/1.1 200"));
+			CPPUNIT_ASSERT_EQUAL_MESSAGE(one.name, std::size_t(0), count(sent, "HTTP/1.1 408"));
+			CPPUNIT_ASSERT_EQUAL_MESSAGE(one.name, std::size_t(1), handled.size());
+			CPPUNIT_ASSERT_EQUAL_MESSAGE(one.name, std::string("abcdef"), handled.front());
+		}
+	}
+
+	/// Guards against a request that runs after its 408 because its rest comes while the 408 is on its way.
+	void request_refused_as_late_is_never_passed_on()
+	{
+		set_timeouts(k_header_timeout, k_idle_timeout);
+		for (const upload& one : uploads())
+		{
+			handled.clear();
+			tcp::socket caller = connect();
+			send(caller, one.pieces[0]);
+			run_node_for(4 * k_header_timeout);
+			send(caller, one.pieces[1]);
+			send(caller, one.pieces[2]);
+			const std::string sent = answers(caller);
+			CPPUNIT_ASSERT_EQUAL_MESSAGE(one.name, std::size_t(1), count(sent, "HTTP/1.1 408"));
+			CPPUNIT_ASSERT_EQUAL_MESSAGE(one.name, std::size_t(0), count(sent, "HTTP/1.1 200"));
+			CPPUNIT_ASSERT_EQUAL_MESSAGE(one.name, std::size_t(0), handled.size());
+		}
+	}
+
+	/// Guards against two outcomes of one request: pieces, timeouts and single steps of the event loop come
+	/// in random order.
+	void request_in_any_order_of_events_has_one_outcome()
+	{
+		std::minstd_rand random(20261204);
+		const auto draw = [&random](unsigned _below)
+		{
+			return static_cast<unsigned>(random()) / 7 % _below;
+		};
+		for (int round = 0; round < 400; ++round)
+		{
+			const upload one = uploads()[draw(4)];
+			set_timeouts(std::chrono::milliseconds(1), std::chrono::milliseconds(1));
+			handled.clear();
+			tcp::socket caller = connect();
+			std::size_t next = 0;
+			while (next < one.pieces.size())
+			{
+				switch (draw(3))
+				{
+				case 0:
+					send(caller, one.pieces[next++]);
+					break;
+				case 1:
+					stand_still(std::chrono::milliseconds(1));
+					break;
+				default:
+					m_context.restart();
+					m_context.poll_one();
+				}
+			}
+			const std::string sent = answers(caller);
+			const std::size_t served = count(sent, "HTTP/1.1 200");
+			const std::size_t refused = count(sent, "HTTP/1.1 4");
+			const std::string where = one.name + ", round " + std::to_string(round) + ": " + sent;
+			CPPUNIT_ASSERT_MESSAGE(where, served + refused <= 1);
+			CPPUNIT_ASSERT_EQUAL_MESSAGE(where, served, handled.size());
+		}
+	}
+
+	/// Guards against a slow upload that is cut although its bytes keep coming.
+	void body_that_keeps_flowing_is_not_cut_by_the_timeout_of_the_headers()
+	{
+		const std::string text = "slow and steady";
+		tcp::socket caller = connect();
+		send(caller, head("Content-Length: " + std::to_string(text.size()) + "\r\n"));
+		for (const char byte : text)
+		{
+			run_node_for(k_header_timeout / 2);
+			send(caller, std::string(1, byte));
+		}
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), count(answers(caller), "HTTP/1.1 200"));
+		CPPUNIT_ASSERT_EQUAL(text, handled.at(0));
+	}
+
+	/// Guards against an upload that holds a connection although nobody waits for its answer any longer.
+	void body_that_is_incomplete_at_the_deadline_of_its_request_is_refused()
+	{
+		m_listener->set_body_time_rule(
+		    [](const caller_request&)
+		    {
+			    return 4 * k_header_timeout;
+		    });
+		tcp::socket caller = connect();
+		send(caller, head("Content-Length: 1000\r\n"));
+		for (int i = 0; i < 10; ++i)
+		{
+			run_node_for(k_header_timeout);
+			send(caller, "x");
+		}
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), count(answers(caller), "HTTP/1.1 408"));
+		CPPUNIT_ASSERT(handled.empty());
+	}
+
+	/// Guards against a connection that ends without a word behind a body with broken framing.
+	void body_that_cannot_be_parsed_is_refused_and_never_passed_on()
+	{
+		tcp::socket caller = connect();
+		send(caller, head("Transfer-Encoding: chunked\r\n"));
+		run_node();
+		send(caller, "zz\r\nabc\r\n0\r\n\r\n");
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), count(answers(caller), "HTTP/1.1 400"));
+		CPPUNIT_ASSERT(handled.empty());
+	}
+
+	/// Guards against a 408 for a request whose packets are sent again only after the VM has woken.
+	void time_for_which_the_node_stood_still_does_not_count()
+	{
+		set_timeouts(10 * k_header_timeout, std::chrono::seconds(10));
+		const auto now = []
+		{
+			return std::chrono::time_point_cast<steady_time::duration>(std::chrono::steady_clock::now());
+		};
+		m_listener->tick(now() - std::chrono::seconds(2));
+		tcp::socket caller = connect();
+		send(caller, "POST /pay/1 HTTP/1.1\r\nHost: sh");
+		run_node(); // The first loop after two seconds, as the next tick will notice.
+		stand_still(10 * k_header_timeout);
+		CPPUNIT_ASSERT_EQUAL(std::string(), answers(caller));
+		send(caller, "op.example\r\n\r\n");
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), count(answers(caller), "HTTP/1.1 200"));
+	}
+
+	/// Guards against the close of a connection whose next request waits in the socket of a node that wakes.
+	void idle_connection_whose_request_came_in_time_is_not_closed()
+	{
+		set_timeouts(std::chrono::seconds(10), k_idle_timeout);
+		tcp::socket caller = connect();
+		run_node();
+		std::vector<tcp::socket> others; // More than the event loop looks at in one turn.
+		for (int i = 0; i < 200; ++i)
+		{
+			others.push_back(connect());
+		}
+		run_node();
+		for (tcp::socket& other : others)
+		{
+			send(other, "GET /read/1 HTTP/1.1\r\nHost: shop.example\r\n\r\n");
+		}
+		send(caller, "GET /read/1 HTTP/1.1\r\nHost: shop.example\r\n\r\n");
+		stand_still(2 * k_idle_timeout);
+		run_node();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(201), handled.size());
+	}
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(caller_session_test);
+} // namespace larkrack
--- a/tests/forms/programs.py
+++ b/tests/forms/programs.py
@@ -101,6 +101,7 @@
 larkrack_store_calls gauge Calls to the store by use.
 larkrack_store_reached gauge Whether the store answered the last call.
 larkrack_store_revision gauge Revision up to which the store's keys are known.
+larkrack_unread_refusals gauge Requests of callers that were refused before they were read whole.
 """
 
 METRIC_LABELS = {
--- a/tests/forwarder_test.cpp
+++ b/tests/forwarder_test.cpp
@@ -16,6 +16,7 @@
 	CPPUNIT_TEST(request_without_configuration_gets_503);
 	CPPUNIT_TEST(request_without_route_gets_404);
 	CPPUNIT_TEST(request_carries_the_time_left_to_the_backend_server);
+	CPPUNIT_TEST(request_with_slow_body_carries_the_time_left_since_its_headers);
 	CPPUNIT_TEST(head_request_gets_no_body);
 	CPPUNIT_TEST(repeatable_request_with_lost_response_is_retried_elsewhere);
 	CPPUNIT_TEST(at_most_once_request_with_lost_response_is_never_retried);
@@ -79,6 +80,23 @@
 		CPPUNIT_ASSERT(std::string::npos == sent.find("Larkrack-Deadline-Ms: ", at + 1));
 	}
 
+	/// Guards against a backend server that works on for the time that its caller took to send the body.
+	void request_with_slow_body_carries_the_time_left_since_its_headers()
+	{
+		constexpr std::chrono::milliseconds k_sending{200};
+		set_routes();
+		scripted_backend& server = add_backend("b1");
+		raw_caller caller = call();
+		caller.send(request("POST", "/pay/1", "r1", "Content-Length: 4\r\n"));
+		m_context->run_for(k_sending);
+		caller.send("body");
+		CPPUNIT_ASSERT_EQUAL(200U, caller.receive().result_int());
+		const std::string& sent = server.requests.at(0);
+		const std::string field = "Larkrack-Deadline-Ms: ";
+		const int left_ms = std::stoi(sent.substr(sent.find(field) + field.size()));
+		CPPUNIT_ASSERT_MESSAGE(std::to_string(left_ms), left_ms <= 1500 - k_sending.count() + 10);
+	}
+
 	void head_request_gets_no_body()
 	{
 		set_routes();
--- /dev/null
+++ b/tests/relay_refusal_test.cpp
@@ -0,0 +1,97 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// What the node in front concludes from the status with which a relay answers instead of a result.
+
+#include "entry_fixture.h"
+
+#include "entry_node/relay_client_p.h"
+
+namespace larkrack
+{
+/// Counts what a relayed exchange tells of its relay.
+class counting_relay_listener : public relay_listener_base
+{
+public:
+	void on_relay_refused(const std::string&) override
+	{
+		++refused;
+	}
+	void on_relayed(steady_time::duration) override
+	{
+	}
+	int refused = 0;
+};
+
+class relay_refusal_test : public entry_fixture
+{
+	CPPUNIT_TEST_SUITE(relay_refusal_test);
+	CPPUNIT_TEST(status_that_promises_not_sent_is_a_refusal);
+	CPPUNIT_TEST(status_that_promises_nothing_is_a_lost_request);
+	CPPUNIT_TEST(answer_of_another_version_is_a_refusal);
+	CPPUNIT_TEST_SUITE_END();
+
+protected:
+	/// @returns How an exchange ends whose relay answers with a status and no result.
+	exchange_result end_with(unsigned _status)
+	{
+		set_routes();
+		scripted_backend relay(*m_context);
+		relay.usual.bytes = "HTTP/1.1 " + std::to_string(_status) + " X\r\nContent-Length: 0\r\n\r\n";
+		add_backend("b" + std::to_string(_status));
+		relay_connections connections(*m_context);
+		connections.port = relay.address().port();
+		upstream_request request;
+		request.request_id = "r1";
+		request.at_most_once = true;
+		request.time_left = std::chrono::milliseconds(1000);
+		std::optional<exchange_result> end;
+		const exchange_services services{
+		    *m_context, m_clock, m_exchanges->names(), m_forwarder->report_listener()};
+		const auto exchange = std::make_shared<relay_exchange>(services, connections, m_listener_of_relays,
+		    "127.0.0.1", m_registry->find(backend_id("b" + std::to_string(_status))), request,
+		    std::chrono::milliseconds(500),
+		    [&end](exchange_result&& _result)
+		    {
+			    end = std::move(_result);
+		    });
+		exchange->start();
+		run_until(*m_context,
+		    [&end]
+		    {
+			    return end.has_value();
+		    });
+		return *end;
+	}
+
+	void status_that_promises_not_sent_is_a_refusal()
+	{
+		for (const unsigned status : {400U, 403U, 404U, 413U, 431U, 503U})
+		{
+			const exchange_result end = end_with(status);
+			CPPUNIT_ASSERT_MESSAGE(std::to_string(status), exchange_outcome::not_sent == end.end);
+			CPPUNIT_ASSERT_MESSAGE(std::to_string(status), end.relay_failed);
+		}
+	}
+	/// Guards against a second run of an order that a relay has answered with 408 and run all the same, as
+	/// relays of earlier versions do.
+	void status_that_promises_nothing_is_a_lost_request()
+	{
+		for (const unsigned status : {408U, 421U, 429U, 500U, 502U, 504U})
+		{
+			const exchange_result end = end_with(status);
+			CPPUNIT_ASSERT_MESSAGE(std::to_string(status), exchange_outcome::lost == end.end);
+		}
+		CPPUNIT_ASSERT_EQUAL(6, m_listener_of_relays.refused);
+	}
+	void answer_of_another_version_is_a_refusal()
+	{
+		CPPUNIT_ASSERT(exchange_outcome::not_sent == end_with(200).end);
+	}
+
+	counting_relay_listener m_listener_of_relays;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(relay_refusal_test);
+} // namespace larkrack
