--- a/src/entry_node/caller_session_p.h
+++ b/src/entry_node/caller_session_p.h
@@ -82,10 +82,10 @@
 	{
 		return m_address.to_string();
 	}
-	/// @returns Whether a request waits for its response, or its response is being sent.
+	/// @returns Whether a request is being read or served, or its response is on its way to the caller.
 	bool busy() const
 	{
-		return step::serve == m_step || step::send == m_step;
+		return step::idle != m_step && step::closed != m_step;
 	}
 	/// @returns Time from the end of the headers of the current request to the end of its body; 0 if the body
 	/// came with the headers.
--- a/src/entry_node/entry_node.cpp
+++ b/src/entry_node/entry_node.cpp
@@ -341,41 +341,46 @@
 		return;
 	}
 	m_stopping = true;
-	m_stop_started_at = m_clock.steady();
-	m_last_request_at = m_stop_started_at;
+	m_stop = {m_clock.steady(), m_settings.grace};
+	m_last_request_at = m_stop.began_at;
 	m_log.write(log_line(event::node_stopping)
 	                .number("in_flight", static_cast<std::int64_t>(m_forwarder.in_flight())));
 	m_fleet.self().state = node_state::stopping;
 	send_heartbeat_to_region();
 	send_heartbeats();
 	m_callers.begin_stop();
+	m_forwarder.begin_stop(m_stop);
+	m_relays.begin_stop(m_stop);
 	stop_step();
 }
 
+void entry_node::end_taking_requests()
+{
+	m_stop_told = true;
+	m_callers.stop_accepting();
+	m_forwarder.refuse_waiting();
+	m_sync.end();
+	m_log.write(log_line(event::node_stopped)
+	                .number("in_flight", static_cast<std::int64_t>(m_forwarder.in_flight())));
+	m_log.flush();
+}
+
 void entry_node::stop_step()
 {
-	const steady_time::duration passed = m_clock.steady() - m_stop_started_at;
+	const steady_time now = m_clock.steady();
 	const std::size_t busy = m_callers.busy() + m_relays.in_flight();
-	const steady_time::duration since_request =
-	    0 == busy ? m_clock.steady() - m_last_request_at : steady_time::duration{};
-	const stop_decision decision = plan_stop({passed, m_settings.grace, busy, since_request});
+	const steady_time::duration since_request = 0 == busy ? now - m_last_request_at : steady_time::duration{};
+	const stop_decision decision = plan_stop({now - m_stop.began_at, m_stop.grace, busy, since_request});
 	if (decision.close_idle)
 	{
 		m_callers.close_idle();
 	}
-	if (decision.refuse_new)
+	if ((decision.last_answers || decision.end) && !m_stop_told)
 	{
-		m_callers.stop_accepting();
-		m_forwarder.begin_stop();
-		m_relays.begin_stop();
+		end_taking_requests();
 	}
 	if (decision.end)
 	{
-		m_callers.stop_accepting();
-		m_sync.end();
-		m_log.write(log_line(event::node_stopped)
-		                .number("in_flight", static_cast<std::int64_t>(m_forwarder.in_flight())));
-		m_log.flush();
 		m_context.stop();
 		return;
 	}
--- a/src/entry_node/entry_node_p.h
+++ b/src/entry_node/entry_node_p.h
@@ -76,6 +76,8 @@
 	/// Takes the actions of plan_stop() that are due, and repeats at each k_stop_check_interval until the
 	/// process ends.
 	void stop_step();
+	/// Refuses what waits to be sent, and writes the log before the process may be killed.
+	void end_taking_requests();
 	/// Runs periodic work: ticks of the components, heartbeats, digests, fetches from other nodes, log
 	/// output.
 	void tick();
@@ -195,10 +197,11 @@
 	/// which no live node had the keys.
 	steady_time m_last_page_at{};
 	std::uint64_t m_page_requests = 0;
-	steady_time m_stop_started_at{};
+	stop_course m_stop;
 	steady_time m_last_request_at{};
 	steady_time m_next_heartbeat{};
 	bool m_stopping = false;
+	bool m_stop_told = false;        ///< The end of the planned stop was logged.
 	bool m_fetching_changes = false; ///< A fetch of changes or pages is scheduled or running.
 	bool m_fetching_routes = false;  ///< A fetch of the configuration is scheduled or running.
 	bool m_reading_routes = false;   ///< The configuration is being read from the store.
--- a/src/entry_node/forwarded_request.cpp
+++ b/src/entry_node/forwarded_request.cpp
@@ -39,11 +39,6 @@
 	    {
 		    self->on_caller_left();
 	    });
-	if (m_context.stopping)
-	{
-		refuse(reason::stopping);
-		return;
-	}
 	if (!m_routes)
 	{
 		refuse(reason::no_configuration);
@@ -55,6 +50,12 @@
 		respond(make_response(k_status_no_route), outcome::not_run, reason::unknown_service);
 		return;
 	}
+	m_deadline = m_arrived_at + timeout_of(m_request, m_route, m_context.names);
+	if (too_late_to_stop())
+	{
+		refuse_as_stopping();
+		return;
+	}
 	const std::optional<reason> refused = check_customer();
 	if (reason::unknown_key == refused)
 	{
@@ -74,8 +75,26 @@
 	route_and_send();
 }
 
+bool forwarded_request::too_late_to_stop() const
+{
+	return m_context.stop && !takes_while_stopping(*m_context.stop,
+	                             {m_deadline - m_context.clock.steady(), m_owner.estimate_times_of(*m_route)},
+	                             m_context.clock.steady());
+}
+
+void forwarded_request::refuse_as_stopping()
+{
+	const bool others_serve = m_context.fleet.live_nodes().live > 1.0;
+	refuse(reason::stopping, others_serve ? 0.0 : retry_after_s(m_context.random));
+}
+
 void forwarded_request::route_and_send()
 {
+	if (too_late_to_stop())
+	{
+		refuse_as_stopping();
+		return;
+	}
 	select_service_and_region();
 	if (!end_if_deadline_over() && !handle_if_blocked())
 	{
@@ -98,7 +117,6 @@
 
 void forwarded_request::select_service_and_region()
 {
-	m_deadline = m_arrived_at + timeout_of(m_request, m_route, m_context.names);
 	const std::vector<route_target>& targets = m_route->targets;
 	const route_target& target =
 	    1 == targets.size() ? targets.front() : m_owner.split_for(*m_route).next(targets);
@@ -155,6 +173,7 @@
 		const bool sent = m_exchange && m_exchange->sent();
 		if (sent)
 		{
+			m_owner.times_of(*m_route).add(m_context.clock.steady() - m_arrived_at);
 			report_attempt(*m_exchange->backend(), attempt_end::lost);
 		}
 		finish_with(response_at_deadline(m_history, sent));
--- a/src/entry_node/forwarded_request_attempts.cpp
+++ b/src/entry_node/forwarded_request_attempts.cpp
@@ -203,7 +203,7 @@
 	const bool granted = quota_answer::granted == _answer;
 	const steady_time now = m_context.clock.steady();
 	const bool can_send = state::awaiting_token == m_state && granted && key_still_valid() &&
-	                      _backend->usable(now) && now < m_deadline;
+	                      _backend->usable(now) && now < m_deadline && !too_late_to_stop();
 	if (can_send)
 	{
 		send_to(_backend);
@@ -222,6 +222,11 @@
 		refuse_key();
 		return;
 	}
+	if (too_late_to_stop())
+	{
+		refuse_as_stopping();
+		return;
+	}
 	m_without_token.push_back(_backend->registered.id);
 	if (!try_send())
 	{
@@ -229,11 +234,17 @@
 	}
 }
 
+std::chrono::milliseconds forwarded_request::time_for_backend(steady_time _now) const
+{
+	const std::chrono::milliseconds left = to_ms(m_deadline - _now);
+	return m_context.stop ? std::min(left, to_ms(stop_time_left(*m_context.stop, _now))) : left;
+}
+
 void forwarded_request::send_to(const backend_ptr& _backend)
 {
 	upstream_request request = make_upstream_request(m_request, m_context.names, _backend->registered.id,
 	    nullptr == m_customer ? customer_name() : m_customer->name);
-	request.time_left = to_ms(m_deadline - m_context.clock.steady());
+	request.time_left = time_for_backend(m_context.clock.steady());
 	request.request_id = m_request_id;
 	request.head = http::verb::head == m_request.method();
 	service_steering& steering = m_owner.service_entry(m_service).steering;
@@ -294,7 +305,9 @@
 	double service_time_s = 0.0;
 	if (exchange_outcome::answered == _result.end)
 	{
-		service_time_s = to_s(m_context.clock.steady() - m_sent_at);
+		const steady_time now = m_context.clock.steady();
+		service_time_s = to_s(now - m_sent_at);
+		m_owner.times_of(*m_route).add(now - m_arrived_at);
 		service_steering& steering = m_owner.service_entry(m_service).steering;
 		steering.demand.add_service_time(service_time_s);
 		m_expected.time_s = service_time_s - m_context.distances.rtt_s(backend->region);
@@ -330,7 +343,8 @@
 	}
 	const bool crash_suspected = _result.connection_broke && !m_context.crashes.may_retry(fingerprint());
 	const bool in_time = m_context.clock.steady() < m_deadline;
-	const bool may_retry = in_time && key_still_valid() && !crash_suspected && trial_state::used != m_trial;
+	const bool may_retry = in_time && key_still_valid() && !too_late_to_stop() && !crash_suspected &&
+	                       trial_state::used != m_trial;
 	if (may_retry && may_retry_free(_rule, m_history) && try_send())
 	{
 		return;
--- a/src/entry_node/forwarded_request_blocks.cpp
+++ b/src/entry_node/forwarded_request_blocks.cpp
@@ -129,6 +129,11 @@
 		refuse_key();
 		return true;
 	}
+	if (too_late_to_stop())
+	{
+		refuse_as_stopping();
+		return true;
+	}
 	return end_if_deadline_over() || (trial_state::none == m_trial && handle_if_blocked());
 }
 } // namespace larkrack
--- a/src/entry_node/forwarded_request_p.h
+++ b/src/entry_node/forwarded_request_p.h
@@ -51,6 +51,22 @@
 	bool can_abandon(const domain_name& _domain) const;
 	/// Ends the running exchange as not sent or lost.
 	void abandon_exchange();
+	/// @returns Whether it waits for anything but the answer of a backend server or relay.
+	bool waits_to_be_sent() const
+	{
+		return state::ended != m_state && !(m_exchange && m_exchange->sent());
+	}
+	/// Ends a request that a stopping node cannot finish in time: its caller goes to another node.
+	void refuse_as_stopping();
+	bool is_of(const route& _route) const
+	{
+		return nullptr != m_route && m_route->name == _route.name;
+	}
+	/// @returns Time since it arrived.
+	steady_time::duration age(steady_time _now) const
+	{
+		return _now - m_arrived_at;
+	}
 
 private:
 	enum class state
@@ -81,9 +97,11 @@
 	void on_quota(quota_answer _answer);
 	/// Returns the token of the customer's quota if no backend server was tried.
 	void give_token_back();
+	/// @returns Whether the node is stopping and cannot finish the request in time.
+	bool too_late_to_stop() const;
 	/// Selects service and region, then makes the first attempt or queues the request.
 	void route_and_send();
-	/// Sets deadline, service, affinity key and region, and starts the deadline timer.
+	/// Sets service, affinity key and region, and starts the deadline timer.
 	void select_service_and_region();
 	/// Asks for admission if it was not asked yet, then sends the request or queues it.
 	void send_or_enqueue();
@@ -138,6 +156,8 @@
 	/// Waits for a token of the backend server's limit.
 	void ask_for_token(const backend_ptr& _backend);
 	void on_token(const backend_ptr& _backend, quota_answer _answer);
+	/// @returns Time that the backend server is told to have.
+	std::chrono::milliseconds time_for_backend(steady_time _now) const;
 	void send_to(const backend_ptr& _backend);
 	void join_queue();
 	/// Starts the timer that ends the wait in the queue.
--- a/src/entry_node/forwarder.cpp
+++ b/src/entry_node/forwarder.cpp
@@ -39,7 +39,7 @@
           domain_name(_placement.domain), _backends, _fleet, _quotas, _rollouts, _limits, _crashes,
           _exchanges, m_reports, _log, _metrics,
           std::minstd_rand(static_cast<unsigned>(_clock.steady().time_since_epoch().count())), {}, {}, {}, {},
-          false},
+          {}},
       m_bounds(_bounds), m_make_admission(std::move(_make_admission))
 {
 }
@@ -59,20 +59,64 @@
 
 std::optional<http::status> forwarder::check_before_body(const caller_request& _request)
 {
-	if (!m_context.routes || m_context.stopping)
+	const route* found = m_context.routes ? find_route(_request, *m_context.routes) : nullptr;
+	if (nullptr == found)
 	{
 		return std::nullopt;
 	}
-	const route* found = find_route(_request, *m_context.routes);
-	if (nullptr == found ||
-	    key_check::refused !=
-	        identify(_request, *found, m_context.routes->customers(), m_context.names).check)
+	const auto refuse = [this](reason _reason, http::status _status)
 	{
-		return std::nullopt;
+		++m_context.counters.requests;
+		m_context.exported_metrics.count_outcome("", outcome::not_run, _reason);
+		return _status;
+	};
+	if (!takes(*found, timeout_of(_request, found, m_context.names)))
+	{
+		return refuse(reason::stopping, http::status::service_unavailable);
+	}
+	if (key_check::refused ==
+	    identify(_request, *found, m_context.routes->customers(), m_context.names).check)
+	{
+		return refuse(reason::unknown_key, http::status::unauthorized);
+	}
+	return std::nullopt;
+}
+
+bool forwarder::takes(const route& _route, steady_time::duration _until_deadline) const
+{
+	return !m_context.stop || takes_while_stopping(*m_context.stop,
+	                              {_until_deadline, estimate_times_of(_route)}, m_context.clock.steady());
+}
+
+route_time_estimate forwarder::estimate_times_of(const route& _route) const
+{
+	const steady_time now = m_context.clock.steady();
+	std::vector<steady_time::duration> running;
+	for (const auto& [number, request] : m_requests)
+	{
+		if (request->is_of(_route))
+		{
+			running.push_back(request->age(now));
+		}
+	}
+	const auto ended = m_times.find(_route.name);
+	return (m_times.end() == ended ? route_times() : ended->second).estimate(std::move(running));
+}
+
+void forwarder::refuse_waiting()
+{
+	std::vector<request_ptr> requests;
+	for (const auto& [number, request] : m_requests)
+	{
+		if (request->waits_to_be_sent())
+		{
+			requests.push_back(request);
+		}
+	}
+	for (const request_ptr& request : requests)
+	{
+		request->refuse_as_stopping();
 	}
-	++m_context.counters.requests;
-	m_context.exported_metrics.count_outcome("", outcome::not_run, reason::unknown_key);
-	return http::status::unauthorized;
 }
 
 std::chrono::milliseconds forwarder::body_time_limit(const caller_request& _request) const
@@ -88,6 +132,16 @@
 		return;
 	}
 	m_context.routes = std::move(_routes);
+	std::unordered_map<std::string, route_times> kept; // Without routes that are gone.
+	for (const route& each : m_context.routes->routes())
+	{
+		const auto known = m_times.find(each.name);
+		if (m_times.end() != known)
+		{
+			kept.emplace(*known);
+		}
+	}
+	m_times.swap(kept);
 }
 
 forwarded_service& forwarder::service_entry(const service_name& _service)
--- a/src/entry_node/forwarder_p.h
+++ b/src/entry_node/forwarder_p.h
@@ -21,6 +21,7 @@
 #include "steering/fleet_view_p.h"
 #include "steering/load_level_log_p.h"
 #include "steering/loop_gap_p.h"
+#include "steering/planned_stop_p.h"
 #include "steering/service_split_p.h"
 #include "steering/service_steering_p.h"
 
@@ -79,8 +80,8 @@
 	std::shared_ptr<const routing_table> routes; ///< Configuration for new requests; null: none yet.
 	region_distances distances;
 	forwarder_counters counters;
-	loop_stall_detector gap; ///< Corrects arrival times after the event loop stalled.
-	bool stopping = false;   ///< New requests are refused.
+	loop_stall_detector gap;         ///< Corrects arrival times after the event loop stalled.
+	std::optional<stop_course> stop; ///< Course of the planned stop; nothing: the node runs.
 };
 
 /// Interface of a request to its owner.
@@ -92,6 +93,10 @@
 	virtual forwarded_service& service_entry(const service_name& _service) = 0;
 	/// @returns State that divides the requests of a route among its services.
 	virtual service_split& split_for(const route& _route) = 0;
+	/// @returns Times of a route's requests that have ended, created on first use.
+	virtual route_times& times_of(const route& _route) = 0;
+	/// @returns What is known of the times of a route's requests, running ones included.
+	virtual route_time_estimate estimate_times_of(const route& _route) const = 0;
 	/// Tries to send queued requests again.
 	virtual void retry_waiting_requests() = 0;
 	/// Removes a request that has ended.
@@ -115,6 +120,8 @@
 	/// refusal are checked once the request was read.
 	/// @returns The status to refuse the request with, or nothing.
 	std::optional<http::status> check_before_body(const caller_request& _request);
+	/// @returns Whether the node, if it is stopping, takes a request of a route.
+	bool takes(const route& _route, steady_time::duration _until_deadline) const;
 	/// @returns Time that the body of a request may take: nobody waits for the answer after its deadline.
 	std::chrono::milliseconds body_time_limit(const caller_request& _request) const;
 	/// Applies a configuration to requests that arrive from now on. A version that is not newer than the
@@ -132,10 +139,12 @@
 		m_started_at = _at;
 	}
 	/// Refuses new requests from now on; requests in flight continue.
-	void begin_stop()
+	void begin_stop(const stop_course& _course = {})
 	{
-		m_context.stopping = true;
+		m_context.stop = _course;
 	}
+	/// Refuses all requests that wait for something other than an answer.
+	void refuse_waiting();
 	/// Tries to send queued requests again; call it when backend servers were added or changed.
 	void retry_waiting_requests() override;
 	/// Ends direct exchanges with the backend servers of a failure domain whose path is broken, so that their
@@ -182,6 +191,11 @@
 	{
 		return m_splits[_route.name];
 	}
+	route_times& times_of(const route& _route) override
+	{
+		return m_times[_route.name];
+	}
+	route_time_estimate estimate_times_of(const route& _route) const override;
 	void remove(request_number _number) override
 	{
 		m_requests.erase(_number.value);
@@ -202,7 +216,9 @@
 	admission_factory m_make_admission;
 	backend_choice_setting m_backend_choice = backend_choice_setting::reported;
 	std::map<service_name, forwarded_service> m_services;
-	std::map<std::string, service_split> m_splits;             ///< Key: name of the route.
+	std::map<std::string, service_split> m_splits;
+	std::unordered_map<std::string, route_times> m_times;      ///< By route.
+	                                                           ///< Key: name of the route.
 	std::unordered_map<std::uint64_t, request_ptr> m_requests; ///< By request_number.
 	request_number m_last_number;
 	steady_time m_started_at{}; ///< Start of this node; epoch: no life before it.
--- a/src/entry_node/http_listener_p.h
+++ b/src/entry_node/http_listener_p.h
@@ -66,7 +66,7 @@
 	void stop_accepting();
 	/// Closes connections that carry no request.
 	void close_idle();
-	/// @returns Requests that wait for their response.
+	/// @returns Connections with a request that is being read or served, or whose response is on its way.
 	std::size_t busy() const;
 	std::size_t connections() const
 	{
--- a/src/entry_node/relay_server.cpp
+++ b/src/entry_node/relay_server.cpp
@@ -203,7 +203,7 @@
 		refuse(_session, http::status::forbidden);
 		return;
 	}
-	if (m_stopping || m_requests.size() >= k_max_requests)
+	if (m_requests.size() >= k_max_requests)
 	{
 		refuse(_session, http::status::service_unavailable);
 		return;
@@ -222,6 +222,11 @@
 		respond(_session, not_sent("deadline", false));
 		return;
 	}
+	if (m_stop && deadline - now > stop_time_left(*m_stop, now))
+	{
+		refuse(_session, http::status::service_unavailable);
+		return;
+	}
 	if (const std::optional<relay_result> reason = reason_not_to_send(*message))
 	{
 		respond(_session, *reason);
@@ -246,7 +251,7 @@
 {
 	result<std::vector<domain_name>> decoded = decode_path_query(_request.body());
 	const std::vector<domain_name>* domains = value_of(decoded);
-	if (nullptr == domains || m_stopping)
+	if (nullptr == domains || m_stop)
 	{
 		refuse(_session, nullptr == domains ? http::status::bad_request : http::status::service_unavailable);
 		return;
--- a/src/entry_node/relay_server_p.h
+++ b/src/entry_node/relay_server_p.h
@@ -6,7 +6,8 @@
 ///
 /// The other node has decided on everything but the connection. This node checks what only it knows: that the
 /// sender is a node of the fleet, that the message is one well-formed request, that the backend server is the
-/// incarnation meant and accepts requests of this node, that its own path works, and that time is left. It
+/// incarnation meant and accepts requests of this node, that its own path works, and that time is left, also
+/// until the end of its own planned stop, of which the other node does not know. It
 /// never uses a relay itself, so that a request has one further hop at most. It does not count the request as
 /// in flight, since the other node does, and reports a crash of the backend server in its place.
 ///
@@ -17,6 +18,7 @@
 #include "entry_node/relay_messages_p.h"
 #include "entry_node/upstream_p.h"
 #include "steering/loop_gap_p.h"
+#include "steering/planned_stop_p.h"
 
 #include <unordered_set>
 
@@ -59,10 +61,10 @@
 	{
 		m_gap.on_iteration(m_services.clock.steady());
 	}
-	/// Refuses further requests.
-	void begin_stop()
+	/// Refuses further requests that may not end in time: their senders have other ways.
+	void begin_stop(const stop_course& _course)
 	{
-		m_stopping = true;
+		m_stop = _course;
 	}
 	const relay_counters& counters() const
 	{
@@ -88,6 +90,6 @@
 	loop_stall_detector m_gap;
 	relay_counters m_counters;
 	std::unordered_set<std::shared_ptr<relayed_request>> m_requests;
-	bool m_stopping = false;
+	std::optional<stop_course> m_stop; ///< Course of the planned stop; nothing: the node runs.
 };
 } // namespace larkrack
--- a/tests/caller_session_test.cpp
+++ b/tests/caller_session_test.cpp
@@ -298,11 +298,13 @@
 	/// Guards against the close of a connection whose next request waits in the socket of a node that wakes.
 	void idle_connection_whose_request_came_in_time_is_not_closed()
 	{
-		set_timeouts(std::chrono::seconds(10), k_idle_timeout);
+		constexpr std::chrono::milliseconds k_longer_than_all_accepts{150};
+		set_timeouts(std::chrono::seconds(10), k_longer_than_all_accepts);
 		tcp::socket caller = connect();
-		run_node();
 		std::vector<tcp::socket> others; // More than the event loop looks at in one turn.
-		for (int i = 0; i < 200; ++i)
+		constexpr std::size_t k_others = 200;
+		others.reserve(k_others);
+		while (others.size() < k_others)
 		{
 			others.push_back(connect());
 		}
@@ -312,7 +314,7 @@
 			send(other, "GET /read/1 HTTP/1.1\r\nHost: shop.example\r\n\r\n");
 		}
 		send(caller, "GET /read/1 HTTP/1.1\r\nHost: shop.example\r\n\r\n");
-		stand_still(2 * k_idle_timeout);
+		stand_still(k_longer_than_all_accepts);
 		run_node();
 		CPPUNIT_ASSERT_EQUAL(std::size_t(201), handled.size());
 	}
--- a/tests/node_group_fixture.h
+++ b/tests/node_group_fixture.h
@@ -190,6 +190,11 @@
 	{
 		return m_registry;
 	}
+	/// Begins a planned stop of the relay.
+	void begin_stop(const stop_course& _course)
+	{
+		m_relays.begin_stop(_course);
+	}
 	void receive(const std::vector<std::uint8_t>& _bytes, const std::string& _sender)
 	{
 		if (is_crash_message(_bytes.data(), _bytes.size()))
--- a/tests/relay_refusal_test.cpp
+++ b/tests/relay_refusal_test.cpp
@@ -2,7 +2,7 @@
 // License: BSD 2-Clause, see LICENSE.
 
 /// @file
-/// What the node in front concludes from the status with which a relay answers instead of a result.
+/// What the sending node concludes from the status with which a relay answers instead of a result.
 
 #include "entry_fixture.h"
 
--- a/tests/relay_requests_test.cpp
+++ b/tests/relay_requests_test.cpp
@@ -20,6 +20,7 @@
 	CPPUNIT_TEST(lost_answer_of_repeatable_request_is_sent_again);
 	CPPUNIT_TEST(caller_that_leaves_ends_the_work_at_the_backend_server);
 	CPPUNIT_TEST(backend_server_that_is_down_is_refused_as_not_run);
+	CPPUNIT_TEST(relay_that_cannot_end_a_request_before_its_stop_refuses_it_as_not_sent);
 	CPPUNIT_TEST(foreign_senders_and_malformed_messages_are_refused);
 	CPPUNIT_TEST(service_that_is_down_is_refused_at_once);
 	CPPUNIT_TEST(random_cuts_run_no_request_twice_and_mix_no_responses);
@@ -93,6 +94,23 @@
 		CPPUNIT_ASSERT_EQUAL(503U, response.result_int());
 		CPPUNIT_ASSERT(requests_with("down").empty());
 	}
+	/// Guards against a request that is cut at a relay whose planned stop the sending node does not know of.
+	void relay_that_cannot_end_a_request_before_its_stop_refuses_it_as_not_sent()
+	{
+		cut_off_first_node();
+		const stop_course ending{m_clock.steady(), ms(1000)};
+		for (std::size_t node = 1; node + 1 < k_group_nodes; ++node)
+		{
+			m_nodes->at(node).begin_stop(ending);
+		}
+		for (int i = 0; i < 20; ++i)
+		{
+			const std::string id = "stop" + std::to_string(i);
+			const unsigned status = ask("POST", "/pay/1", id, "x").result_int();
+			CPPUNIT_ASSERT_MESSAGE(std::to_string(status), 200 == status || 503 == status);
+			CPPUNIT_ASSERT_EQUAL(std::size_t(200 == status ? 1 : 0), requests_with(id).size());
+		}
+	}
 	void foreign_senders_and_malformed_messages_are_refused()
 	{
 		const auto status_of = [this](const std::string& _own_ip, const std::string& _body)
--- a/tests/steering_stop_and_pacing_test.cpp
+++ b/tests/steering_stop_and_pacing_test.cpp
@@ -16,9 +16,13 @@
 	CPPUNIT_TEST_SUITE(planned_stop_test);
 	CPPUNIT_TEST(stop_at_its_start_changes_nothing);
 	CPPUNIT_TEST(idle_connections_are_closed_after_a_second_and_a_half);
-	CPPUNIT_TEST(new_requests_are_refused_from_45_percent_of_the_grace_on);
+	CPPUNIT_TEST(request_that_ends_before_its_end_for_certain_is_taken_all_through_the_stop);
+	CPPUNIT_TEST(request_that_may_run_longer_is_taken_in_the_first_seconds_only);
+	CPPUNIT_TEST(request_of_a_fast_route_is_taken_as_long_as_twice_its_slowest_time_is_left);
+	CPPUNIT_TEST(request_that_usually_takes_longer_than_what_is_left_is_refused_at_once);
 	CPPUNIT_TEST(node_without_requests_ends_not_before_the_minimum_time);
-	CPPUNIT_TEST(node_with_an_open_request_ends_just_before_the_kill);
+	CPPUNIT_TEST(idle_node_ends_just_before_the_kill);
+	CPPUNIT_TEST(node_with_an_open_request_runs_until_the_kill);
 	CPPUNIT_TEST(node_with_recent_requests_keeps_running);
 	CPPUNIT_TEST_SUITE_END();
 
@@ -32,7 +36,7 @@
 	void stop_at_its_start_changes_nothing()
 	{
 		const stop_decision decision = plan(0, 0, 0);
-		CPPUNIT_ASSERT(!decision.close_idle && !decision.refuse_new && !decision.end);
+		CPPUNIT_ASSERT(!decision.close_idle && !decision.last_answers && !decision.end);
 		CPPUNIT_ASSERT(stop_reason::serving == decision.reason);
 	}
 
@@ -42,10 +46,48 @@
 		CPPUNIT_ASSERT(plan(1500, 1, 0).close_idle);
 	}
 
-	void new_requests_are_refused_from_45_percent_of_the_grace_on()
+	/// @param[in] _deadline_ms Time until the deadline of the request.
+	/// @returns Whether a node with a grace period of 10 s takes a request.
+	static bool takes(int _passed_ms, int _deadline_ms, const route_time_estimate& _known = {})
 	{
-		CPPUNIT_ASSERT(!plan(4499, 1, 0).refuse_new);
-		CPPUNIT_ASSERT(plan(4500, 1, 0).refuse_new);
+		const steady_time began(std::chrono::hours(1));
+		return takes_while_stopping({began, std::chrono::milliseconds(10000)},
+		    {std::chrono::milliseconds(_deadline_ms), _known}, began + std::chrono::milliseconds(_passed_ms));
+	}
+	static route_time_estimate known(int _usual_ms, int _slowest_ms)
+	{
+		return {std::chrono::milliseconds(_usual_ms), std::chrono::milliseconds(_slowest_ms)};
+	}
+
+	void request_that_ends_before_its_end_for_certain_is_taken_all_through_the_stop()
+	{
+		CPPUNIT_ASSERT(takes(4500, 5000));
+		CPPUNIT_ASSERT(!takes(4500, 5001));
+		CPPUNIT_ASSERT(takes(9200, 300));
+		CPPUNIT_ASSERT(!takes(9500, 0));
+	}
+
+	/// Guards against payments that are taken more than three seconds after the stop request and cut at its
+	/// end (review/3).
+	void request_that_may_run_longer_is_taken_in_the_first_seconds_only()
+	{
+		CPPUNIT_ASSERT(takes(2999, 8000));
+		CPPUNIT_ASSERT(!takes(3000, 8000));
+		CPPUNIT_ASSERT(!takes(4200, 8000));
+	}
+
+	void request_of_a_fast_route_is_taken_as_long_as_twice_its_slowest_time_is_left()
+	{
+		CPPUNIT_ASSERT(takes(5000, 8000, known(50, 60)));
+		CPPUNIT_ASSERT(takes(9380, 8000, known(50, 60)));
+		CPPUNIT_ASSERT(!takes(9381, 8000, known(50, 60)));
+		CPPUNIT_ASSERT(!takes(5000, 8000, known(50, 3000)));
+	}
+
+	void request_that_usually_takes_longer_than_what_is_left_is_refused_at_once()
+	{
+		CPPUNIT_ASSERT(takes(0, 20000, known(9000, 12000)));
+		CPPUNIT_ASSERT(!takes(600, 20000, known(9000, 12000)));
 	}
 
 	void node_without_requests_ends_not_before_the_minimum_time()
@@ -55,11 +97,20 @@
 		CPPUNIT_ASSERT(stop_reason::quiet == plan(2500, 0, 500).reason);
 	}
 
-	void node_with_an_open_request_ends_just_before_the_kill()
+	void idle_node_ends_just_before_the_kill()
+	{
+		CPPUNIT_ASSERT(!plan(9499, 0, 0).end);
+		CPPUNIT_ASSERT(plan(9500, 0, 0).end);
+		CPPUNIT_ASSERT(stop_reason::grace_period_over == plan(9500, 0, 0).reason);
+	}
+
+	/// Guards against answers that are cut although the platform would have waited for them.
+	void node_with_an_open_request_runs_until_the_kill()
 	{
-		CPPUNIT_ASSERT(!plan(9499, 1, 9000).end);
-		CPPUNIT_ASSERT(plan(9500, 1, 9000).end);
-		CPPUNIT_ASSERT(stop_reason::grace_period_over == plan(9500, 1, 9000).reason);
+		CPPUNIT_ASSERT(!plan(9499, 1, 0).last_answers);
+		CPPUNIT_ASSERT(plan(9500, 1, 0).last_answers);
+		CPPUNIT_ASSERT(!plan(9999, 1, 0).end);
+		CPPUNIT_ASSERT(plan(10000, 1, 0).end);
 	}
 
 	void node_with_recent_requests_keeps_running()
@@ -68,6 +119,58 @@
 	}
 };
 
+class route_times_test : public CppUnit::TestFixture
+{
+	CPPUNIT_TEST_SUITE(route_times_test);
+	CPPUNIT_TEST(times_of_few_requests_tell_nothing);
+	CPPUNIT_TEST(slowest_and_usual_time_are_those_of_the_last_requests);
+	CPPUNIT_TEST(running_request_that_is_older_than_all_ended_ones_hides_the_slowest_time);
+	CPPUNIT_TEST(running_requests_raise_the_usual_time);
+	CPPUNIT_TEST_SUITE_END();
+
+protected:
+	static route_times times(int _count, int _ms)
+	{
+		route_times all;
+		for (int i = 0; i < _count; ++i)
+		{
+			all.add(std::chrono::milliseconds(_ms));
+		}
+		return all;
+	}
+
+	void times_of_few_requests_tell_nothing()
+	{
+		const route_time_estimate known = times(7, 50).estimate({});
+		CPPUNIT_ASSERT(!known.usual && !known.slowest);
+	}
+
+	void slowest_and_usual_time_are_those_of_the_last_requests()
+	{
+		route_times all = times(40, 9000);
+		for (int ms = 1; ms <= 32; ++ms)
+		{
+			all.add(std::chrono::milliseconds(ms));
+		}
+		const route_time_estimate known = all.estimate({std::chrono::milliseconds(32)});
+		CPPUNIT_ASSERT(std::chrono::milliseconds(32) == known.slowest);
+		CPPUNIT_ASSERT(std::chrono::milliseconds(17) == known.usual);
+	}
+
+	/// Guards against a route that looks fast because only its short requests have ended.
+	void running_request_that_is_older_than_all_ended_ones_hides_the_slowest_time()
+	{
+		CPPUNIT_ASSERT(!times(20, 50).estimate({std::chrono::milliseconds(51)}).slowest);
+	}
+
+	void running_requests_raise_the_usual_time()
+	{
+		const std::vector<steady_time::duration> running(8, std::chrono::seconds(3));
+		CPPUNIT_ASSERT(std::chrono::seconds(3) == times(20, 50).estimate(running).usual);
+		CPPUNIT_ASSERT(std::chrono::seconds(3) == route_times().estimate(running).usual);
+	}
+};
+
 class store_pacing_test : public CppUnit::TestFixture
 {
 	CPPUNIT_TEST_SUITE(store_pacing_test);
@@ -111,5 +214,6 @@
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(planned_stop_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(route_times_test);
 CPPUNIT_TEST_SUITE_REGISTRATION(store_pacing_test);
 } // namespace larkrack
