--- a/src/entry_node/caller_session.cpp
+++ b/src/entry_node/caller_session.cpp
@@ -24,8 +24,9 @@
 /// Time for the caller to close a connection after its last response. Longer: more open descriptors. Shorter:
 /// a reset takes the response from a slow caller.
 constexpr std::chrono::milliseconds k_close_timeout{1000};
-/// Maximum bytes that are read and discarded during that time.
-constexpr std::size_t k_max_drained_bytes = 512;
+/// Maximum bytes that are read and discarded during that time. More: a caller that sends on takes up the CPU
+/// core. Fewer: a reset takes the response from a caller that has sent many requests behind the last one.
+constexpr std::size_t k_max_drained_bytes = 1048576;
 /// Time to read what waits in the socket of a caller whose time is over. Longer: a caller that is late holds
 /// the connection. Shorter: more wake-ups while the node catches up.
 constexpr std::chrono::milliseconds k_catch_up_time{20};
@@ -434,17 +435,38 @@
 
 void caller_session::drain_and_close()
 {
-	// The caller closes after it has read the response. Closing first could reset the connection and discard
-	// the response on the caller's side.
+	// The caller closes after it has read the response. Closing first, or with bytes of the caller unread,
+	// could reset the connection and discard the response on the caller's side.
 	enter(step::drain);
+	m_buffer.clear();
+	m_drained_bytes = 0;
 	beast::error_code ignored; // The connection is closed in any case.
 	m_socket.shutdown(tcp::socket::shutdown_send, ignored);
 	start_timer(k_close_timeout);
-	const auto drained = std::make_shared<std::array<char, k_max_drained_bytes>>();
-	m_socket.async_read_some(asio::buffer(*drained),
-	    [self = shared_from_this(), drained](beast::error_code, std::size_t)
+	drain();
+}
+
+void caller_session::drain()
+{
+	static std::array<char, k_max_read_bytes> s_discarded; // Written by all sessions, read by none.
+	if (m_drained_bytes >= k_max_drained_bytes)
+	{
+		return; // The timer closes the connection.
+	}
+	m_socket.async_read_some(asio::buffer(s_discarded),
+	    [self = shared_from_this(), number = m_step_number](beast::error_code _error, std::size_t _size)
 	    {
-		    self->close();
+		    if (!self->is_current(number))
+		    {
+			    return;
+		    }
+		    if (_error)
+		    {
+			    self->close();
+			    return;
+		    }
+		    self->m_drained_bytes += _size;
+		    self->drain();
 	    });
 }
 
--- a/src/entry_node/caller_session_p.h
+++ b/src/entry_node/caller_session_p.h
@@ -143,6 +143,8 @@
 	/// Shuts down the sending side, then closes the connection once the caller has closed it, or after
 	/// k_close_timeout.
 	void drain_and_close();
+	/// Reads and discards what the caller still sends, up to a bound.
+	void drain();
 
 	tcp::socket m_socket;
 	http_listener& m_listener;
@@ -160,6 +162,7 @@
 	std::chrono::steady_clock::time_point m_body_began_at{};
 	std::chrono::steady_clock::time_point m_body_deadline{};
 	std::chrono::steady_clock::duration m_body_time{};
+	std::size_t m_drained_bytes = 0;
 	bool m_got_bytes = false; ///< Bytes have come since the timer was started.
 	bool m_sending_continue = false;
 	bool m_keep_alive = true;
--- a/tests/caller_session_test.cpp
+++ b/tests/caller_session_test.cpp
@@ -24,7 +24,9 @@
 		    [this](const std::shared_ptr<caller_session>& _session, caller_request&& _request)
 		    {
 			    handled.push_back(_request.body());
-			    _session->respond(caller_response(http::status::ok, 11));
+			    caller_response response(http::status::ok, 11);
+			    response.body() = answer;
+			    _session->respond(std::move(response));
 			    _session->respond(caller_response(http::status::bad_gateway, 11)); // One too many: no effect.
 		    },
 		    1000);
@@ -118,6 +120,7 @@
 	}
 
 	std::vector<std::string> handled; ///< Bodies of the requests that were passed on.
+	std::string answer;               ///< Body of each response.
 	asio::io_context m_context{1};
 	asio::io_context m_callers{1};
 	std::unique_ptr<http_listener> m_listener;
@@ -133,6 +136,8 @@
 	CPPUNIT_TEST(body_that_is_incomplete_at_the_deadline_of_its_request_is_refused);
 	CPPUNIT_TEST(body_that_cannot_be_parsed_is_refused_and_never_passed_on);
 	CPPUNIT_TEST(time_for_which_the_node_stood_still_does_not_count);
+	CPPUNIT_TEST(last_answer_before_unread_requests_arrives_whole);
+	CPPUNIT_TEST(caller_that_never_stops_sending_is_closed_in_bounded_time);
 	CPPUNIT_TEST(idle_connection_whose_request_came_in_time_is_not_closed);
 	CPPUNIT_TEST_SUITE_END();
 
@@ -295,6 +300,58 @@
 		CPPUNIT_ASSERT_EQUAL(std::size_t(1), count(answers(caller), "HTTP/1.1 200"));
 	}
 
+	/// Guards against a reset that takes a part of the last answer, because the requests that its caller has
+	/// sent behind the first one lie unread in the socket (review/2).
+	void last_answer_before_unread_requests_arrives_whole()
+	{
+		answer = std::string(300000, 'a');
+		tcp::socket caller(m_callers);
+		caller.open(tcp::v4());
+		caller.set_option(asio::socket_base::receive_buffer_size(4096));
+		caller.connect(m_listener->address());
+		caller.non_blocking(true);
+		run_node();
+		m_listener->begin_stop();
+		const std::string further = head("Content-Length: 2000\r\n") + std::string(2000, 'f');
+		std::string all = head("Content-Length: 6\r\n") + "abcdef";
+		for (int i = 0; i < 5; ++i)
+		{
+			all += further;
+		}
+		send(caller, all);
+		std::string received;
+		for (int i = 0; i < 40; ++i)
+		{
+			received += answers(caller);
+		}
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), handled.size());
+		const std::size_t begin = received.find("\r\n\r\n") + 4;
+		CPPUNIT_ASSERT_EQUAL(answer.size(), received.size() - begin);
+	}
+
+	/// Guards against connections that are held open, and bytes that are read, for callers that send on and
+	/// on.
+	void caller_that_never_stops_sending_is_closed_in_bounded_time()
+	{
+		constexpr std::chrono::milliseconds k_longer_than_any_drain{1500};
+		tcp::socket caller = connect();
+		run_node();
+		m_listener->begin_stop();
+		send(caller, head("Content-Length: 0\r\n"));
+		const auto end = std::chrono::steady_clock::now() + k_longer_than_any_drain;
+		const std::string flood(10000, 'f');
+		std::size_t sent = 0;
+		while (std::chrono::steady_clock::now() < end)
+		{
+			run_node();
+			beast::error_code ignored; // The socket is full, or closed at last.
+			sent += caller.write_some(asio::buffer(flood), ignored);
+		}
+		CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_listener->connections());
+		constexpr std::size_t k_bytes_of_sockets = 8000000;
+		CPPUNIT_ASSERT_MESSAGE(std::to_string(sent), sent < k_bytes_of_sockets);
+	}
+
 	/// Guards against the close of a connection whose next request waits in the socket of a node that wakes.
 	void idle_connection_whose_request_came_in_time_is_not_closed()
 	{
