Pass on responses whose headers are as large as callers may send

Cause: the parser of upstream_exchange kept its default limit of 8 KiB, while callers may send 16 KiB and more.

--- a/src/entry_node/exchange_p.h
+++ b/src/entry_node/exchange_p.h
@@ -54,6 +54,9 @@
 	std::optional<steady_time::duration> connect_time;
 };
 
+/// Bytes of the headers of a response that are always allowed; the limit of callers' headers may allow more.
+constexpr std::uint32_t k_default_response_header_bytes = 16384;
+
 /// A request as it is sent to one backend server. The bytes are `before`, the time left in milliseconds, and
 /// `after`.
 struct upstream_request
@@ -63,6 +66,8 @@
 	std::string request_id;
 	request_fingerprint fingerprint; ///< Sent to a relay, which reports crashes in place of this node.
 	std::chrono::milliseconds time_left{0};
+	/// Maximum bytes of the headers of its response. A response beyond it is lost, although it has run.
+	std::uint32_t max_header_bytes = k_default_response_header_bytes;
 	bool head = false;          ///< A HEAD request: its response has no body.
 	bool by_completion = false; ///< The load report of a rejection counts more than the rejection.
 	bool at_most_once = false;  ///< Must not run twice: a connection that may be stale is not used.
--- a/src/entry_node/upstream.cpp
+++ b/src/entry_node/upstream.cpp
@@ -234,6 +234,7 @@
 {
 	m_parser.emplace();
 	m_parser->body_limit(k_unlimited_body);
+	m_parser->header_limit(m_request.max_header_bytes);
 	m_parser->skip(m_request.head);
 	// The handler keeps the connection alive, since the operation uses it also after a cancellation.
 	http::async_read(m_connection->socket, m_connection->buffer, *m_parser,
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -504,6 +504,7 @@
 		bool done = false;
 		http::response_parser<http::string_body> parser;
 		parser.body_limit(INT64_MAX);
+		parser.header_limit(m_max_header_bytes);
 		parser.skip(_head);
 		beast::error_code failure;
 		http::async_read(*m_socket, m_buffer, parser,
@@ -529,8 +530,13 @@
 	{
 		m_socket->close();
 	}
+	void set_max_header_bytes(std::uint32_t _bytes)
+	{
+		m_max_header_bytes = _bytes;
+	}
 
 private:
+	std::uint32_t m_max_header_bytes = 8192;
 	asio::io_context& m_context;
 	std::shared_ptr<tcp::socket> m_socket;
 	beast::flat_buffer m_buffer;
--- a/tests/forwarder_test.cpp
+++ b/tests/forwarder_test.cpp
@@ -16,6 +16,7 @@
 	CPPUNIT_TEST(request_without_configuration_gets_503);
 	CPPUNIT_TEST(request_without_route_gets_404);
 	CPPUNIT_TEST(request_carries_the_time_left_to_the_backend_server);
+	CPPUNIT_TEST(response_with_headers_as_large_as_those_of_callers_is_passed_on);
 	CPPUNIT_TEST(request_with_slow_body_carries_the_time_left_since_its_headers);
 	CPPUNIT_TEST(head_request_gets_no_body);
 	CPPUNIT_TEST(repeatable_request_with_lost_response_is_retried_elsewhere);
@@ -80,6 +81,20 @@
 		CPPUNIT_ASSERT(std::string::npos == sent.find("Larkrack-Deadline-Ms: ", at + 1));
 	}
 
+	/// Guards against a 502 for a request that has run, because the headers of its response are large.
+	void response_with_headers_as_large_as_those_of_callers_is_passed_on()
+	{
+		set_routes();
+		add_backend("b1").usual.bytes =
+		    scripted_backend::answer("fine", 200, "Large: " + std::string(15000, 'h') + "\r\n");
+		raw_caller caller = call();
+		caller.set_max_header_bytes(20000);
+		caller.send(request("POST", "/pay/1", "r1", "", "x"));
+		const caller_response response = caller.receive();
+		CPPUNIT_ASSERT_EQUAL(200U, response.result_int());
+		CPPUNIT_ASSERT_EQUAL(std::size_t(15000), std::size_t(response["Large"].size()));
+	}
+
 	/// Guards against a backend server that works on for the time that its caller took to send the body.
 	void request_with_slow_body_carries_the_time_left_since_its_headers()
 	{
