--- a/src/entry_node/forwarded_request.cpp
+++ b/src/entry_node/forwarded_request.cpp
@@ -77,9 +77,7 @@
 
 bool forwarded_request::too_late_to_stop() const
 {
-	return m_context.stop && !takes_while_stopping(*m_context.stop,
-	                             {m_deadline - m_context.clock.steady(), m_owner.estimate_times_of(*m_route)},
-	                             m_context.clock.steady());
+	return m_context.stop && !m_owner.takes(*m_route, m_deadline - m_context.clock.steady());
 }
 
 void forwarded_request::refuse_as_stopping()
--- a/src/entry_node/forwarder.cpp
+++ b/src/entry_node/forwarder.cpp
@@ -84,19 +84,22 @@
 
 bool forwarder::takes(const route& _route, steady_time::duration _until_deadline) const
 {
-	return !m_context.stop || takes_while_stopping(*m_context.stop,
-	                              {_until_deadline, estimate_times_of(_route)}, m_context.clock.steady());
+	if (!m_context.stop)
+	{
+		return true;
+	}
+	const steady_time now = m_context.clock.steady();
+	return takes_while_stopping(*m_context.stop, {_until_deadline, estimate_times_of(_route, now)}, now);
 }
 
-route_time_estimate forwarder::estimate_times_of(const route& _route) const
+route_time_estimate forwarder::estimate_times_of(const route& _route, steady_time _now) const
 {
-	const steady_time now = m_context.clock.steady();
 	std::vector<steady_time::duration> running;
 	for (const auto& [number, request] : m_requests)
 	{
 		if (request->is_of(_route))
 		{
-			running.push_back(request->age(now));
+			running.push_back(request->age(_now));
 		}
 	}
 	const auto ended = m_times.find(_route.name);
@@ -115,7 +118,10 @@
 	}
 	for (const request_ptr& request : requests)
 	{
-		request->refuse_as_stopping();
+		if (request->waits_to_be_sent()) // The end of another one may have ended or sent it.
+		{
+			request->refuse_as_stopping();
+		}
 	}
 }
 
--- a/src/entry_node/forwarder_p.h
+++ b/src/entry_node/forwarder_p.h
@@ -95,8 +95,8 @@
 	virtual service_split& split_for(const route& _route) = 0;
 	/// @returns Times of a route's requests that have ended, created on first use.
 	virtual route_times& times_of(const route& _route) = 0;
-	/// @returns What is known of the times of a route's requests, running ones included.
-	virtual route_time_estimate estimate_times_of(const route& _route) const = 0;
+	/// @returns Whether the node, if it is stopping, takes a request of a route.
+	virtual bool takes(const route& _route, steady_time::duration _until_deadline) const = 0;
 	/// Tries to send queued requests again.
 	virtual void retry_waiting_requests() = 0;
 	/// Removes a request that has ended.
@@ -120,8 +120,6 @@
 	/// refusal are checked once the request was read.
 	/// @returns The status to refuse the request with, or nothing.
 	std::optional<http::status> check_before_body(const caller_request& _request);
-	/// @returns Whether the node, if it is stopping, takes a request of a route.
-	bool takes(const route& _route, steady_time::duration _until_deadline) const;
 	/// @returns Time that the body of a request may take: nobody waits for the answer after its deadline.
 	std::chrono::milliseconds body_time_limit(const caller_request& _request) const;
 	/// Applies a configuration to requests that arrive from now on. A version that is not newer than the
@@ -195,7 +193,9 @@
 	{
 		return m_times[_route.name];
 	}
-	route_time_estimate estimate_times_of(const route& _route) const override;
+	bool takes(const route& _route, steady_time::duration _until_deadline) const override;
+	/// @returns What is known of the times of a route's requests, running ones included.
+	route_time_estimate estimate_times_of(const route& _route, steady_time _now) const;
 	void remove(request_number _number) override
 	{
 		m_requests.erase(_number.value);
--- a/src/steering/planned_stop_p.h
+++ b/src/steering/planned_stop_p.h
@@ -21,9 +21,8 @@
 /// Alternatives:
 /// - accepting requests until half a second before the end: those requests were aborted, 20 lost on a day of
 ///   planned stops, one node after the other;
-/// - refusing all from a fixed part of the grace period on: long requests that were taken before are aborted
-/// if
-///   it is long, and short ones refused that would have ended in time;
+/// - refusing all from a fixed part of the grace period on: in a long one, long requests that were taken
+///   before are aborted; short ones are refused that would have ended in time;
 /// - exiting at once: callers with an older lookup answer would find no node.
 ///
 /// Relies on the node to call plan_stop() at each k_stop_check_interval, and on the platform to honour the
