--- a/tests/caller_session_test.cpp
+++ b/tests/caller_session_test.cpp
@@ -24,6 +24,11 @@
 		    [this](const std::shared_ptr<caller_session>& _session, caller_request&& _request)
 		    {
 			    handled.push_back(_request.body());
+			    if (hold)
+			    {
+				    held = _session;
+				    return;
+			    }
 			    caller_response response(http::status::ok, 11);
 			    response.body() = answer;
 			    _session->respond(std::move(response));
@@ -36,6 +41,7 @@
 	void tearDown() override
 	{
 		m_context.stop();
+		held.reset();
 		m_listener.reset();
 	}
 
@@ -121,6 +127,8 @@
 
 	std::vector<std::string> handled; ///< Bodies of the requests that were passed on.
 	std::string answer;               ///< Body of each response.
+	bool hold = false;                ///< Requests get no response for now.
+	std::shared_ptr<caller_session> held;
 	asio::io_context m_context{1};
 	asio::io_context m_callers{1};
 	std::unique_ptr<http_listener> m_listener;
@@ -136,6 +144,8 @@
 	CPPUNIT_TEST(body_that_is_incomplete_at_the_deadline_of_its_request_is_refused);
 	CPPUNIT_TEST(body_that_cannot_be_parsed_is_refused_and_never_passed_on);
 	CPPUNIT_TEST(time_for_which_the_node_stood_still_does_not_count);
+	CPPUNIT_TEST(late_event_of_bytes_that_were_read_does_not_count_as_the_caller_leaving);
+	CPPUNIT_TEST(caller_that_leaves_during_its_request_is_noticed);
 	CPPUNIT_TEST(last_answer_before_unread_requests_arrives_whole);
 	CPPUNIT_TEST(caller_that_never_stops_sending_is_closed_in_bounded_time);
 	CPPUNIT_TEST(idle_connection_whose_request_came_in_time_is_not_closed);
@@ -300,6 +310,47 @@
 		CPPUNIT_ASSERT_EQUAL(std::size_t(1), count(answers(caller), "HTTP/1.1 200"));
 	}
 
+	/// Guards against a request whose connection is closed while it is served: the event loop reports bytes as
+	/// readable that the session has read already, and nothing is there to read.
+	void late_event_of_bytes_that_were_read_does_not_count_as_the_caller_leaving()
+	{
+		hold = true;
+		for (int round = 0; round < 20; ++round)
+		{
+			tcp::socket caller = connect();
+			m_listener->set_header_check(
+			    [&caller](const caller_request&)
+			    {
+				    send(caller, "abcdef"); // Read at once, before the event loop looks at the socket again.
+				    return std::nullopt;
+			    });
+			send(caller, head("Content-Length: 6\r\n"));
+			run_node_for(std::chrono::milliseconds(2));
+			CPPUNIT_ASSERT(held);
+			held->respond(caller_response(http::status::ok, 11));
+			CPPUNIT_ASSERT_EQUAL(std::size_t(1), count(answers(caller), "HTTP/1.1 200"));
+			held.reset();
+		}
+	}
+
+	void caller_that_leaves_during_its_request_is_noticed()
+	{
+		hold = true;
+		bool left = false;
+		tcp::socket caller = connect();
+		send(caller, head("Content-Length: 0\r\n"));
+		run_node_for(std::chrono::milliseconds(2));
+		CPPUNIT_ASSERT(held);
+		held->set_disconnect_handler(
+		    [&left]
+		    {
+			    left = true;
+		    });
+		caller.close();
+		run_node_for(std::chrono::milliseconds(2));
+		CPPUNIT_ASSERT(left);
+	}
+
 	/// Guards against a reset that takes a part of the last answer, because the requests that its caller has
 	/// sent behind the first one lie unread in the socket (review/2).
 	void last_answer_before_unread_requests_arrives_whole()
