--- a/src/entry_node/forwarder_p.h
+++ b/src/entry_node/forwarder_p.h
@@ -216,9 +216,8 @@
 	admission_factory m_make_admission;
 	backend_choice_setting m_backend_choice = backend_choice_setting::reported;
 	std::map<service_name, forwarded_service> m_services;
-	std::map<std::string, service_split> m_splits;
-	std::unordered_map<std::string, route_times> m_times;      ///< By route.
-	                                                           ///< Key: name of the route.
+	std::map<std::string, service_split> m_splits;             ///< Key: name of the route.
+	std::unordered_map<std::string, route_times> m_times;      ///< Key: name of the route.
 	std::unordered_map<std::uint64_t, request_ptr> m_requests; ///< By request_number.
 	request_number m_last_number;
 	steady_time m_started_at{}; ///< Start of this node; epoch: no life before it.
