--- a/tests/caller_session_test.cpp
+++ b/tests/caller_session_test.cpp
@@ -310,8 +310,8 @@
 		CPPUNIT_ASSERT_EQUAL(std::size_t(1), count(answers(caller), "HTTP/1.1 200"));
 	}
 
-	/// Guards against a request whose connection is closed while it is served: the event loop reports bytes as
-	/// readable that the session has read already, and nothing is there to read.
+	/// Guards against a request whose connection is closed while it is served: the event loop reports bytes
+	/// as readable that the session has read already, and nothing is there to read.
 	void late_event_of_bytes_that_were_read_does_not_count_as_the_caller_leaving()
 	{
 		hold = true;
