Show the relays' listener by tests, and a stopping relay by one that can fail

Change: two tests of requests that reach a relay in two parts; the stopping relay has to serve what ends in time and to refuse the rest unsent.

--- a/tests/node_group_fixture.h
+++ b/tests/node_group_fixture.h
@@ -190,6 +190,14 @@
 	{
 		return m_registry;
 	}
+	/// Sets how long other nodes may take to send a request to the relay.
+	void set_peer_timeouts(std::chrono::milliseconds _timeout)
+	{
+		caller_limits limits;
+		limits.header_timeout = _timeout;
+		limits.idle_timeout = _timeout;
+		m_peers.set_limits(limits);
+	}
 	/// Begins a planned stop of the relay.
 	void begin_stop(const stop_course& _course)
 	{
--- a/tests/relay_requests_test.cpp
+++ b/tests/relay_requests_test.cpp
@@ -7,7 +7,9 @@
 
 #include "partition_fixture.h"
 
+#include <functional>
 #include <set>
+#include <thread>
 
 namespace larkrack
 {
@@ -21,6 +23,8 @@
 	CPPUNIT_TEST(caller_that_leaves_ends_the_work_at_the_backend_server);
 	CPPUNIT_TEST(backend_server_that_is_down_is_refused_as_not_run);
 	CPPUNIT_TEST(relay_that_cannot_end_a_request_before_its_stop_refuses_it_as_not_sent);
+	CPPUNIT_TEST(request_that_a_relay_has_given_up_reading_never_runs);
+	CPPUNIT_TEST(request_whose_rest_came_while_the_relay_stood_still_runs_once);
 	CPPUNIT_TEST(foreign_senders_and_malformed_messages_are_refused);
 	CPPUNIT_TEST(service_that_is_down_is_refused_at_once);
 	CPPUNIT_TEST(random_cuts_run_no_request_twice_and_mix_no_responses);
@@ -98,19 +102,76 @@
 	void relay_that_cannot_end_a_request_before_its_stop_refuses_it_as_not_sent()
 	{
 		cut_off_first_node();
-		const stop_course ending{m_clock.steady(), ms(1000)};
-		for (std::size_t node = 1; node + 1 < k_group_nodes; ++node)
-		{
-			m_nodes->at(node).begin_stop(ending);
-		}
-		for (int i = 0; i < 20; ++i)
+		begin_stop_of_relays(ms(10000));
+		CPPUNIT_ASSERT_EQUAL(200U, ask("POST", "/pay/1", "in time", "x").result_int());
+		begin_stop_of_relays(ms(1000));
+		CPPUNIT_ASSERT_EQUAL(503U, ask("POST", "/pay/1", "too late", "x").result_int());
+		CPPUNIT_ASSERT(requests_with("too late").empty());
+	}
+	/// Begins a stop of all nodes but the first one.
+	void begin_stop_of_relays(ms _grace)
+	{
+		for (std::size_t node = 1; node < k_group_nodes; ++node)
 		{
-			const std::string id = "stop" + std::to_string(i);
-			const unsigned status = ask("POST", "/pay/1", id, "x").result_int();
-			CPPUNIT_ASSERT_MESSAGE(std::to_string(status), 200 == status || 503 == status);
-			CPPUNIT_ASSERT_EQUAL(std::size_t(200 == status ? 1 : 0), requests_with(id).size());
+			m_nodes->at(node).begin_stop({m_clock.steady(), _grace});
 		}
 	}
+	/// Sends the bytes of a request to the relay in two parts.
+	/// @param[in] _rest Bytes of the second part, half of the body of the request.
+	/// @param[in] _between Called after the first part.
+	/// @returns The status of the answer.
+	std::string send_in_two_parts(
+	    const std::string& _id, std::size_t _rest, const std::function<void()>& _between)
+	{
+		const std::string text = request_text("POST", "/pay/1", _id, std::string(2 * _rest, 'b'));
+		const std::string field = "Larkrack-Deadline-Ms: ";
+		upstream_request request;
+		request.before = text.substr(0, text.find(field) + field.size());
+		request.after = text.substr(text.find("\r\n", text.find(field)));
+		request.request_id = _id;
+		request.time_left = ms(1500);
+		request.at_most_once = true;
+		const std::string body = encode(relay_request{backend_id("b0"), 0, request});
+		const std::string bytes =
+		    "POST /relay HTTP/1.1\r\nHost: n\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+		    body;
+		tcp::socket socket(*m_context);
+		socket.open(tcp::v4());
+		socket.bind({asio::ip::make_address(peer_address_of(2)), 0});
+		socket.connect({asio::ip::make_address(peer_address_of(1)), m_nodes->at(1).peer_port()});
+		socket.set_option(tcp::no_delay(true));
+		asio::write(socket, asio::buffer(bytes.substr(0, bytes.size() - _rest)));
+		run_for(ms(10));
+		_between();
+		asio::write(socket, asio::buffer(bytes.substr(bytes.size() - _rest)));
+		run_for(ms(100));
+		std::string answer(12, '\0');
+		asio::read(socket, asio::buffer(answer));
+		return answer.substr(9);
+	}
+	/// Guards against an order that runs after its relay has answered 408, so that it runs twice.
+	void request_that_a_relay_has_given_up_reading_never_runs()
+	{
+		m_nodes->at(1).set_peer_timeouts(ms(20));
+		const std::string status = send_in_two_parts("given-up", 10,
+		    [this]
+		    {
+			    run_for(ms(60));
+		    });
+		CPPUNIT_ASSERT_EQUAL(std::string("408"), status);
+		CPPUNIT_ASSERT(requests_with("given-up").empty());
+	}
+	void request_whose_rest_came_while_the_relay_stood_still_runs_once()
+	{
+		m_nodes->at(1).set_peer_timeouts(ms(20));
+		const std::string status = send_in_two_parts("stood-still", 100000,
+		    []
+		    {
+			    std::this_thread::sleep_for(ms(60)); // The event loop does not run.
+		    });
+		CPPUNIT_ASSERT_EQUAL(std::string("200"), status);
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), requests_with("stood-still").size());
+	}
 	void foreign_senders_and_malformed_messages_are_refused()
 	{
 		const auto status_of = [this](const std::string& _own_ip, const std::string& _body)
