Tell by what a node knows that a refused request has not run, and check each such promise

No decision changes: - request_ended of a refusal (408, 421, 429, 503) of a request that must not run twice has 'promise' (unsent, rejected, none) and 'stalled_ms', and is never left out by sampling. - attempt_failed has 'answer': status, id, mark and signature of the answer that ended the attempt, at relays too. - 1925 unread_refused: the id and status of what a session refused while it read it. - 1926 promise_broken and larkrack_broken_promises: a request that was promised not to run is sent, or answered as run.

--- a/src/base/events_p.h
+++ b/src/base/events_p.h
@@ -85,7 +85,9 @@
 	X(1921, load_level_changed, info, "The load level of a service in a region is in another band.")         \
 	X(1922, path_lost, warning, "This node does not reach the backend servers of a failure domain.")         \
 	X(1923, path_regained, info, "This node reaches the backend servers of a failure domain again.")         \
-	X(1924, config_fetched, info, "A node or the store was asked for a newer configuration.")
+	X(1924, config_fetched, info, "A node or the store was asked for a newer configuration.")                \
+	X(1925, unread_refused, info, "A request was refused before it was read whole.")                         \
+	X(1926, promise_broken, error, "A request that was refused as not run was sent, or ran.")
 
 /// Log event; the value is its number in the catalogue.
 enum class event : std::uint16_t
--- a/src/entry_node/caller_session.cpp
+++ b/src/entry_node/caller_session.cpp
@@ -328,7 +328,9 @@
 		close(); // A response would be mixed with the interim one; the request has not been read.
 		return;
 	}
-	++m_listener.m_unread_refusals;
+	const bool has_headers = m_parser && m_parser->is_header_done();
+	m_listener.on_unread_refusal({has_headers ? &m_parser->get() : nullptr, _status,
+	    m_listener.measure_stalled_time() - m_stalled_before});
 	enter(step::serve);
 	beast::error_code ignored; // Without a pending read there is nothing to cancel.
 	m_socket.cancel(ignored);
--- a/src/entry_node/entry_node.cpp
+++ b/src/entry_node/entry_node.cpp
@@ -217,6 +217,11 @@
 	    {
 		    return m_forwarder.check_before_body(_request);
 	    });
+	m_callers.set_unread_refusal_handler(
+	    [this](const unread_refusal& _refusal)
+	    {
+		    m_forwarder.on_unread_refusal(_refusal);
+	    });
 	m_callers.set_body_time_rule(
 	    [this](const caller_request& _request)
 	    {
--- a/src/entry_node/entry_node_answers.cpp
+++ b/src/entry_node/entry_node_answers.cpp
@@ -168,6 +168,10 @@
 	gauge("caller_connections", "Open connections of callers.", static_cast<double>(m_callers.connections()));
 	gauge("unread_refusals", "Requests of callers that were refused before they were read whole.",
 	    static_cast<double>(m_callers.unread_refusals()));
+	gauge("promises", "Refusals that promised of an at-most-once request that it never runs.",
+	    static_cast<double>(m_exchanges.promises().promises()));
+	gauge("broken_promises", "Requests that were sent, or ran, after such a refusal.",
+	    static_cast<double>(m_exchanges.promises().breaches()));
 	gauge("backend_servers", "Backend servers in the registry.", static_cast<double>(m_backends.size()));
 	gauge("limited_backends", "Backend servers that name a limit of their requests.",
 	    static_cast<double>(m_backends.limited()));
--- a/src/entry_node/exchange_maker_p.h
+++ b/src/entry_node/exchange_maker_p.h
@@ -28,6 +28,8 @@
 	virtual bool examining() const = 0;
 	/// @returns Whether the path to a backend server is broken or in doubt.
 	virtual bool in_doubt(const backend_server& _backend) const = 0;
+	/// @returns Promises that the exchanges are checked against.
+	virtual promise_ledger& promises() = 0;
 };
 
 /// Counters since the start, for the metrics page.
@@ -61,6 +63,10 @@
 	{
 		return m_paths.in_doubt(_backend);
 	}
+	promise_ledger& promises() override
+	{
+		return m_promises;
+	}
 	const header_names& names() const
 	{
 		return m_names;
@@ -83,5 +89,6 @@
 	relay_connections m_connections;
 	steady_time m_last_relayed_at{}; ///< Epoch: no connection to a relay is open.
 	exchange_counters m_counters;
+	promise_ledger m_promises;
 };
 } // namespace larkrack
--- a/src/entry_node/exchange_p.h
+++ b/src/entry_node/exchange_p.h
@@ -11,6 +11,8 @@
 #include "entry_node/backend_registry_p.h"
 #include "entry_node/http_listener_p.h"
 #include "entry_node/report_reader_p.h"
+#include "steering/answer_marks_p.h"
+#include "steering/promise_ledger_p.h"
 #include "steering/request_fingerprint_p.h"
 
 #include <functional>
@@ -26,6 +28,7 @@
 	const clock_base& clock;
 	const header_names& names;
 	backend_report_listener_base& reports;
+	promise_ledger* promises = nullptr; ///< Promises to check exchanges against; null: none are known.
 };
 
 /// How an exchange ended.
@@ -45,6 +48,7 @@
 	exchange_outcome end = exchange_outcome::not_sent;
 	std::optional<caller_response> response; ///< Set when answered.
 	std::string detail;                      ///< Error name for the log.
+	std::optional<answer_marks> marks;       ///< Of the answer that ended the exchange; nothing: none came.
 	bool withheld = false;                   ///< Not sent: the backend server stopped accepting requests.
 	bool slots_free = false;                 ///< Not run, although the backend server reported free slots.
 	bool connection_broke = false;           ///< Lost: the backend server closed or reset the connection.
--- a/src/entry_node/forwarded_request.cpp
+++ b/src/entry_node/forwarded_request.cpp
@@ -28,7 +28,7 @@
     : m_context(_context), m_owner(_owner), m_number(_number), m_session(std::move(_session)),
       m_request(std::move(_request)), m_request_id(m_request[_context.names.request_id]),
       m_routes(_context.routes), m_arrived_at(arrival_of(_context, *m_session)),
-      m_deadline_timer(_context.io), m_wait_timer(_context.io)
+      m_stalled_before(_context.gap.total()), m_deadline_timer(_context.io), m_wait_timer(_context.io)
 {
 }
 
@@ -227,6 +227,10 @@
 {
 	strip_hop_by_hop(_response);
 	log_end(_response.result_int(), _outcome, _reason);
+	if (promises_not_run(_response.result_int()))
+	{
+		m_context.exchanges.promises().record(m_request_id, _response.result_int(), m_context.clock.steady());
+	}
 	m_context.exported_metrics.count_outcome(m_service.text, _outcome, _reason);
 	const steady_time::duration taken = m_context.clock.steady() - m_arrived_at;
 	m_context.exported_metrics.observe_request_time(to_s(taken));
@@ -242,7 +246,7 @@
 
 void forwarded_request::log_end(unsigned _status, outcome _outcome, reason _reason)
 {
-	if (outcome::served == _outcome && !entry_log::sampled(m_request_id))
+	if (outcome::served == _outcome && !promises_not_run(_status) && !entry_log::sampled(m_request_id))
 	{
 		return;
 	}
@@ -273,10 +277,28 @@
 		    .number("window_retries", m_denied_retry->retries)
 		    .decimal("window_allowed", m_denied_retry->allowed);
 	}
+	if (promises_not_run(_status))
+	{
+		describe_promise(line);
+	}
 	describe_admission(line);
 	m_context.log.write(line);
 }
 
+bool forwarded_request::promises_not_run(unsigned _status) const
+{
+	return is_promise(_status) && nullptr != m_route && repeat_rule::at_most_once == m_route->repeat;
+}
+
+void forwarded_request::describe_promise(log_line& _line) const
+{
+	const bool running = m_exchange && m_exchange->sent();
+	const bool may_have_run = running || m_history.may_have_run || m_admission_end.answered;
+	const char* known_by = may_have_run ? "none" : (m_history.reached > 0 ? "rejected" : "unsent");
+	_line.text("promise", known_by)
+	    .number("stalled_ms", to_ms(m_context.gap.total() - m_stalled_before).count());
+}
+
 void forwarded_request::release()
 {
 	leave_queue();
--- a/src/entry_node/forwarded_request_attempts.cpp
+++ b/src/entry_node/forwarded_request_attempts.cpp
@@ -316,7 +316,7 @@
 	}
 	else
 	{
-		log_failed_attempt(*backend, _result.detail.c_str());
+		log_failed_attempt(*backend, _result);
 	}
 	note_attempt_end(end_of(_result), service_time_s);
 	apply_rule(attempt_rule_for(end_of(_result), m_route->repeat), std::move(_result));
@@ -440,15 +440,19 @@
 	m_context.rollouts.on_attempt_end(attempt);
 }
 
-void forwarded_request::log_failed_attempt(const backend_server& _backend, const char* _why)
+void forwarded_request::log_failed_attempt(const backend_server& _backend, const exchange_result& _result)
 {
 	log_line line(event::attempt_failed);
 	line.text("id", m_request_id)
 	    .text("service", m_service.text)
 	    .text("backend", _backend.registered.id.text)
-	    .text("why", _why)
+	    .text("why", _result.detail)
 	    .decimal("busy", _backend.estimated_load(m_context.clock.steady()))
 	    .number("ms", to_ms(m_context.clock.steady() - m_sent_at).count());
+	if (_result.marks)
+	{
+		line.text("answer", to_string(*_result.marks));
+	}
 	if (!m_relay.empty())
 	{
 		line.text("relay", m_relay);
--- a/src/entry_node/forwarded_request_p.h
+++ b/src/entry_node/forwarded_request_p.h
@@ -192,7 +192,12 @@
 	void respond(caller_response&& _response, outcome _outcome, reason _reason);
 	/// Reports the end of an attempt that reached the backend server to the rollouts.
 	void report_attempt(const backend_server& _backend, attempt_end _end);
-	void log_failed_attempt(const backend_server& _backend, const char* _why);
+	void log_failed_attempt(const backend_server& _backend, const exchange_result& _result);
+	/// @returns Whether a response with that status promises the caller of an at-most-once request that it
+	/// has not run and never will.
+	bool promises_not_run(unsigned _status) const;
+	/// Adds to the line about the end of the request by what this node knows that it has not run.
+	void describe_promise(log_line& _line) const;
 	void log_end(unsigned _status, outcome _outcome, reason _reason);
 	void release();
 
@@ -211,6 +216,7 @@
 	version_rule m_versions;       ///< Versions that it may go to during a rollout.
 	region_choice m_region_choice; ///< Planned region; after an overflow, the region used.
 	steady_time m_arrived_at{};
+	steady_time::duration m_stalled_before; ///< Time for which the event loop had stood still at the arrival.
 	steady_time m_sent_at{};
 	steady_time m_deadline{};
 	steady_time m_token_wait_since{}; ///< First wait for a backend server's token; epoch: none.
--- a/src/entry_node/forwarder.cpp
+++ b/src/entry_node/forwarder.cpp
@@ -42,9 +42,21 @@
           {}},
       m_bounds(_bounds), m_make_admission(std::move(_make_admission))
 {
+	m_context.exchanges.promises().set_breach_handler(
+	    [this](const promise_breach& _breach)
+	    {
+		    m_context.log.write(log_line(event::promise_broken)
+		                            .text("id", _breach.request_id)
+		                            .text("how", to_string(_breach.kind))
+		                            .number("status", _breach.status)
+		                            .number("after_ms", to_ms(_breach.after).count()));
+	    });
 }
 
-forwarder::~forwarder() = default;
+forwarder::~forwarder()
+{
+	m_context.exchanges.promises().set_breach_handler(nullptr);
+}
 
 void forwarder::handle(const std::shared_ptr<caller_session>& _session, caller_request&& _request)
 {
@@ -125,6 +137,29 @@
 	}
 }
 
+void forwarder::on_unread_refusal(const unread_refusal& _refusal)
+{
+	std::string id;
+	const route* found = nullptr;
+	if (nullptr != _refusal.headers)
+	{
+		id = std::string((*_refusal.headers)[m_context.names.request_id]);
+		found = m_context.routes ? find_route(*_refusal.headers, *m_context.routes) : nullptr;
+	}
+	const auto status = static_cast<unsigned>(_refusal.status);
+	if (nullptr != found && repeat_rule::at_most_once == found->repeat && is_promise(status))
+	{
+		m_context.exchanges.promises().record(id, status, m_context.clock.steady());
+	}
+	m_context.log.write(
+	    log_line(event::unread_refused)
+	        .text("id", id)
+	        .text("route", nullptr == found ? "" : found->name)
+	        .number("status", status)
+	        .number("stalled_ms",
+	            std::chrono::duration_cast<std::chrono::milliseconds>(_refusal.stalled).count()));
+}
+
 std::chrono::milliseconds forwarder::body_time_limit(const caller_request& _request) const
 {
 	const route* found = m_context.routes ? find_route(_request, *m_context.routes) : nullptr;
--- a/src/entry_node/forwarder_p.h
+++ b/src/entry_node/forwarder_p.h
@@ -120,6 +120,8 @@
 	/// refusal are checked once the request was read.
 	/// @returns The status to refuse the request with, or nothing.
 	std::optional<http::status> check_before_body(const caller_request& _request);
+	/// Logs a request that its session refused before it was read whole, and records the promise.
+	void on_unread_refusal(const unread_refusal& _refusal);
 	/// @returns Time that the body of a request may take: nobody waits for the answer after its deadline.
 	std::chrono::milliseconds body_time_limit(const caller_request& _request) const;
 	/// Applies a configuration to requests that arrive from now on. A version that is not newer than the
--- a/src/entry_node/http_listener.cpp
+++ b/src/entry_node/http_listener.cpp
@@ -74,6 +74,15 @@
 	    });
 }
 
+void http_listener::on_unread_refusal(const unread_refusal& _refusal)
+{
+	++m_unread_refusals;
+	if (m_unread_refusal_handler)
+	{
+		m_unread_refusal_handler(_refusal);
+	}
+}
+
 std::optional<http::status> http_listener::check_header(const caller_request& _request) const
 {
 	return m_header_check ? m_header_check(_request) : std::nullopt;
--- a/src/entry_node/http_listener_p.h
+++ b/src/entry_node/http_listener_p.h
@@ -28,6 +28,15 @@
 /// @returns Status to refuse the request with, unread; nothing: read the body.
 using header_check = std::function<std::optional<http::status>(const caller_request&)>;
 
+/// A request that was refused before it was read whole.
+struct unread_refusal
+{
+	const caller_request* headers = nullptr; ///< Null: they are incomplete.
+	http::status status = http::status::request_timeout;
+	std::chrono::steady_clock::duration stalled{0}; ///< Time for which the event loop stood still meanwhile.
+};
+using unread_refusal_handler = std::function<void(const unread_refusal&)>;
+
 /// @returns Time that the body of a request may take to arrive, from the end of its headers.
 using body_time_rule = std::function<std::chrono::milliseconds(const caller_request&)>;
 
@@ -43,6 +52,11 @@
 	{
 		m_header_check = std::move(_check);
 	}
+	/// Sets a handler that is told of requests that were refused before they were read whole.
+	void set_unread_refusal_handler(unread_refusal_handler _handler)
+	{
+		m_unread_refusal_handler = std::move(_handler);
+	}
 	/// Sets the rule for the time that bodies may take. Without it only the pauses between their bytes are
 	/// limited.
 	void set_body_time_rule(body_time_rule _rule)
@@ -100,6 +114,7 @@
 private:
 	friend class caller_session;
 	void accept();
+	void on_unread_refusal(const unread_refusal& _refusal);
 	/// @returns Status to refuse a request with, by its headers; nothing: read the body.
 	std::optional<http::status> check_header(const caller_request& _request) const;
 	std::chrono::milliseconds body_time_limit(const caller_request& _request) const;
@@ -117,6 +132,7 @@
 	request_handler m_handler;
 	header_check m_header_check;
 	body_time_rule m_body_time_rule;
+	unread_refusal_handler m_unread_refusal_handler;
 	loop_stall_detector m_stalls;
 	std::uint64_t m_unread_refusals = 0;
 	std::size_t m_max_connections;
--- a/src/entry_node/relay_server.cpp
+++ b/src/entry_node/relay_server.cpp
@@ -155,15 +155,18 @@
 void relay_server::log_failed(const std::string& _sender, const std::string& _id,
     const backend_server& _backend, const relay_result& _result)
 {
-	m_log.write(
-	    log_line(event::attempt_failed)
-	        .text("id", _id)
-	        .text("service", _backend.registered.service.text)
-	        .text("backend", _backend.registered.id.text)
-	        .text("why", _result.result.detail)
-	        .decimal("busy", _backend.estimated_load(m_services.clock.steady()))
-	        .number("ms", std::chrono::duration_cast<std::chrono::milliseconds>(_result.taken).count())
-	        .text("relayed_for", _sender));
+	log_line line(event::attempt_failed);
+	line.text("id", _id)
+	    .text("service", _backend.registered.service.text)
+	    .text("backend", _backend.registered.id.text)
+	    .text("why", _result.result.detail)
+	    .decimal("busy", _backend.estimated_load(m_services.clock.steady()))
+	    .number("ms", std::chrono::duration_cast<std::chrono::milliseconds>(_result.taken).count());
+	if (_result.result.marks)
+	{
+		line.text("answer", to_string(*_result.result.marks));
+	}
+	m_log.write(line.text("relayed_for", _sender));
 }
 
 void relay_server::respond(const std::shared_ptr<caller_session>& _session, const relay_result& _result)
--- a/src/entry_node/upstream.cpp
+++ b/src/entry_node/upstream.cpp
@@ -220,6 +220,10 @@
 {
 	m_sent = true;
 	m_timer.cancel();
+	if (nullptr != m_services.promises && m_request.at_most_once)
+	{
+		m_services.promises->on_sent(m_request.request_id, m_services.clock.steady());
+	}
 	// The response may arrive before the whole request was sent, so reading starts at once.
 	asio::async_write(m_connection->socket, asio::buffer(*m_bytes),
 	    [self = shared_from_this(), connection = m_connection, bytes = m_bytes](
@@ -268,6 +272,32 @@
 	return _head.end() == id || id->value() == m_request.request_id;
 }
 
+answer_marks upstream_exchange::marks_of(const http::response_header<>& _head) const
+{
+	answer_marks marks;
+	marks.status = _head.result_int();
+	const auto id = _head.find(m_services.names.request_id);
+	if (_head.end() != id)
+	{
+		marks.id = id->value() == m_request.request_id ? answer_id::own : answer_id::other;
+	}
+	marks.not_run = has_header(_head, m_services.names.not_run);
+	marks.has_signature = has_header(_head, m_services.names.signature);
+	marks.whole_request = m_written;
+	return marks;
+}
+
+void upstream_exchange::check_promises(const http::response_header<>& _head) const
+{
+	const auto id = _head.find(m_services.names.request_id);
+	const bool ran =
+	    has_header(_head, m_services.names.signature) && !has_header(_head, m_services.names.not_run);
+	if (nullptr != m_services.promises && ran && _head.end() != id)
+	{
+		m_services.promises->on_ran({id->value().data(), id->value().size()}, m_services.clock.steady());
+	}
+}
+
 void upstream_exchange::on_response()
 {
 	const unsigned status = m_parser->get().result_int();
@@ -277,6 +307,8 @@
 		return;
 	}
 	m_paths.on_response(*m_backend, m_services.clock.steady() - m_started_at);
+	m_marks = marks_of(m_parser->get());
+	check_promises(m_parser->get());
 	handle_report(m_parser->get());
 	if (m_cancelled)
 	{
@@ -331,6 +363,7 @@
 {
 	if (m_parser && m_parser->is_header_done())
 	{
+		m_marks = marks_of(m_parser->get());
 		handle_report(m_parser->get());
 	}
 }
@@ -380,6 +413,7 @@
 	const auto handler = std::move(m_handler);
 	m_handler = nullptr;
 	_result.connect_time = m_connect_time;
+	_result.marks = m_marks;
 	_result.connection_broke = m_connection_broke;
 	_result.slots_free = refusal_report::slots_free == report_of(_signal);
 	handler(std::move(_result));
--- a/src/entry_node/upstream_p.h
+++ b/src/entry_node/upstream_p.h
@@ -84,6 +84,9 @@
 	void fail(exchange_outcome _end, const char* _detail, backend_signal _signal);
 	void finish(exchange_result&& _result, backend_signal _signal);
 	bool matches_request(const http::response_header<>& _head) const;
+	answer_marks marks_of(const http::response_header<>& _head) const;
+	/// Checks an answer, whichever request it belongs to, against the promises of this node.
+	void check_promises(const http::response_header<>& _head) const;
 	/// Handles the report in the headers of a response, also if the response is not passed on.
 	void handle_report(const http::response_header<>& _head);
 	/// Handles the report of a response whose body is incomplete.
@@ -118,5 +121,6 @@
 	std::optional<steady_time::duration> m_connect_time;
 	steady_time m_started_at{};
 	int m_foreign_responses = 0;
+	std::optional<answer_marks> m_marks; ///< Of the last answer whose head came.
 };
 } // namespace larkrack
--- /dev/null
+++ b/src/steering/answer_marks.cpp
@@ -0,0 +1,20 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+#include "steering/answer_marks_p.h"
+
+namespace larkrack
+{
+std::string to_string(const answer_marks& _marks)
+{
+	std::string text = std::to_string(_marks.status);
+	if (answer_id::none != _marks.id)
+	{
+		text += answer_id::own == _marks.id ? "+id" : "+other_id";
+	}
+	text += _marks.not_run ? "+not_run" : "";
+	text += _marks.has_signature ? "+signature" : "";
+	text += _marks.whole_request ? "" : "+early";
+	return text;
+}
+} // namespace larkrack
--- a/tests/forms/backend_request_form_test.cpp
+++ b/tests/forms/backend_request_form_test.cpp
@@ -276,12 +276,14 @@
 		CPPUNIT_ASSERT_EQUAL(std::size_t(3), lines.size());
 		CPPUNIT_ASSERT_EQUAL(
 		    std::string(R"({"t_us":0,"node":"n\"1\\\u000a","event":1902,"name":"attempt_failed","id":"r1",)"
-		                R"("service":"shop","backend":"b1","why":"shed","busy":3.000,"ms":0})"),
+		                R"("service":"shop","backend":"b1","why":"shed","busy":3.000,"ms":0,)"
+		                R"("answer":"503+id+not_run"})"),
 		    lines[0]);
 		CPPUNIT_ASSERT_EQUAL(
 		    std::string(R"({"t_us":0,"node":"n\"1\\\u000a","event":1901,"name":"request_ended","id":"r1",)"
 		                R"("route":"pay","service":"shop","config":7,"status":503,"outcome":"not_run",)"
-		                R"("reason":"shed","region":"east","backend":"b1","attempts":1,"unsent":0,"ms":0})"),
+		                R"("reason":"shed","region":"east","backend":"b1","attempts":1,"unsent":0,"ms":0,)"
+		                R"("promise":"rejected","stalled_ms":0})"),
 		    lines[1]);
 		CPPUNIT_ASSERT_EQUAL(
 		    std::string(
--- a/tests/forms/daemon_log_forms_test.cpp
+++ b/tests/forms/daemon_log_forms_test.cpp
@@ -148,6 +148,8 @@
 1922 path_lost warning
 1923 path_regained info
 1924 config_fetched info
+1925 unread_refused info
+1926 promise_broken error
 )",
 		    table);
 	}
--- a/tests/forms/event_catalogue_form_test.cpp
+++ b/tests/forms/event_catalogue_form_test.cpp
@@ -107,6 +107,9 @@
 		        "This node reaches the backend servers of a failure domain again."},
 		    {1924, "config_fetched", severity::info,
 		        "A node or the store was asked for a newer configuration."},
+		    {1925, "unread_refused", severity::info, "A request was refused before it was read whole."},
+		    {1926, "promise_broken", severity::error,
+		        "A request that was refused as not run was sent, or ran."},
 		};
 		CPPUNIT_ASSERT_EQUAL(std::size(known), event_catalogue().size());
 		for (std::size_t i = 0; i < std::size(known); ++i)
--- a/tests/forms/programs.py
+++ b/tests/forms/programs.py
@@ -47,12 +47,13 @@
     (1202, "config_refused"): "why revision",
     (1301, "peer_up"): "peer incarnation silent_ms",
     (1302, "peer_suspected"): "peer incarnation silent_ms",
-    # The last three fields: the retry budget, which is small right after a start, denied a retry.
+    # The fields behind "ms": the retry budget, which is small right after a start, denied a retry, and the refusal
+    # promises that the request has not run.
     (1901, "request_ended"): (
         "id route service config status outcome reason region backend attempts unsent ms "
-        "window_first window_retries window_allowed"
+        "window_first window_retries window_allowed promise stalled_ms"
     ),
-    (1902, "attempt_failed"): "id service backend why busy ms",
+    (1902, "attempt_failed"): "id service backend why busy ms answer",
     (1903, "backend_changed"): "backend service domain state warmup_ms revision",
     (1904, "backend_removed"): "backend",
     (1905, "domain_evacuated"): "domains",
@@ -67,6 +68,7 @@
 larkrack_block_refusals gauge Requests that were refused because they are blocked.
 larkrack_blocked_requests gauge Requests that are sent to no backend server, since some have ended under them.
 larkrack_broken_paths gauge Failure domains whose backend servers this node does not reach itself.
+larkrack_broken_promises gauge Requests that were sent, or ran, after such a refusal.
 larkrack_caller_connections gauge Open connections of callers.
 larkrack_callers_left gauge Callers that left before their answer.
 larkrack_cold_runs gauge Requests sent to backend servers that are not their key's own.
@@ -82,6 +84,7 @@
 larkrack_log_lines_dropped gauge Lines of the log that were dropped.
 larkrack_lookups_total counter Look-ups answered.
 larkrack_nodes gauge Other nodes that were heard of.
+larkrack_promises gauge Refusals that promised of an at-most-once request that it never runs.
 larkrack_queued gauge Requests that waited for a slot.
 larkrack_relay_exchanges gauge Requests that were sent to a backend server over another node.
 larkrack_relay_refusals gauge Requests that another node refused to forward, or that did not reach it.
