Promise that a request has not run only where that is proven

What callers saw: an order that a backend server had run and answered with 503, 429 or 408, without the not-run mark, reached its caller with that status. PROTOCOL: '429, 503, 408 and 421 are each a promise ... that the request has not run and never will'; the caller places the order again.

Cause: a status was taken for its meaning. Two sentences meet: 'status, body and Response-Signature of the backend go back unchanged', and the promise; and MIXED forbids the server's signature beside another status. An answer of the node's own, 502 without signature or body, breaks neither. It is given to requests that must not run twice alone; others get the server's answer as before.

The promise is a type now: final_answer::refuse() needs a not_run_proof, which not_run_proof::of_attempts() alone makes (no attempt under way, none that may have run); statuses of the node's other answers are types that hold none of the four; forward() lets none of them through. 429 for a quota, and each refusal after a wait, pass through the same function, which also asks whether an exchange is under way.

--- a/src/entry_node/forwarded_request.cpp
+++ b/src/entry_node/forwarded_request.cpp
@@ -11,9 +11,6 @@
 {
 namespace
 {
-/// HTTP status for a request that matches no route.
-constexpr unsigned k_status_no_route = 404;
-
 /// @returns When the headers of the request of a session arrived: its caller waits since then.
 steady_time arrival_of(request_context& _context, const caller_session& _session)
 {
@@ -47,7 +44,7 @@
 	m_route = find_route(m_request, *m_routes);
 	if (nullptr == m_route)
 	{
-		respond(make_response(k_status_no_route), outcome::not_run, reason::unknown_service);
+		respond(final_answer::fail(failure_status::not_found, outcome::not_run, reason::unknown_service));
 		return;
 	}
 	m_deadline = m_arrived_at + timeout_of(m_request, m_route, m_context.names);
@@ -180,7 +177,7 @@
 		return;
 	}
 	++m_context.counters.disconnected;
-	log_end(0, outcome::unknown, reason::none);
+	log_end(0, outcome::unknown, reason::none, std::nullopt);
 	release();
 }
 
@@ -189,14 +186,15 @@
 	refuse(_reason, refusal_retry_after_s(retry_after_s(m_context.random)));
 }
 
-void forwarded_request::refuse(reason _reason, double _retry_after_s)
+void forwarded_request::refuse(reason _reason, double _retry_after_s, refusal_status _status)
 {
-	if (m_history.may_have_run || m_history.response_kept)
+	const std::optional<not_run_proof> proof = not_run_proof::of_attempts(m_history, under_way());
+	if (!proof)
 	{
-		finish_with(response_without_retry(m_history, _reason)); // It waited after an attempt.
+		finish_with(response_without_proof(m_history, _reason));
 		return;
 	}
-	respond(make_refusal(k_status_refused, _retry_after_s), outcome::not_run, _reason);
+	respond(final_answer::refuse(*proof, _status, _retry_after_s, _reason));
 }
 
 double forwarded_request::refusal_retry_after_s(double _default_s) const
@@ -212,39 +210,41 @@
 {
 	if (_end.kept_response)
 	{
-		respond(std::move(*m_kept_response), _end.end, _end.why);
+		respond(final_answer::forward(std::move(*m_kept_response), m_route->repeat));
 		return;
 	}
 	if (outcome::unknown == _end.end)
 	{
-		respond(make_response(_end.status), _end.end, _end.why);
+		const bool at_deadline = k_status_unknown_deadline == _end.status;
+		respond(final_answer::fail(
+		    at_deadline ? failure_status::gateway_timeout : failure_status::bad_gateway, _end.end, _end.why));
 		return;
 	}
 	refuse(_end.why);
 }
 
-void forwarded_request::respond(caller_response&& _response, outcome _outcome, reason _reason)
+void forwarded_request::respond(final_answer&& _answer)
 {
-	strip_hop_by_hop(_response);
-	log_end(_response.result_int(), _outcome, _reason);
-	if (promises_not_run(_response.result_int()))
+	log_end(_answer.status(), _answer.end(), _answer.why(), _answer.evidence());
+	if (promises_not_run(_answer.status()))
 	{
-		m_context.exchanges.promises().record(m_request_id, _response.result_int(), m_context.clock.steady());
+		m_context.exchanges.promises().record(m_request_id, _answer.status(), m_context.clock.steady());
 	}
-	m_context.exported_metrics.count_outcome(m_service.text, _outcome, _reason);
+	m_context.exported_metrics.count_outcome(m_service.text, _answer.end(), _answer.why());
 	const steady_time::duration taken = m_context.clock.steady() - m_arrived_at;
 	m_context.exported_metrics.observe_request_time(to_s(taken));
 	const bool has_objective = nullptr != m_route && m_route->objective.count() > 0;
-	if (has_objective && outcome::served == _outcome && taken > m_route->objective)
+	if (has_objective && outcome::served == _answer.end() && taken > m_route->objective)
 	{
 		++m_context.counters.late_answers;
 	}
 	const std::shared_ptr<caller_session> session = m_session;
 	release();
-	session->respond(std::move(_response));
+	session->respond(_answer.take_response());
 }
 
-void forwarded_request::log_end(unsigned _status, outcome _outcome, reason _reason)
+void forwarded_request::log_end(
+    unsigned _status, outcome _outcome, reason _reason, std::optional<not_run_evidence> _evidence)
 {
 	if (outcome::served == _outcome && !promises_not_run(_status) && !entry_log::sampled(m_request_id))
 	{
@@ -279,7 +279,7 @@
 	}
 	if (promises_not_run(_status))
 	{
-		describe_promise(line);
+		describe_promise(line, _evidence);
 	}
 	describe_admission(line);
 	m_context.log.write(line);
@@ -290,12 +290,9 @@
 	return is_promise(_status) && nullptr != m_route && repeat_rule::at_most_once == m_route->repeat;
 }
 
-void forwarded_request::describe_promise(log_line& _line) const
+void forwarded_request::describe_promise(log_line& _line, std::optional<not_run_evidence> _evidence) const
 {
-	const bool running = m_exchange && m_exchange->sent();
-	const bool may_have_run = running || m_history.may_have_run || m_admission_end.answered;
-	const char* known_by = may_have_run ? "none" : (m_history.reached > 0 ? "rejected" : "unsent");
-	_line.text("promise", known_by)
+	_line.text("promise", _evidence ? to_string(*_evidence) : "none")
 	    .number("stalled_ms", to_ms(m_context.gap.total() - m_stalled_before).count());
 }
 
--- a/src/entry_node/forwarded_request_admission.cpp
+++ b/src/entry_node/forwarded_request_admission.cpp
@@ -3,7 +3,6 @@
 
 #include "entry_node/caller_identity_p.h"
 #include "entry_node/forwarded_request_p.h"
-#include "entry_node/upstream_request_bytes_p.h"
 #include "steering/rendezvous_p.h"
 #include "steering/request_times_p.h"
 
--- a/src/entry_node/forwarded_request_attempts.cpp
+++ b/src/entry_node/forwarded_request_attempts.cpp
@@ -335,7 +335,7 @@
 	}
 	if (_rule.forward_response)
 	{
-		respond(std::move(*_result.response), outcome::served, reason::none);
+		respond(final_answer::forward(std::move(*_result.response), m_route->repeat));
 		return;
 	}
 	if (_rule.keep_response)
--- a/src/entry_node/forwarded_request_blocks.cpp
+++ b/src/entry_node/forwarded_request_blocks.cpp
@@ -2,7 +2,6 @@
 // License: BSD 2-Clause, see LICENSE.
 
 #include "entry_node/forwarded_request_p.h"
-#include "entry_node/upstream_request_bytes_p.h"
 #include "steering/request_times_p.h"
 
 namespace larkrack
--- a/src/entry_node/forwarded_request_customer.cpp
+++ b/src/entry_node/forwarded_request_customer.cpp
@@ -3,17 +3,12 @@
 
 #include "entry_node/caller_identity_p.h"
 #include "entry_node/forwarded_request_p.h"
-#include "entry_node/upstream_request_bytes_p.h"
 #include "steering/request_times_p.h"
 
 namespace larkrack
 {
 namespace
 {
-/// HTTP status for a request without a valid API key.
-constexpr unsigned k_status_no_key = 401;
-/// HTTP status for a request above the quota of its customer.
-constexpr unsigned k_status_over_quota = 429;
 /// Minimum Retry-After of a caller above the quota, as a part of the time until the quota has tokens again.
 /// With a lower value more callers retry too early.
 constexpr double k_min_retry_spread = 0.5;
@@ -91,7 +86,7 @@
 
 void forwarded_request::refuse_key()
 {
-	respond(make_response(k_status_no_key), outcome::not_run, reason::unknown_key);
+	respond(final_answer::fail(failure_status::unauthorized, outcome::not_run, reason::unknown_key));
 }
 
 void forwarded_request::refuse_over_quota()
@@ -99,6 +94,6 @@
 	// A random part of the time, so that the callers of one customer do not all retry at once.
 	const double part = std::uniform_real_distribution<double>(k_min_retry_spread, 1.0)(m_context.random);
 	const double pause_s = part * m_context.quotas.quota_retry_delay_s(*m_customer);
-	respond(make_refusal(k_status_over_quota, pause_s), outcome::not_run, reason::over_quota);
+	refuse(reason::over_quota, pause_s, refusal_status::too_many_requests);
 }
 } // namespace larkrack
--- a/src/entry_node/forwarded_request_p.h
+++ b/src/entry_node/forwarded_request_p.h
@@ -26,6 +26,7 @@
 /// | sent | response received, no further attempt, deadline passed, or caller disconnected | ended |
 #pragma once
 
+#include "entry_node/final_answer_p.h"
 #include "entry_node/forwarder_p.h"
 #include "steering/attempt_rules_p.h"
 #include "steering/retry_budget_p.h"
@@ -54,7 +55,7 @@
 	/// @returns Whether it waits for anything but the answer of a backend server or relay.
 	bool waits_to_be_sent() const
 	{
-		return state::ended != m_state && !(m_exchange && m_exchange->sent());
+		return state::ended != m_state && !under_way();
 	}
 	/// Ends a request that a stopping node cannot finish in time: its caller goes to another node.
 	void refuse_as_stopping();
@@ -182,23 +183,30 @@
 	bool take_retry();
 
 	void refuse(reason _reason);
-	/// Refuses the request, unless a backend server may have run it: a refusal promises that none has.
-	void refuse(reason _reason, double _retry_after_s);
+	/// Refuses the request, unless a backend server may have run it or may still run it.
+	void refuse(reason _reason, double _retry_after_s, refusal_status _status = refusal_status::unavailable);
 	/// @param[in] _default_s Retry-After unless all backend servers rest, seconds.
 	/// @returns Retry-After for a refusal, seconds.
 	double refusal_retry_after_s(double _default_s) const;
 	void refuse_over_quota();
 	void finish_with(const final_response& _end);
-	void respond(caller_response&& _response, outcome _outcome, reason _reason);
+	void respond(final_answer&& _answer);
 	/// Reports the end of an attempt that reached the backend server to the rollouts.
 	void report_attempt(const backend_server& _backend, attempt_end _end);
 	void log_failed_attempt(const backend_server& _backend, const exchange_result& _result);
+	/// @returns Whether an attempt that may have sent a byte has not ended.
+	bool under_way() const
+	{
+		return m_exchange && m_exchange->sent();
+	}
 	/// @returns Whether a response with that status promises the caller of an at-most-once request that it
 	/// has not run and never will.
 	bool promises_not_run(unsigned _status) const;
 	/// Adds to the line about the end of the request by what this node knows that it has not run.
-	void describe_promise(log_line& _line) const;
-	void log_end(unsigned _status, outcome _outcome, reason _reason);
+	void describe_promise(log_line& _line, std::optional<not_run_evidence> _evidence) const;
+	/// @param[in] _evidence Of a refusal.
+	void log_end(
+	    unsigned _status, outcome _outcome, reason _reason, std::optional<not_run_evidence> _evidence);
 	void release();
 
 	request_context& m_context;
--- a/src/entry_node/upstream_request_bytes.cpp
+++ b/src/entry_node/upstream_request_bytes.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <cctype>
-#include <cstdio>
 
 namespace larkrack
 {
@@ -75,18 +74,4 @@
 	rest += _request.body();
 	return made;
 }
-
-caller_response make_response(unsigned _status)
-{
-	return caller_response(static_cast<http::status>(_status), 11);
-}
-
-caller_response make_refusal(unsigned _status, double _retry_after_s)
-{
-	caller_response response = make_response(_status);
-	char text[16];
-	std::snprintf(text, sizeof(text), "%.2f", _retry_after_s);
-	response.set(http::field::retry_after, text);
-	return response;
-}
 } // namespace larkrack
--- a/src/entry_node/upstream_request_bytes_p.h
+++ b/src/entry_node/upstream_request_bytes_p.h
@@ -2,8 +2,7 @@
 // License: BSD 2-Clause, see LICENSE.
 
 /// @file
-/// HTTP messages that a node generates: a request as it is sent to a backend server, and the responses that
-/// no backend server gave. No state.
+/// A request as it is sent to a backend server. No state.
 ///
 /// Relies on header_rules_p.h for the hop-by-hop headers.
 #pragma once
@@ -20,9 +19,4 @@
 /// time left, the target, the customer and the length of the body.
 upstream_request make_upstream_request(const caller_request& _request, const header_names& _names,
     const backend_id& _target, const customer_name& _customer);
-/// @returns A response without a body.
-caller_response make_response(unsigned _status);
-/// @param[in] _retry_after_s Value of Retry-After, seconds.
-/// @returns A response without a body that tells the caller when to retry.
-caller_response make_refusal(unsigned _status, double _retry_after_s);
 } // namespace larkrack
--- a/src/steering/answer_verdict.cpp
+++ b/src/steering/answer_verdict.cpp
@@ -3,6 +3,8 @@
 
 #include "steering/answer_verdict_p.h"
 
+#include "steering/promise_ledger_p.h"
+
 namespace larkrack
 {
 namespace
@@ -32,7 +34,7 @@
 	return proven ? std::optional<rejection_proof>(rejection_proof()) : std::nullopt;
 }
 
-answer_verdict judge_answer(const answer_marks& _marks, bool _has_id, repeat_rule)
+answer_verdict judge_answer(const answer_marks& _marks, bool _has_id, repeat_rule _repeat)
 {
 	if (!belongs_to_request(_marks, _has_id))
 	{
@@ -42,6 +44,7 @@
 	{
 		return answer_verdict::rejected;
 	}
-	return _marks.not_run ? answer_verdict::inconclusive : answer_verdict::answered;
+	const bool false_promise = is_promise(_marks.status) && repeat_rule::at_most_once == _repeat;
+	return _marks.not_run || false_promise ? answer_verdict::inconclusive : answer_verdict::answered;
 }
 } // namespace larkrack
--- a/src/steering/answer_verdict_p.h
+++ b/src/steering/answer_verdict_p.h
@@ -13,11 +13,15 @@
 /// | own | 400, 421, 429, 503 | yes | rejected |
 /// | own | 421 without a signature | no | rejected |
 /// | own | any other | yes | inconclusive |
+/// | own | 408, 421, 429, 503 | no | inconclusive if it must not run twice, else answered |
 /// | own | any other | no | answered |
 ///
 /// A status alone proves nothing, since a backend server gives any status to requests that it has run; only
 /// 421 stands for another server at the address, which runs nothing. The mark beside a success or a server
 /// error contradicts the answer, and is not believed.
+///
+/// An answer that is passed on carries its status to the caller, and with 408, 421, 429 and 503 a promise: so
+/// an at-most-once request passes on none of them.
 #pragma once
 
 #include "steering/answer_marks_p.h"
--- a/src/steering/attempt_rules.cpp
+++ b/src/steering/attempt_rules.cpp
@@ -79,15 +79,20 @@
 
 final_response response_without_retry(const attempt_history& _history, reason _why)
 {
-	if (_history.response_kept)
+	if (_history.response_kept || _history.may_have_run)
 	{
-		return {true, outcome::served, reason::none, 0};
+		return response_without_proof(_history, _why);
 	}
-	if (_history.may_have_run)
+	return {false, outcome::not_run, _why, k_status_refused};
+}
+
+final_response response_without_proof(const attempt_history& _history, reason _why)
+{
+	if (_history.response_kept)
 	{
-		return {false, outcome::unknown, _why, k_status_unknown};
+		return {true, outcome::served, reason::none, 0};
 	}
-	return {false, outcome::not_run, _why, k_status_refused};
+	return {false, outcome::unknown, _why, k_status_unknown};
 }
 
 final_response response_at_deadline(const attempt_history& _history, bool _sent)
--- a/src/steering/attempt_rules_p.h
+++ b/src/steering/attempt_rules_p.h
@@ -129,6 +129,9 @@
 
 /// @param[in] _why Reason of the last attempt's rule.
 final_response response_without_retry(const attempt_history& _history, reason _why);
+/// @param[in] _why Why it would have been refused.
+/// @returns How a request ends that cannot be refused, since nothing proves that it has not run.
+final_response response_without_proof(const attempt_history& _history, reason _why);
 /// @param[in] _sent Whether a byte of the current attempt was sent.
 final_response response_at_deadline(const attempt_history& _history, bool _sent);
 } // namespace larkrack
--- a/tests/relay_refusal_test.cpp
+++ b/tests/relay_refusal_test.cpp
@@ -32,6 +32,7 @@
 	CPPUNIT_TEST(answer_of_another_version_is_a_refusal);
 	CPPUNIT_TEST(not_run_without_the_rejection_of_a_server_proves_nothing);
 	CPPUNIT_TEST(not_run_with_the_rejection_of_a_server_is_believed);
+	CPPUNIT_TEST(refusal_of_a_server_without_the_mark_promises_nothing);
 	CPPUNIT_TEST_SUITE_END();
 
 protected:
@@ -135,6 +136,12 @@
 		CPPUNIT_ASSERT(exchange_outcome::not_run == end.end);
 		CPPUNIT_ASSERT(end.rejection.has_value());
 	}
+	/// Guards against a promise that a relay of an earlier version passes on.
+	void refusal_of_a_server_without_the_mark_promises_nothing()
+	{
+		const exchange_result end = end_with(result_of(exchange_outcome::answered, 503, false));
+		CPPUNIT_ASSERT(exchange_outcome::lost == end.end);
+	}
 
 	int m_exchanges_made = 0;
 	counting_relay_listener m_listener_of_relays;
