Let the response of a relay carry the id of its request

Found by reading, for the same class: the response of a relay said nothing of the request that it answers, so that a late one on a kept connection would have ended the next request, as not sent or not run. No run has shown it: the node in front closes the connection of each request that it cancels. The id is a header of the relay's response; a response of another request is lost, one of an older relay without it is taken as before. result_of_another_request_is_a_lost_request fails without the check (not sent in place of lost).

--- a/src/entry_node/relay_client.cpp
+++ b/src/entry_node/relay_client.cpp
@@ -163,7 +163,7 @@
 void relay_exchange::on_response()
 {
 	const http::status status = m_parser->get().result();
-	if (http::status::ok != status && !promises_not_sent(status))
+	if (is_foreign(m_parser->get()) || (http::status::ok != status && !promises_not_sent(status)))
 	{
 		m_listener.on_relay_refused(m_relay_ip);
 		fail(exchange_outcome::lost, "relay_broken_answer", backend_signal::not_tried);
@@ -202,6 +202,12 @@
 	finish(std::move(message->result), signal);
 }
 
+bool relay_exchange::is_foreign(const http::response_header<>& _head) const
+{
+	const auto id = _head.find(m_services.names.request_id);
+	return _head.end() != id && id->value() != m_request.request_id;
+}
+
 void relay_exchange::judge(exchange_result& _result) const
 {
 	if (exchange_outcome::answered != _result.end && exchange_outcome::not_run != _result.end)
--- a/src/entry_node/relay_client_p.h
+++ b/src/entry_node/relay_client_p.h
@@ -9,7 +9,7 @@
 /// | what happens | the exchange ends as |
 /// | --- | --- |
 /// | the relay is not reached, refuses as not sent, or is of another version | not_sent, relay_failed |
-/// | the relay answers with a status that promises nothing, such as 408 | lost |
+/// | the relay answers with a status that promises nothing, such as 408, or to another request | lost |
 /// | the relay could not connect to the backend server, or it accepts no requests | not_sent |
 /// | the relay passes on a rejection that proves that the backend server did not run the request | not_run |
 /// | the relay calls the request not run and shows no such rejection | lost |
@@ -77,6 +77,8 @@
 	void write();
 	void read();
 	void on_response();
+	/// @returns Whether the response is that to another request. A relay of an earlier version does not tell.
+	bool is_foreign(const http::response_header<>& _head) const;
 	/// Judges the result of a relay by the head of the backend server's answer, as for an answer of its own:
 	/// a relay of another version may believe more.
 	void judge(exchange_result& _result) const;
--- a/src/entry_node/relay_server.cpp
+++ b/src/entry_node/relay_server.cpp
@@ -104,7 +104,7 @@
 			m_owner.log_failed(m_session->address(), m_request_id, *m_backend, _message);
 		}
 		m_owner.m_requests.erase(self);
-		respond(m_session, _message);
+		m_owner.respond(m_session, m_request_id, _message);
 	}
 
 	relay_server& m_owner;
@@ -169,10 +169,12 @@
 	m_log.write(line.text("relayed_for", _sender));
 }
 
-void relay_server::respond(const std::shared_ptr<caller_session>& _session, const relay_result& _result)
+void relay_server::respond(const std::shared_ptr<caller_session>& _session, const std::string& _id,
+    const relay_result& _result) const
 {
 	caller_response response(http::status::ok, 11);
 	response.set(http::field::content_type, k_relay_content_type);
+	response.set(m_services.names.request_id, _id);
 	response.body() = encode(_result);
 	_session->respond(std::move(response));
 }
@@ -222,7 +224,7 @@
 	const steady_time deadline = m_gap.arrival(now) + message->request.time_left;
 	if (now >= deadline)
 	{
-		respond(_session, not_sent("deadline", false));
+		respond(_session, message->request.request_id, not_sent("deadline", false));
 		return;
 	}
 	if (m_stop && deadline - now > stop_time_left(*m_stop, now))
@@ -232,7 +234,7 @@
 	}
 	if (const std::optional<relay_result> reason = reason_not_to_send(*message))
 	{
-		respond(_session, *reason);
+		respond(_session, message->request.request_id, *reason);
 		return;
 	}
 	const backend_ptr backend = m_backends.find(message->backend);
--- a/src/entry_node/relay_server_p.h
+++ b/src/entry_node/relay_server_p.h
@@ -79,7 +79,9 @@
 	/// Logs a request that no backend server answered, under the id by which the other node logs it.
 	void log_failed(const std::string& _sender, const std::string& _id, const backend_server& _backend,
 	    const relay_result& _result);
-	static void respond(const std::shared_ptr<caller_session>& _session, const relay_result& _result);
+	/// @param[in] _id Id of the request, which the response carries back.
+	void respond(const std::shared_ptr<caller_session>& _session, const std::string& _id,
+	    const relay_result& _result) const;
 
 	exchange_services m_services;
 	backend_registry& m_backends;
--- a/tests/relay_refusal_test.cpp
+++ b/tests/relay_refusal_test.cpp
@@ -33,6 +33,7 @@
 	CPPUNIT_TEST(not_run_without_the_rejection_of_a_server_proves_nothing);
 	CPPUNIT_TEST(not_run_with_the_rejection_of_a_server_is_believed);
 	CPPUNIT_TEST(refusal_of_a_server_without_the_mark_promises_nothing);
+	CPPUNIT_TEST(result_of_another_request_is_a_lost_request);
 	CPPUNIT_TEST_SUITE_END();
 
 protected:
@@ -142,6 +143,14 @@
 		const exchange_result end = end_with(result_of(exchange_outcome::answered, 503, false));
 		CPPUNIT_ASSERT(exchange_outcome::lost == end.end);
 	}
+	/// Guards against the answer to one request that ends another one, on a connection that was kept.
+	void result_of_another_request_is_a_lost_request()
+	{
+		const relay_result unsent;
+		CPPUNIT_ASSERT(exchange_outcome::lost == end_with(unsent, "Larkrack-Request-Id: another\r\n").end);
+		CPPUNIT_ASSERT(exchange_outcome::not_sent == end_with(unsent, "Larkrack-Request-Id: r1\r\n").end);
+		CPPUNIT_ASSERT(exchange_outcome::not_sent == end_with(unsent).end);
+	}
 
 	int m_exchanges_made = 0;
 	counting_relay_listener m_listener_of_relays;
