--- a/src/entry_node/final_answer.cpp
+++ b/src/entry_node/final_answer.cpp
@@ -4,7 +4,7 @@
 #include "entry_node/final_answer_p.h"
 
 #include "entry_node/header_rules_p.h"
-#include "steering/promise_ledger_p.h"
+#include "steering/answer_marks_p.h"
 
 #include <cstdio>
 
--- a/src/entry_node/upstream.cpp
+++ b/src/entry_node/upstream.cpp
@@ -351,7 +351,7 @@
 	result.rejection = rejection_proof::of_answer(*m_marks, !m_request.request_id.empty());
 	result.detail = wrong_server ? "wrong_server" : "shed";
 	_response.body().clear();
-	result.response = std::move(_response); // A relay passes the proof on to the node in front.
+	result.response = std::move(_response); // A relay passes the proof on to the sending node.
 	finish(std::move(result), wrong_server ? backend_signal::unreachable : backend_signal::refused);
 }
 
--- a/src/steering/answer_marks.cpp
+++ b/src/steering/answer_marks.cpp
@@ -5,6 +5,20 @@
 
 namespace larkrack
 {
+bool is_promise(unsigned _status)
+{
+	switch (static_cast<rejection_status>(_status))
+	{
+	case rejection_status::request_timeout:
+	case rejection_status::misdirected_request:
+	case rejection_status::too_many_requests:
+	case rejection_status::service_unavailable:
+		return true;
+	default:
+		return false;
+	}
+}
+
 std::string to_string(const answer_marks& _marks)
 {
 	std::string text = std::to_string(_marks.status);
--- a/src/steering/answer_marks_p.h
+++ b/src/steering/answer_marks_p.h
@@ -12,6 +12,20 @@
 
 namespace larkrack
 {
+/// Statuses by which a request may be called not run. Fixed by HTTP.
+enum class rejection_status : unsigned
+{
+	bad_request = 400,
+	request_timeout = 408,
+	misdirected_request = 421,
+	too_many_requests = 429,
+	service_unavailable = 503,
+};
+
+/// @returns Whether a response with that status promises its caller that the request has not run and never
+/// will: 408, 421, 429 and 503.
+bool is_promise(unsigned _status);
+
 /// The request id that an answer carries.
 enum class answer_id
 {
--- a/src/steering/answer_verdict.cpp
+++ b/src/steering/answer_verdict.cpp
@@ -3,17 +3,10 @@
 
 #include "steering/answer_verdict_p.h"
 
-#include "steering/promise_ledger_p.h"
-
 namespace larkrack
 {
 namespace
 {
-constexpr unsigned k_bad_request = 400;
-constexpr unsigned k_misdirected = 421;
-constexpr unsigned k_too_many_requests = 429;
-constexpr unsigned k_unavailable = 503;
-
 bool belongs_to_request(const answer_marks& _marks, bool _has_id)
 {
 	return answer_id::own == _marks.id || (answer_id::none == _marks.id && !_has_id);
@@ -22,14 +15,24 @@
 /// @returns Whether a backend server may give that status to a request that it does not run.
 bool is_rejection_status(unsigned _status)
 {
-	return k_bad_request == _status || k_misdirected == _status || k_too_many_requests == _status ||
-	       k_unavailable == _status;
+	switch (static_cast<rejection_status>(_status))
+	{
+	case rejection_status::bad_request:
+	case rejection_status::misdirected_request:
+	case rejection_status::too_many_requests:
+	case rejection_status::service_unavailable:
+		return true;
+	default:
+		return false;
+	}
 }
 } // namespace
 
 std::optional<rejection_proof> rejection_proof::of_answer(const answer_marks& _marks, bool _has_id)
 {
-	const bool stated = _marks.not_run || (k_misdirected == _marks.status && !_marks.has_signature);
+	const bool wrong_server =
+	    rejection_status::misdirected_request == static_cast<rejection_status>(_marks.status);
+	const bool stated = _marks.not_run || (wrong_server && !_marks.has_signature);
 	const bool proven = belongs_to_request(_marks, _has_id) && is_rejection_status(_marks.status) && stated;
 	return proven ? std::optional<rejection_proof>(rejection_proof()) : std::nullopt;
 }
--- a/src/steering/promise_ledger.cpp
+++ b/src/steering/promise_ledger.cpp
@@ -28,16 +28,6 @@
 }
 } // namespace
 
-bool is_promise(unsigned _status)
-{
-	constexpr unsigned k_request_timeout = 408;
-	constexpr unsigned k_misdirected = 421;
-	constexpr unsigned k_too_many_requests = 429;
-	constexpr unsigned k_unavailable = 503;
-	return k_request_timeout == _status || k_misdirected == _status || k_too_many_requests == _status ||
-	       k_unavailable == _status;
-}
-
 const char* to_string(promise_breach_kind _kind)
 {
 	return promise_breach_kind::sent == _kind ? "sent" : "ran";
--- a/src/steering/promise_ledger_p.h
+++ b/src/steering/promise_ledger_p.h
@@ -20,10 +20,6 @@
 
 namespace larkrack
 {
-/// @returns Whether a response with that status promises its caller that the request has not run and never
-/// will: 408, 421, 429 and 503.
-bool is_promise(unsigned _status);
-
 /// How a promise was broken.
 enum class promise_breach_kind
 {
