--- a/src/entry_node/forwarded_request.cpp
+++ b/src/entry_node/forwarded_request.cpp
@@ -226,12 +226,13 @@
 void forwarded_request::respond(final_answer&& _answer)
 {
 	log_end(_answer.status(), _answer.end(), _answer.why(), _answer.evidence());
+	m_context.exported_metrics.count_outcome(m_service.text, _answer.end(), _answer.why());
+	const steady_time now = m_context.clock.steady();
 	if (promises_not_run(_answer.status()))
 	{
-		m_context.exchanges.promises().record(m_request_id, _answer.status(), m_context.clock.steady());
+		m_context.exchanges.promises().record(m_request_id, _answer.status(), now);
 	}
-	m_context.exported_metrics.count_outcome(m_service.text, _answer.end(), _answer.why());
-	const steady_time::duration taken = m_context.clock.steady() - m_arrived_at;
+	const steady_time::duration taken = now - m_arrived_at;
 	m_context.exported_metrics.observe_request_time(to_s(taken));
 	const bool has_objective = nullptr != m_route && m_route->objective.count() > 0;
 	if (has_objective && outcome::served == _answer.end() && taken > m_route->objective)
--- a/src/entry_node/relay_client.cpp
+++ b/src/entry_node/relay_client.cpp
@@ -129,7 +129,7 @@
 	m_timer.cancel();
 	if (nullptr != m_services.promises && m_request.at_most_once)
 	{
-		m_services.promises->on_sent(m_request.request_id, m_sent_at);
+		m_services.promises->on_sent(m_request.request_id, m_services.clock);
 	}
 	http::async_write(m_connection->stream, m_message,
 	    [self = shared_from_this(), connection = m_connection](beast::error_code _error, std::size_t)
--- a/src/entry_node/upstream.cpp
+++ b/src/entry_node/upstream.cpp
@@ -226,7 +226,7 @@
 	m_timer.cancel();
 	if (nullptr != m_services.promises && m_request.at_most_once)
 	{
-		m_services.promises->on_sent(m_request.request_id, m_services.clock.steady());
+		m_services.promises->on_sent(m_request.request_id, m_services.clock);
 	}
 	// The response may arrive before the whole request was sent, so reading starts at once.
 	asio::async_write(m_connection->socket, asio::buffer(*m_bytes),
@@ -289,7 +289,7 @@
 	    has_header(_head, m_services.names.signature) && !has_header(_head, m_services.names.not_run);
 	if (nullptr != m_services.promises && ran && _head.end() != id)
 	{
-		m_services.promises->on_ran({id->value().data(), id->value().size()}, m_services.clock.steady());
+		m_services.promises->on_ran({id->value().data(), id->value().size()}, m_services.clock);
 	}
 }
 
--- a/src/steering/promise_ledger.cpp
+++ b/src/steering/promise_ledger.cpp
@@ -51,7 +51,7 @@
 	*oldest = {hash, _now, _status};
 }
 
-void promise_ledger::check(std::string_view _request_id, promise_breach_kind _kind, steady_time _now)
+void promise_ledger::check(std::string_view _request_id, promise_breach_kind _kind, const clock_base& _clock)
 {
 	if (m_entries.empty() || _request_id.empty())
 	{
@@ -72,7 +72,7 @@
 	++m_breaches;
 	if (m_handler)
 	{
-		m_handler({_request_id, _kind, found->status, _now - found->at});
+		m_handler({_request_id, _kind, found->status, _clock.steady() - found->at});
 	}
 }
 } // namespace larkrack
--- a/src/steering/promise_ledger_p.h
+++ b/src/steering/promise_ledger_p.h
@@ -52,14 +52,14 @@
 	/// Records a refusal with a status that promises that the request has not run and never will.
 	void record(std::string_view _request_id, unsigned _status, steady_time _now);
 	/// Checks a request that is about to be sent to a backend server.
-	void on_sent(std::string_view _request_id, steady_time _now)
+	void on_sent(std::string_view _request_id, const clock_base& _clock)
 	{
-		check(_request_id, promise_breach_kind::sent, _now);
+		check(_request_id, promise_breach_kind::sent, _clock);
 	}
 	/// Checks a request that a backend server answers as run.
-	void on_ran(std::string_view _request_id, steady_time _now)
+	void on_ran(std::string_view _request_id, const clock_base& _clock)
 	{
-		check(_request_id, promise_breach_kind::ran, _now);
+		check(_request_id, promise_breach_kind::ran, _clock);
 	}
 	/// @returns Promises since the start.
 	std::uint64_t promises() const
@@ -79,7 +79,8 @@
 		steady_time at{};
 		unsigned status = 0;
 	};
-	void check(std::string_view _request_id, promise_breach_kind _kind, steady_time _now);
+	/// @param[in] _clock Read only for a breach.
+	void check(std::string_view _request_id, promise_breach_kind _kind, const clock_base& _clock);
 
 	std::vector<entry> m_entries; ///< Empty until the first promise.
 	breach_handler m_handler;
--- a/tests/steering_answer_verdict_test.cpp
+++ b/tests/steering_answer_verdict_test.cpp
@@ -121,22 +121,23 @@
 			    broken.push_back(std::string(_breach.request_id) + " " + to_string(_breach.kind) + " " +
 			                     std::to_string(_breach.status));
 		    });
+		const clock_system clock;
 		const steady_time start{std::chrono::seconds(5)};
-		ledger.on_sent("a", start);
+		ledger.on_sent("a", clock);
 		ledger.record("a", 503, start);
 		ledger.record("", 503, start);
-		ledger.on_sent("b", start);
+		ledger.on_sent("b", clock);
 		CPPUNIT_ASSERT(broken.empty());
-		ledger.on_sent("a", start);
-		ledger.on_ran("a", start);
+		ledger.on_sent("a", clock);
+		ledger.on_ran("a", clock);
 		CPPUNIT_ASSERT(broken == std::vector<std::string>({"a sent 503", "a ran 503"}));
 		for (int i = 0; i < 20000; ++i)
 		{
 			ledger.record("n" + std::to_string(i), 429, start + std::chrono::milliseconds(1 + i));
 		}
-		ledger.on_sent("a", start);
+		ledger.on_sent("a", clock);
 		CPPUNIT_ASSERT_EQUAL(std::size_t(2), broken.size());
-		ledger.on_sent("n19999", start + std::chrono::seconds(30));
+		ledger.on_sent("n19999", clock);
 		CPPUNIT_ASSERT_EQUAL(std::size_t(3), broken.size());
 		CPPUNIT_ASSERT_EQUAL(std::uint64_t(20001), ledger.promises());
 	}
