Take a peer port in tests that is free at the addresses of all nodes

The port that the system had chosen at the first node's address was taken for all nine; connections of earlier tests that were bound to one of the others hold ports there until their TIME_WAIT ends. A program of a few lines shows it: the port listens at the first address, 'Address already in use' at the second.

--- a/tests/node_group_fixture.h
+++ b/tests/node_group_fixture.h
@@ -40,6 +40,31 @@
 	return peer_network() + std::to_string(_number + 1);
 }
 
+/// @returns A port that is free at the addresses of all nodes; 0 if none was found. One that is free at the
+/// first address may be held at another one by a closed connection of an earlier test that was bound to it.
+inline std::uint16_t free_peer_port(asio::io_context& _context)
+{
+	constexpr int k_max_tries = 100;
+	for (int i = 0; i < k_max_tries; ++i)
+	{
+		std::vector<tcp::acceptor> held;
+		std::uint16_t port = 0;
+		beast::error_code failed;
+		while (!failed && held.size() < k_group_nodes)
+		{
+			tcp::acceptor& acceptor = held.emplace_back(_context, tcp::v4());
+			acceptor.set_option(asio::socket_base::reuse_address(true));
+			acceptor.bind({asio::ip::make_address(peer_address_of(held.size() - 1)), port}, failed);
+			port = failed ? port : acceptor.local_endpoint().port();
+		}
+		if (!failed)
+		{
+			return port;
+		}
+	}
+	return 0;
+}
+
 /// Fleet view in which a node sees all others. The address of a node is its number.
 class full_fleet_view : public fleet_view_single_node
 {
@@ -289,6 +314,7 @@
 	node_group(asio::io_context& _context, const clock_base& _clock,
 	    const std::vector<std::vector<backend_record>>& _records)
 	{
+		const std::uint16_t port = free_peer_port(_context);
 		for (std::size_t i = 0; i < k_group_nodes; ++i)
 		{
 			const auto send = [this, &_context, i](
@@ -300,8 +326,7 @@
 					    m_nodes.at(to)->receive(_bytes, std::to_string(i));
 				    });
 			};
-			m_nodes.push_back(std::make_unique<group_node>(
-			    _context, _clock, i, _records.at(i), send, m_nodes.empty() ? 0 : at(0).peer_port()));
+			m_nodes.push_back(std::make_unique<group_node>(_context, _clock, i, _records.at(i), send, port));
 		}
 	}
 	group_node& at(std::size_t _number)
