Log how calls to the store fail, where a configuration came from, and how old the store's word is

Cause: platform_down tells neither which call failed nor how, config_taken not from where, and a node that does not read has no figure at all for the age of what it knows: the hypotheses of the incident could not be told apart. Change: store_call_failed (1927) with use, reason, kept connection or new, time; field from of config_taken; store_unheard and store_heard (1928, 1929) by the bounds of the site, which the settings take now (bounds/config_apply_ms, drain_ms, both optional); metric larkrack_store_confirmation_age_seconds. No logic of reading changed. Tests of forms extended by what is new; programs.py green.

--- a/src/base/http_client.cpp
+++ b/src/base/http_client.cpp
@@ -99,12 +99,14 @@
     std::chrono::milliseconds _timeout, const yield_context& _yield)
 {
 	connection_ptr connection = m_pool.take(_endpoint, k_max_control_idle);
-	if (!connection)
+	const bool kept = nullptr != connection;
+	if (!kept)
 	{
 		connection = m_pool.connect(_endpoint, _timeout, _yield);
 	}
 	if (!connection)
 	{
+		m_last_call = {};
 		return error{"refused", "can not connect to " + to_string(_endpoint)};
 	}
 	connection->stream.expires_after(_timeout);
@@ -116,6 +118,7 @@
 	{
 		http::async_read(connection->stream, connection->buffer, parser, _yield[failure]);
 	}
+	m_last_call = {kept, beast::error::timeout == failure};
 	if (failure)
 	{
 		return error{"unsure", "no answer from " + to_string(_endpoint) + ": " + failure.message()};
--- a/src/base/http_p.h
+++ b/src/base/http_p.h
@@ -233,6 +233,13 @@
 	std::unordered_map<std::string, std::vector<connection_ptr>> m_idle;
 };
 
+/// How the connection of one call behaved.
+struct connection_report
+{
+	bool kept = false;   ///< It had carried an earlier call.
+	bool silent = false; ///< The call ended because nothing came in time.
+};
+
 /// HTTP client for control traffic and tools: sends a request and reads the complete response. Not
 /// thread-safe.
 class http_caller
@@ -245,9 +252,15 @@
 	/// sent, at least in part, and no complete response arrived.
 	result<http_response> call(const endpoint& _endpoint, const http_request& _request,
 	    std::chrono::milliseconds _timeout, const yield_context& _yield);
+	/// @returns How the connection of the call behaved that has returned last.
+	const connection_report& last_call() const
+	{
+		return m_last_call;
+	}
 
 private:
 	connection_pool m_pool;
+	connection_report m_last_call;
 };
 
 /// @returns A request with method, target and Host set.
--- a/src/entry_node/entry_node.cpp
+++ b/src/entry_node/entry_node.cpp
@@ -281,6 +281,7 @@
 	add_seeds(m_settings.seeds);
 	watch_signals();
 	receive_datagrams();
+	m_started_at = m_clock.steady();
 	m_sync.begin();
 	tick();
 	m_context.run();
@@ -465,6 +466,7 @@
 	}
 	send_digests();
 	fetch_from_peers();
+	check_confirmation();
 	m_log.flush();
 	m_tick_timer.expires_after(std::min(m_fleet.interval(), k_max_tick_interval));
 	m_tick_timer.async_wait(
--- a/src/entry_node/entry_node_answers.cpp
+++ b/src/entry_node/entry_node_answers.cpp
@@ -205,6 +205,9 @@
 	    static_cast<double>(m_replica.routes_confirmed_to()));
 	gauge("config_behind_seconds", "Time for which a newer configuration has been known of; 0: none.",
 	    to_s(m_config_catch_up.behind_for(m_clock.steady())));
+	gauge("store_confirmation_age_seconds",
+	    "Time since the store confirmed what this node knows, itself or by the word of another node.",
+	    to_s(m_clock.steady() - last_confirmation().at));
 	gauge("store_revision", "Revision up to which the store's keys are known.",
 	    static_cast<double>(m_replica.revision()));
 	gauge("store_reached", "Whether the store answered the last call.", m_sync.health().reached ? 1.0 : 0.0);
--- a/src/entry_node/entry_node_copies.cpp
+++ b/src/entry_node/entry_node_copies.cpp
@@ -92,6 +92,7 @@
 	{
 		return false;
 	}
+	m_replica.set_source(_ip);
 	m_replica.apply_page(*value_of(page));
 	if (!m_replica.copy_position())
 	{
--- a/src/entry_node/entry_node_p.h
+++ b/src/entry_node/entry_node_p.h
@@ -132,6 +132,10 @@
 	/// @param[in] _max_routes_bytes Maximum size in bytes of a configuration that the response may include.
 	void fetch_changes(const std::string& _ip, std::int64_t _routes_revision, std::size_t _max_routes_bytes,
 	    const yield_context& _yield);
+	/// @returns When the store has last confirmed what this node knows, and by whom that was heard.
+	store_confirmation last_confirmation() const;
+	/// Logs when that is longer ago than the bounds of changes permit, and when it no longer is.
+	void check_confirmation();
 	/// @returns Version of the configuration in use; 0 when there is none.
 	std::uint64_t routes_version() const;
 
@@ -205,6 +209,8 @@
 	bool m_fetching_changes = false; ///< A fetch of changes or pages is scheduled or running.
 	bool m_fetching_routes = false;  ///< A fetch of the configuration is scheduled or running.
 	bool m_reading_routes = false;   ///< The configuration is being read from the store.
+	bool m_unconfirmed = false;      ///< event::store_unheard was logged last.
+	steady_time m_started_at{};
 	config_catch_up m_config_catch_up;
 	std::minstd_rand m_random; ///< For pauses between reads of the configuration.
 	int m_routes_failures = 0; ///< Consecutive fetches that brought no newer configuration.
--- a/src/entry_node/entry_node_peers.cpp
+++ b/src/entry_node/entry_node_peers.cpp
@@ -254,6 +254,7 @@
 void entry_node::on_peer_changes(const store_changes& _changes)
 {
 	const bool is_new = _changes.batch.store_revision > m_replica.revision();
+	m_replica.set_source(m_datagram_sender.address().to_string());
 	m_replica.apply(_changes);
 	if (is_new)
 	{
@@ -261,6 +262,38 @@
 	}
 }
 
+store_confirmation entry_node::last_confirmation() const
+{
+	store_confirmation last{m_started_at, ""};
+	const std::optional<steady_time> own = m_sync.health().last_answer;
+	if (own && *own > last.at)
+	{
+		last = {*own, "store"};
+	}
+	const std::optional<store_confirmation> told =
+	    m_fleet.peers_confirmation(m_replica.revision(), routes_version());
+	return told && told->at > last.at ? *told : last;
+}
+
+void entry_node::check_confirmation()
+{
+	// The word of another node is up to two heartbeats old, since one may be lost.
+	const steady_time::duration limit = m_settings.changes.shortest() + 2 * m_fleet.region_heartbeat_interval();
+	const store_confirmation last = last_confirmation();
+	const steady_time::duration age = m_clock.steady() - last.at;
+	const bool unconfirmed = age > limit;
+	if (unconfirmed == m_unconfirmed)
+	{
+		return;
+	}
+	m_unconfirmed = unconfirmed;
+	m_log.write(log_line(unconfirmed ? event::store_unheard : event::store_heard)
+	                .number("age_ms", to_ms(age).count())
+	                .text("from", last.by)
+	                .number("config", static_cast<std::int64_t>(routes_version()))
+	                .number("revision", m_replica.revision()));
+}
+
 void entry_node::refresh_heartbeat()
 {
 	node_heartbeat& self = m_fleet.self();
@@ -452,6 +485,7 @@
 	}
 	result<store_changes> decoded = decode_store_changes(value_of(bytes)->data(), value_of(bytes)->size());
 	const store_changes* changes = value_of(decoded);
+	m_replica.set_source(_ip);
 	if (nullptr == changes || !m_replica.apply(*changes))
 	{
 		return;
--- a/src/entry_node/entry_settings.cpp
+++ b/src/entry_node/entry_settings.cpp
@@ -48,6 +48,8 @@
 			"quota_window_s": {"type": "number", "exclusiveMinimum": 0, "description": "Length of the window in which a customer's quota is judged, seconds."},
 			"quota_overage": {"type": "number", "minimum": 0, "description": "Part of its quota that a customer may have above it, in any window."},
 			"quota_slack": {"type": "number", "minimum": 0, "description": "Further requests of a customer in any window."},
+			"config_apply_ms": {"type": "integer", "minimum": 100, "description": "Milliseconds from the store's acknowledgement of a configuration to its use at each node; 2500 by default."},
+			"drain_ms": {"type": "integer", "minimum": 100, "description": "Milliseconds from the store's acknowledgement that a backend server leaves to the last request that reaches it; 2500 by default."},
 			"expose_share": {"type": "number", "minimum": 0, "maximum": 1, "description": "Part of a service's requests that a version which is rolled out may get before it is judged."}
 		}
 	},
@@ -173,6 +175,14 @@
 	return quotas;
 }
 
+change_bounds changes_of(const nlohmann::json& _bounds)
+{
+	change_bounds changes;
+	changes.config = std::chrono::milliseconds(_bounds.value("config_apply_ms", changes.config.count()));
+	changes.drain = std::chrono::milliseconds(_bounds.value("drain_ms", changes.drain.count()));
+	return changes;
+}
+
 overload_settings overload_of(const nlohmann::json& _overload)
 {
 	overload_settings overload;
@@ -237,6 +247,7 @@
 	settings.bounds.retries = {
 	    bounds["retry_ratio"], bounds["retry_slack"], to_milliseconds(bounds["retry_window_s"])};
 	settings.bounds.max_shift = bounds["max_shift"];
+	settings.changes = changes_of(bounds);
 	settings.quotas = quotas_of(bounds);
 	settings.overload = overload_of(_document.value("overload", nlohmann::json::object()));
 	settings.backend_choice = backend_choice_of(_document);
--- a/src/entry_node/entry_settings_p.h
+++ b/src/entry_node/entry_settings_p.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "entry_node/forwarder_p.h"
+#include "steering/change_bounds_p.h"
 
 #include "base/settings_p.h"
 
@@ -38,6 +39,7 @@
 	std::unordered_map<std::string, std::string> region_of; ///< Region by failure domain.
 	int max_descriptors = 1024;
 	shared_bounds bounds;
+	change_bounds changes;
 	overload_settings overload;
 	quota_bounds quotas;
 	backend_choice_setting backend_choice = backend_choice_setting::reported;
--- a/src/entry_node/fleet_answers.cpp
+++ b/src/entry_node/fleet_answers.cpp
@@ -256,6 +256,27 @@
 	return addresses;
 }
 
+std::optional<store_confirmation> fleet::peers_confirmation(
+    std::int64_t _revision, std::uint64_t _config_version) const
+{
+	std::optional<store_confirmation> latest;
+	for (const auto& [name, member] : m_members)
+	{
+		const bool knows_more =
+		    member.last.store_revision > _revision || member.last.config_version > _config_version;
+		if (knows_more || !member.last.store_answer_age)
+		{
+			continue;
+		}
+		const steady_time at = member.heard_at - *member.last.store_answer_age;
+		if (!latest || at > latest->at)
+		{
+			latest = store_confirmation{at, member.last.ip};
+		}
+	}
+	return latest;
+}
+
 std::optional<steady_time> fleet::peers_store_response_time() const
 {
 	std::optional<steady_time> latest;
--- a/src/entry_node/fleet_p.h
+++ b/src/entry_node/fleet_p.h
@@ -32,6 +32,13 @@
 
 namespace larkrack
 {
+/// Latest time at which the store confirmed what this node knows, by itself or by the word of another node.
+struct store_confirmation
+{
+	steady_time at{};
+	std::string by; ///< Address of that node; "store": itself; empty: none since the start.
+};
+
 /// Cached list of the nodes that lend tokens.
 struct lender_table
 {
@@ -106,6 +113,17 @@
 	/// @returns Time of the latest response of the store to another node of this region, by their heartbeats;
 	/// nothing when no node has reported a response.
 	std::optional<steady_time> peers_store_response_time() const;
+	/// @param[in] _revision Revision up to which this node knows the store's keys.
+	/// @param[in] _config_version Version of this node's configuration.
+	/// @returns The latest response of the store to another node that knows nothing newer than this node;
+	/// nothing when there is none.
+	std::optional<store_confirmation> peers_confirmation(
+	    std::int64_t _revision, std::uint64_t _config_version) const;
+	/// @returns Longest interval between two heartbeats that this node gets from one node of its region.
+	std::chrono::milliseconds region_heartbeat_interval() const
+	{
+		return liveness().interval() * liveness().heartbeat_divisor(proximity::region);
+	}
 	/// @returns Addresses of the other live nodes of this failure domain.
 	std::vector<std::string> domain_addresses() const;
 	/// @returns Whether nodes of other failure domains get fewer heartbeats than nodes of this failure
--- a/src/entry_node/state_replica.cpp
+++ b/src/entry_node/state_replica.cpp
@@ -256,7 +256,8 @@
 	m_log.write(log_line(event::config_taken)
 	                .number("config", static_cast<std::int64_t>(table->version()))
 	                .number("revision", _value.mod_revision)
-	                .number("routes", static_cast<std::int64_t>(table->routes().size())));
+	                .number("routes", static_cast<std::int64_t>(table->routes().size()))
+	                .text("from", m_source));
 	m_on_routes(table);
 }
 
--- a/src/entry_node/state_replica_p.h
+++ b/src/entry_node/state_replica_p.h
@@ -125,6 +125,11 @@
 	{
 		m_blocks = _blocks;
 	}
+	/// Sets where the changes come from that are applied from now on, for the log.
+	void set_source(std::string _source)
+	{
+		m_source = std::move(_source);
+	}
 	/// Replaces the replica by all keys of the store at a revision.
 	void replace(const std::vector<store_value>& _values, std::int64_t _revision);
 	/// @param[in] _after Last key before the page; empty: the first page.
@@ -234,6 +239,7 @@
 	entry_log& m_log;
 	routes_handler m_on_routes;
 	node_handler m_on_node;
+	std::string m_source;
 	std::map<std::string, store_value> m_values;
 	/// Backend servers whose entry vanished, with the time at which this node saw it.
 	std::map<backend_id, steady_time> m_vanished;
--- a/src/entry_node/store_sync.cpp
+++ b/src/entry_node/store_sync.cpp
@@ -19,6 +19,15 @@
       m_coordination(_coordination), m_log(_log), m_node(std::move(_node)),
       m_node_value(std::move(_node_value)), m_random(static_cast<unsigned>(std::hash<std::string>()(m_node)))
 {
+	m_store.set_failure_handler(
+	    [this](const failed_call& _call)
+	    {
+		    m_log.write(log_line(event::store_call_failed)
+		                    .text("use", _call.use)
+		                    .text("why", _call.why)
+		                    .number("kept_connection", _call.kept_connection ? 1 : 0)
+		                    .number("ms", _call.taken.count()));
+	    });
 }
 
 void store_sync::begin()
@@ -107,6 +116,7 @@
 	{
 		return false;
 	}
+	m_replica.set_source(_allow_stale ? "read_old" : "read");
 	m_replica.replace(reply.values, reply.store_revision);
 	m_replica.on_routes_confirmed(reply.store_revision);
 	m_log.write(log_line(event::store_resynced)
@@ -125,6 +135,7 @@
 	}
 	if (!reply.values.empty())
 	{
+		m_replica.set_source("read_routes");
 		m_replica.apply(reply.values.front());
 	}
 	m_replica.on_routes_confirmed(std::max(known_before, reply.store_revision));
@@ -173,6 +184,7 @@
 		    store_changes changes;
 		    changes.after = m_replica.revision();
 		    changes.batch = _batch;
+		    m_replica.set_source("watch");
 		    m_replica.apply(_batch);
 		    m_replica.on_routes_confirmed(_batch.store_revision);
 		    if (!_batch.puts.empty() || !_batch.deletes.empty())
--- a/src/store/store_p.h
+++ b/src/store/store_p.h
@@ -100,6 +100,15 @@
 	history_lost, ///< The store has compacted the requested revision; all keys must be read again.
 };
 
+/// A call that the store did not answer, or answered with a status that is no result.
+struct failed_call
+{
+	std::string use;
+	std::string why;
+	bool kept_connection = false; ///< Whether its connection had carried an earlier call.
+	std::chrono::milliseconds taken{0};
+};
+
 /// Interface of the key-value store. Each call states its purpose (`_use`); calls are counted by purpose.
 class store_base : public service_base
 {
@@ -131,6 +140,12 @@
 	virtual watch_end watch(const char* _use, const std::string& _prefix, std::int64_t _from,
 	    const std::function<bool(const watch_batch&)>& _on_batch, const yield_context& _yield) = 0;
 
+	/// Sets the receiver of failed calls, for the log.
+	void set_failure_handler(std::function<void(const failed_call&)> _handler)
+	{
+		m_on_failure = std::move(_handler);
+	}
+
 	/// @returns Number of calls by purpose, since the process started.
 	const std::map<std::string, std::uint64_t>& calls() const
 	{
@@ -142,9 +157,17 @@
 	{
 		++m_calls[_use];
 	}
+	void report_failure(const failed_call& _call) const
+	{
+		if (m_on_failure)
+		{
+			m_on_failure(_call);
+		}
+	}
 
 private:
 	std::map<std::string, std::uint64_t> m_calls;
+	std::function<void(const failed_call&)> m_on_failure;
 };
 
 /// Store client for the etcd v3 JSON gateway.
--- a/tests/forms/daemon_log_forms_test.cpp
+++ b/tests/forms/daemon_log_forms_test.cpp
@@ -150,6 +150,9 @@
 1924 config_fetched info
 1925 unread_refused info
 1926 promise_broken error
+1927 store_call_failed warning
+1928 store_unheard warning
+1929 store_heard info
 )",
 		    table);
 	}
--- a/tests/forms/event_catalogue_form_test.cpp
+++ b/tests/forms/event_catalogue_form_test.cpp
@@ -110,6 +110,11 @@
 		    {1925, "unread_refused", severity::info, "A request was refused before it was read whole."},
 		    {1926, "promise_broken", severity::error,
 		        "A request that was refused as not run was sent, or ran."},
+		    {1927, "store_call_failed", severity::warning,
+		        "The store did not answer a call, or refused it."},
+		    {1928, "store_unheard", severity::warning,
+		        "What this node knows has not been confirmed by the store for too long."},
+		    {1929, "store_heard", severity::info, "What this node knows is confirmed by the store again."},
 		};
 		CPPUNIT_ASSERT_EQUAL(std::size(known), event_catalogue().size());
 		for (std::size_t i = 0; i < std::size(known); ++i)
--- a/tests/forms/programs.py
+++ b/tests/forms/programs.py
@@ -43,7 +43,7 @@
     (1003, "node_stopped"): "in_flight",
     (1101, "platform_up"): "failures",
     (1102, "platform_down"): "",
-    (1201, "config_taken"): "config revision routes",
+    (1201, "config_taken"): "config revision routes from",
     (1202, "config_refused"): "why revision",
     (1301, "peer_up"): "peer incarnation silent_ms",
     (1302, "peer_suspected"): "peer incarnation silent_ms",
@@ -60,6 +60,7 @@
     (1907, "settings_reloaded"): "seeds",
     (1908, "settings_refused"): "why",
     (1910, "store_resynced"): "keys revision",
+    (1927, "store_call_failed"): "use why kept_connection ms",
 }
 
 METRIC_TYPES = """\
@@ -102,6 +103,8 @@
 larkrack_retry_first_attempts gauge First attempts in the last window of the retry budget.
 larkrack_retry_spent gauge Retries in the last window of the retry budget.
 larkrack_store_calls gauge Calls to the store by use.
+larkrack_store_confirmation_age_seconds gauge Time since the store confirmed what this node knows, itself or by \
+the word of another node.
 larkrack_store_reached gauge Whether the store answered the last call.
 larkrack_store_revision gauge Revision up to which the store's keys are known.
 larkrack_unread_refusals gauge Requests of callers that were refused before they were read whole.
