--- a/tests/cuttable_link.h
+++ b/tests/cuttable_link.h
@@ -78,6 +78,22 @@
 		resume();
 	}
 
+	/// Drops all that comes on the connections that are open now, in the given directions, for good; new ones
+	/// work.
+	void silence_open(bool _requests = true, bool _responses = true)
+	{
+		for (const connection_ptr& one : m_connections)
+		{
+			one->request.silenced = one->request.silenced || _requests;
+			one->response.silenced = one->response.silenced || _responses;
+		}
+	}
+	/// Lets all connections that are opened from now on be silent for good, or no more.
+	void silence_new(bool _silent)
+	{
+		m_new_silent = _silent;
+	}
+
 private:
 	static constexpr std::size_t k_buffer_bytes = 16384;
 
@@ -85,8 +101,9 @@
 	struct pump
 	{
 		std::array<char, k_buffer_bytes> buffer{};
-		std::size_t held = 0; ///< Bytes read but not forwarded yet.
-		bool ended = false;   ///< The sender closed the connection; not forwarded yet.
+		std::size_t held = 0;  ///< Bytes read but not forwarded yet.
+		bool ended = false;    ///< The sender closed the connection; not forwarded yet.
+		bool silenced = false; ///< Bytes are dropped, and an end is not forwarded.
 	};
 	struct connection
 	{
@@ -150,6 +167,7 @@
 			return;
 		}
 		m_connections.push_back(opened);
+		opened->request.silenced = opened->response.silenced = m_new_silent;
 		read(opened, true);
 		read(opened, false);
 	}
@@ -170,6 +188,14 @@
 			    {
 				    return;
 			    }
+			    if (direction.silenced)
+			    {
+				    if (!_error)
+				    {
+					    read(_connection, _request);
+				    }
+				    return;
+			    }
 			    direction.held = _size;
 			    direction.ended = static_cast<bool>(_error);
 			    if (passes(_request))
@@ -239,6 +265,7 @@
 	std::list<connection_ptr> m_connections;
 	std::list<tcp::socket> m_fillers; ///< Connections that fill the backlog.
 	path_cut m_cut = path_cut::none;
+	bool m_new_silent = false;
 	std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 } // namespace larkrack
