Let the readers of a region hear the store in turn, and leave a silent connection at once

Cause: a watch that waits on a connection which says nothing was taken for a store in which nothing changes, for 2.5 + 0.7 s. A change answers all watches at once, so that all readers of the fleet begin again together and are deaf together. That is longer than ContactMs (3.0 s), so a watch sent to a silent store still waits when all count as in touch again. Behind it came reads by kept connections that were silent, too, each for its own timeout. Change: steering/watch_pacing: waits by rank, so that one reader of a region hears the store in each 0.4 of the shortest bound, 833 ms at most; a first watch on a connection returns at once; a proven connection that is late by 250 ms, or says nothing of what others know for 150 ms, is left for a new one without a pause. Control connections are reused in a row of calls only (300 ms, shorter than any timeout), and connecting has a limit of its own. Why it works: silence is noticed by the first reader within the interval and its patience, whatever the others do, and no later step uses a connection of before.

--- a/src/base/http_client.cpp
+++ b/src/base/http_client.cpp
@@ -12,9 +12,11 @@
 /// Maximum number of idle connections for each server. A higher value saves connecting after a traffic peak
 /// and costs file descriptors.
 constexpr std::size_t k_idle_per_endpoint = 64;
-/// Maximum idle time of a reused control connection. A longer time makes it more likely to reuse a connection
-/// that the server is about to close.
-constexpr std::chrono::seconds k_max_control_idle{4};
+/// Maximum idle time of a reused control connection: that of calls in a row. It is shorter than the timeout
+/// of any call, so that connections which fell silent together cost one timeout and not one each.
+constexpr std::chrono::milliseconds k_max_control_idle{300};
+/// Maximum time to establish a control connection, whatever the response may take.
+constexpr std::chrono::milliseconds k_max_connect_time{900};
 
 /// @returns The value of a hexadecimal digit, or -1.
 int hex_value(char _digit)
@@ -102,7 +104,7 @@
 	const bool kept = nullptr != connection;
 	if (!kept)
 	{
-		connection = m_pool.connect(_endpoint, _timeout, _yield);
+		connection = m_pool.connect(_endpoint, std::min(_timeout, k_max_connect_time), _yield);
 	}
 	if (!connection)
 	{
@@ -116,7 +118,9 @@
 	parser.body_limit(k_unlimited_body_bytes);
 	if (!failure)
 	{
+		m_waiting = connection.get();
 		http::async_read(connection->stream, connection->buffer, parser, _yield[failure]);
+		m_waiting = m_waiting == connection.get() ? nullptr : m_waiting;
 	}
 	m_last_call = {kept, beast::error::timeout == failure};
 	if (failure)
@@ -130,6 +134,14 @@
 	return parser.release();
 }
 
+void http_caller::abandon()
+{
+	if (nullptr != m_waiting)
+	{
+		m_waiting->stream.cancel();
+	}
+}
+
 http_request make_request(
     http::verb _verb, const std::string& _target, const endpoint& _endpoint, const std::string& _body)
 {
--- a/src/base/http_p.h
+++ b/src/base/http_p.h
@@ -252,6 +252,8 @@
 	/// sent, at least in part, and no complete response arrived.
 	result<http_response> call(const endpoint& _endpoint, const http_request& _request,
 	    std::chrono::milliseconds _timeout, const yield_context& _yield);
+	/// Ends the call that waits for its response, if any, as one that got none.
+	void abandon();
 	/// @returns How the connection of the call behaved that has returned last.
 	const connection_report& last_call() const
 	{
@@ -261,6 +263,7 @@
 private:
 	connection_pool m_pool;
 	connection_report m_last_call;
+	client_connection* m_waiting = nullptr; ///< Connection of the latest call, while it waits.
 };
 
 /// @returns A request with method, target and Host set.
--- a/src/entry_node/entry_node.cpp
+++ b/src/entry_node/entry_node.cpp
@@ -160,8 +160,8 @@
 	          m_fleet.add_address(_ip);
           }),
       m_store(_dialect.make_store(m_context, _settings.store)),
-      m_sync(m_context, m_clock, *m_store, m_replica, _dialect.codec(), *this, m_log, _settings.place.node,
-          _settings.ip),
+      m_sync(m_context, m_clock, *m_store, m_replica, _dialect.codec(), *this, m_log, _settings.changes,
+          _settings.place.node, _settings.ip),
       m_callers(
           m_context,
           [this](const std::shared_ptr<caller_session>& _session, caller_request&& _request)
--- a/src/entry_node/entry_node_p.h
+++ b/src/entry_node/entry_node_p.h
@@ -90,7 +90,8 @@
 	/// Sends a heartbeat to all live nodes of the region now.
 	void send_heartbeat_to_region();
 	void add_seeds(const std::vector<std::string>& _seeds);
-	bool is_reader() const override;
+	bool is_reader() const;
+	reader_decision reader() const override;
 	copy_step next_copy_step() override;
 	bool should_register() const override;
 	std::optional<steady_time> peers_store_response_at() const override;
@@ -114,6 +115,8 @@
 	/// first one instead of 1.7 s.
 	void fetch_from_peers();
 	void fetch_missed_changes();
+	/// @returns The latest changes that other nodes have told of and this node lacks; nothing: none.
+	std::optional<told_changes> changes_told_elsewhere() const;
 	/// Starts or resumes a full copy of the keys from other nodes, as far as next_copy_step() permits.
 	void fetch_full_copy();
 	void fetch_pages(const yield_context& _yield);
--- a/src/entry_node/entry_node_peers.cpp
+++ b/src/entry_node/entry_node_peers.cpp
@@ -196,6 +196,11 @@
 	return m_fleet.reader().reads;
 }
 
+reader_decision entry_node::reader() const
+{
+	return m_fleet.reader();
+}
+
 bool entry_node::should_register() const
 {
 	return m_fleet.should_register();
@@ -278,7 +283,8 @@
 void entry_node::check_confirmation()
 {
 	// The word of another node is up to two heartbeats old, since one may be lost.
-	const steady_time::duration limit = m_settings.changes.shortest() + 2 * m_fleet.region_heartbeat_interval();
+	const steady_time::duration limit =
+	    m_settings.changes.shortest() + 2 * m_fleet.region_heartbeat_interval();
 	const store_confirmation last = last_confirmation();
 	const steady_time::duration age = m_clock.steady() - last.at;
 	const bool unconfirmed = age > limit;
@@ -329,10 +335,23 @@
 	}
 	fetch_missed_changes();
 	m_config_catch_up.update(routes_version(), m_fleet.newest_config_told(), m_clock.steady());
+	m_sync.check_watch(changes_told_elsewhere());
 	fetch_missed_routes();
 	read_missed_routes();
 }
 
+std::optional<told_changes> entry_node::changes_told_elsewhere() const
+{
+	const node_heartbeat* newer = m_fleet.peer_with_newer_keys(m_replica.revision());
+	const bool config_behind = m_config_catch_up.behind();
+	if (nullptr == newer && !config_behind)
+	{
+		return std::nullopt;
+	}
+	return told_changes{
+	    nullptr == newer ? 0 : newer->store_revision, config_behind ? m_fleet.newest_config_told() : 0};
+}
+
 void entry_node::fetch_missed_changes()
 {
 	if (m_fetching_changes || nullptr == m_fleet.peer_with_newer_keys(m_replica.revision()))
--- a/src/entry_node/store_sync.cpp
+++ b/src/entry_node/store_sync.cpp
@@ -14,11 +14,13 @@
 {
 store_sync::store_sync(asio::io_context& _context, const clock_base& _clock, store_base& _store,
     state_replica& _replica, const record_codec_base& _codec, fleet_coordination_base& _coordination,
-    entry_log& _log, std::string _node, std::string _node_value)
+    entry_log& _log, const change_bounds& _bounds, std::string _node, std::string _node_value)
     : m_context(_context), m_clock(_clock), m_store(_store), m_replica(_replica), m_codec(_codec),
       m_coordination(_coordination), m_log(_log), m_node(std::move(_node)),
-      m_node_value(std::move(_node_value)), m_random(static_cast<unsigned>(std::hash<std::string>()(m_node)))
+      m_node_value(std::move(_node_value)), m_pacing(word_interval(_bounds)),
+      m_random(static_cast<unsigned>(std::hash<std::string>()(m_node)))
 {
+	m_store.set_watch_pacer(this);
 	m_store.set_failure_handler(
 	    [this](const failed_call& _call)
 	    {
@@ -168,6 +170,27 @@
 	m_store.txn("block", {}, {m_codec.block_write(_block)}, _yield);
 }
 
+watch_times store_sync::next_watch()
+{
+	m_pacing.on_begin(m_clock.steady());
+	return m_pacing.next(m_coordination.reader());
+}
+
+void store_sync::on_watch_response(
+    const watch_times& _times, bool _has_changes, std::chrono::milliseconds _taken)
+{
+	m_pacing.on_end();
+	m_pacing.on_response(_times, _has_changes, _taken);
+}
+
+void store_sync::check_watch(const std::optional<told_changes>& _known)
+{
+	if (m_pacing.overdue(_known, m_clock.steady()))
+	{
+		m_store.abandon_watch();
+	}
+}
+
 watch_end store_sync::watch(const yield_context& _yield)
 {
 	if (!m_replica.routes_confirmed() && !read_routes(_yield))
@@ -192,7 +215,7 @@
 			    m_coordination.on_store_changes(changes);
 			    pause(k_batch_delay, _yield);
 		    }
-		    return !m_stopping && m_coordination.is_reader();
+		    return !m_stopping && m_coordination.reader().reads;
 	    },
 	    _yield);
 }
@@ -207,9 +230,10 @@
 	int tries = 0;
 	while (!m_stopping)
 	{
-		if (!m_coordination.is_reader())
+		if (!m_coordination.reader().reads)
 		{
 			synced = true;
+			m_pacing.on_break();
 			adopt_peers_health();
 			pause(k_reader_check_interval, _yield);
 			continue;
@@ -225,7 +249,12 @@
 		}
 		const std::int64_t before = m_replica.revision();
 		const watch_end end = watch(_yield);
+		m_pacing.on_end();
 		tries = m_replica.revision() > before ? 0 : tries;
+		if (watch_end::stopped != end)
+		{
+			m_pacing.on_break();
+		}
 		if (watch_end::history_lost == end)
 		{
 			synced = false;
--- a/src/entry_node/store_sync_p.h
+++ b/src/entry_node/store_sync_p.h
@@ -7,11 +7,12 @@
 /// Owns the calls to the store and the record of its health. The rules are in src/steering: store_readers
 /// decides which nodes read the store, state_copy where a node that lacks the keys gets them, store_start how
 /// a node takes part in reading after its start and which nodes register, store_pacing the pauses between
-/// calls. Relies on entry_node for the state of the other nodes.
+/// calls, watch_pacing the times of watches. Relies on entry_node for the state of the other nodes.
 #pragma once
 
 #include "entry_node/state_replica_p.h"
 #include "steering/state_copy_p.h"
+#include "steering/watch_pacing_p.h"
 
 #include <random>
 
@@ -32,7 +33,7 @@
 public:
 	virtual ~fleet_coordination_base() = default;
 	/// @returns Whether this node is one of the nodes that read the store and inform the others.
-	virtual bool is_reader() const = 0;
+	virtual reader_decision reader() const = 0;
 	/// @returns Where this node, which lacks the keys, is to get them from now.
 	virtual copy_step next_copy_step() = 0;
 	/// @returns Whether this node is one of the nodes that register themselves.
@@ -47,13 +48,17 @@
 
 /// Obtains the keys from other nodes or from the store, watches the store while this node is a reader, and
 /// keeps a registration under a lease while this node is one of the nodes that register.
-class store_sync
+class store_sync : private watch_pacer_base
 {
 public:
+	/// @param[in] _bounds Bounds in which changes have to be in force here.
 	/// @param[in] _node_value Value of this node's registration: its IP address.
 	store_sync(asio::io_context& _context, const clock_base& _clock, store_base& _store,
 	    state_replica& _replica, const record_codec_base& _codec, fleet_coordination_base& _coordination,
-	    entry_log& _log, std::string _node, std::string _node_value);
+	    entry_log& _log, const change_bounds& _bounds, std::string _node, std::string _node_value);
+	~store_sync() override = default;
+	store_sync(const store_sync&) = delete;
+	store_sync& operator=(const store_sync&) = delete;
 
 	/// Starts reading, watching and registering in the background.
 	void begin();
@@ -66,6 +71,9 @@
 	/// keys up to a later revision than the configuration.
 	/// @returns Whether the store answered.
 	bool read_routes(const yield_context& _yield);
+	/// Ends a watch that says nothing of changes which other nodes know. Call it when other nodes were heard.
+	/// @param[in] _known Latest changes that they have told of and this node lacks; nothing: none.
+	void check_watch(const std::optional<told_changes>& _known);
 	/// Writes the status of a rollout if its key is at the expected revision, and applies the resulting
 	/// value of the key to the replica.
 	void write_rollout_status(
@@ -90,6 +98,9 @@
 	/// Watches from the replica's revision on, until this node is no longer a reader or the watch ends. Reads
 	/// the configuration first if it may have changed before that revision.
 	watch_end watch(const yield_context& _yield);
+	watch_times next_watch() override;
+	void on_watch_response(
+	    const watch_times& _times, bool _has_changes, std::chrono::milliseconds _taken) override;
 	void keep_registered(const yield_context& _yield);
 	/// @returns Lease id of the registration; 0 on failure.
 	std::int64_t register_node(const yield_context& _yield);
@@ -110,6 +121,7 @@
 	std::string m_node;
 	std::string m_node_value;
 	store_health m_health;
+	watch_pacing m_pacing;
 	steady_time m_started_at{};
 	bool m_stopping = false;
 	std::minstd_rand m_random;
--- a/src/steering/store_readers.cpp
+++ b/src/steering/store_readers.cpp
@@ -75,13 +75,16 @@
 	};
 	const auto own_order = order(_self);
 	std::size_t rank = 0;
+	std::size_t candidates = 1;
 	for (const node_heartbeat* node : _live)
 	{
 		const bool may_read = node->region == _self.region && node_state::stopping != node->state;
+		candidates += may_read ? 1 : 0;
 		rank += may_read && order(*node) > own_order ? 1 : 0;
 	}
 	const bool reads = rank < k_region_readers;
-	return {reads, reads ? reader_reason::ranks_first : reader_reason::others_read, rank};
+	return {reads, reads ? reader_reason::ranks_first : reader_reason::others_read, rank,
+	    std::min(candidates, k_region_readers)};
 }
 
 bool all_nodes_read(std::size_t _others)
--- a/src/steering/store_readers_p.h
+++ b/src/steering/store_readers_p.h
@@ -45,7 +45,8 @@
 {
 	bool reads = false;
 	reader_reason reason = reader_reason::others_read;
-	std::size_t rank = 0; ///< Number of nodes of its region that rank before it.
+	std::size_t rank = 0;    ///< Number of nodes of its region that rank before it.
+	std::size_t readers = 1; ///< Number of nodes that read.
 };
 
 /// Nodes among which a node ranks itself as a reader.
--- a/src/store/store_p.h
+++ b/src/store/store_p.h
@@ -13,6 +13,7 @@
 #pragma once
 
 #include "base/http_p.h"
+#include "base/watch_times_p.h"
 
 #include <cstdint>
 #include <functional>
@@ -97,6 +98,7 @@
 {
 	stopped,      ///< The callback returned false.
 	broken,       ///< The connection to the store failed; the watch can resume from the last revision.
+	silent,       ///< A connection that had worked says nothing; the watch can resume on another one at once.
 	history_lost, ///< The store has compacted the requested revision; all keys must be read again.
 };
 
@@ -109,6 +111,18 @@
 	std::chrono::milliseconds taken{0};
 };
 
+/// Chooses the times of the calls of a watch, and learns from their responses.
+class watch_pacer_base
+{
+public:
+	virtual ~watch_pacer_base() = default;
+	/// @returns Times of the call that begins now.
+	virtual watch_times next_watch() = 0;
+	/// Called when a call has ended with a response.
+	virtual void on_watch_response(
+	    const watch_times& _times, bool _has_changes, std::chrono::milliseconds _taken) = 0;
+};
+
 /// Interface of the key-value store. Each call states its purpose (`_use`); calls are counted by purpose.
 class store_base : public service_base
 {
@@ -140,6 +154,16 @@
 	virtual watch_end watch(const char* _use, const std::string& _prefix, std::int64_t _from,
 	    const std::function<bool(const watch_batch&)>& _on_batch, const yield_context& _yield) = 0;
 
+	/// Sets who chooses the times of watches; an implementation whose watches are no repeated calls ignores
+	/// it. It must outlive the store.
+	void set_watch_pacer(watch_pacer_base* _pacer)
+	{
+		m_pacer = _pacer;
+	}
+	/// Ends the watch in progress, if any, as silent.
+	virtual void abandon_watch()
+	{
+	}
 	/// Sets the receiver of failed calls, for the log.
 	void set_failure_handler(std::function<void(const failed_call&)> _handler)
 	{
@@ -157,6 +181,10 @@
 	{
 		++m_calls[_use];
 	}
+	watch_pacer_base* pacer() const
+	{
+		return m_pacer;
+	}
 	void report_failure(const failed_call& _call) const
 	{
 		if (m_on_failure)
@@ -167,6 +195,7 @@
 
 private:
 	std::map<std::string, std::uint64_t> m_calls;
+	watch_pacer_base* m_pacer = nullptr;
 	std::function<void(const failed_call&)> m_on_failure;
 };
 
--- a/tests/store_silence_test.cpp
+++ b/tests/forms/store_silence_test.cpp
@@ -98,11 +98,12 @@
 class linked_reader : private fleet_coordination_base
 {
 public:
+	/// @param[in] _rank Of this reader among all _readers of the region.
 	/// @param[in] _told Is given each batch of changes, for the other readers.
 	linked_reader(asio::io_context& _context, const clock_base& _clock, const store_over_http& _store,
-	    std::size_t _rank, std::function<void(const store_changes&)> _told)
-	    : link(_context, "127.0.0.1", _store.address()), m_rank(_rank), m_told(std::move(_told)),
-	      m_client(_context, endpoint{"127.0.0.1", link.address().port()}),
+	    std::size_t _rank, std::size_t _readers, std::function<void(const store_changes&)> _told)
+	    : link(_context, "127.0.0.1", _store.address()), m_rank(_rank), m_readers(_readers),
+	      m_told(std::move(_told)), m_client(_context, endpoint{"127.0.0.1", link.address().port()}),
 	      replica(
 	          _clock, m_codec, m_registry, m_log,
 	          [this](const std::shared_ptr<const routing_table>& _routes)
@@ -112,8 +113,8 @@
 	          [](const std::string&)
 	          {
 	          }),
-	      sync(_context, _clock, m_client, replica, m_codec, *this, m_log, "n" + std::to_string(_rank),
-	          "10.0.0.1")
+	      sync(_context, _clock, m_client, replica, m_codec, *this, m_log, change_bounds(),
+	          "n" + std::to_string(_rank), "10.0.0.1")
 	{
 		sync.begin();
 	}
@@ -122,9 +123,9 @@
 	std::uint64_t version = 0; ///< Of the configuration in force.
 
 private:
-	bool is_reader() const override
+	reader_decision reader() const override
 	{
-		return true;
+		return {true, reader_reason::ranks_first, m_rank, m_readers};
 	}
 	copy_step next_copy_step() override
 	{
@@ -147,6 +148,7 @@
 	}
 
 	std::size_t m_rank;
+	std::size_t m_readers;
 	std::function<void(const store_changes&)> m_told;
 	plain_codec m_codec;
 	entry_log m_log{"test", -1};
@@ -199,7 +201,7 @@
 	{
 		for (std::size_t rank = 0; rank < _count; ++rank)
 		{
-			m_readers.push_back(std::make_unique<linked_reader>(*m_context, m_clock, *m_store, rank,
+			m_readers.push_back(std::make_unique<linked_reader>(*m_context, m_clock, *m_store, rank, _count,
 			    [this](const store_changes& _changes)
 			    {
 				    for (const auto& reader : m_readers)
--- a/tests/store_sync_test.cpp
+++ b/tests/store_sync_test.cpp
@@ -17,9 +17,9 @@
 class scripted_coordination : public fleet_coordination_base
 {
 public:
-	bool is_reader() const override
+	reader_decision reader() const override
 	{
-		return reader;
+		return {reads, reader_reason::ranks_first, 0, 1};
 	}
 	copy_step next_copy_step() override
 	{
@@ -40,7 +40,7 @@
 	{
 	}
 
-	bool reader = false;
+	bool reads = false;
 };
 
 class store_sync_test : public CppUnit::TestFixture
@@ -71,7 +71,8 @@
 		    {
 		    });
 		m_sync = std::make_unique<store_sync>(
-		    *m_context, m_clock, *m_store, *m_replica, m_codec, m_others, m_log, "n1", "10.0.0.1");
+		    *m_context, m_clock, *m_store, *m_replica, m_codec, m_others, m_log, change_bounds(), "n1",
+		    "10.0.0.1");
 	}
 	void tearDown() override
 	{
@@ -125,7 +126,7 @@
 		write("backend/b1", "ready");
 		CPPUNIT_ASSERT(m_replica->apply(changes_without_routes(before)));
 		CPPUNIT_ASSERT_EQUAL(m_engine.revision(), m_replica->revision());
-		m_others.reader = true;
+		m_others.reads = true;
 		run(std::chrono::milliseconds(1500));
 		CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, m_versions.back());
 	}
@@ -134,7 +135,7 @@
 	void reader_whose_watch_begins_anew_after_such_changes_has_the_configuration_in_time()
 	{
 		write("routes", "1");
-		m_others.reader = true;
+		m_others.reads = true;
 		m_sync->begin();
 		run(std::chrono::milliseconds(1200));
 		const std::int64_t before = m_replica->revision();
@@ -152,7 +153,7 @@
 	void reader_that_knows_its_configuration_makes_no_further_read()
 	{
 		write("routes", "1");
-		m_others.reader = true;
+		m_others.reads = true;
 		m_sync->begin();
 		run(std::chrono::milliseconds(1200));
 		write("routes", "2");
