Give up responses that never end as soon as that is known, and bound their memory

What callers saw: 504 or nothing at their own deadline (3.00 s) for interim responses, chunk extensions, trailers and bodies without end; the node took 16 to 23 MB a request and held bodies whole, without any bound. Cause: interim responses were not counted, the buffer for bytes that are not parsed yet had no limit, and a body had none. Change: at most 16 interim responses; a buffer of 64 KiB, or of the headers' limit if that is larger; a body of overload/max_response_mb (64 by default) at most; all bodies that are being read together within 0.35 of overload/memory_mb: the largest one without a stated length ends first. Reads are made piece by piece, so that a body is counted as it grows. Why it works: each form passes one of the bounds long before the deadline; the connection is closed and the attempt counts as lost at that backend server.

--- a/src/entry_node/entry_node.cpp
+++ b/src/entry_node/entry_node.cpp
@@ -139,8 +139,9 @@
       m_forwarder(m_context, m_clock, _dialect.headers(), _settings.place, _settings.bounds,
           make_admission_factory(_settings.overload.admission), m_backends, m_fleet, m_quotas, m_rollouts,
           m_limits, m_crashes, m_exchanges, m_log, m_metrics),
-      m_relays({m_context, m_clock, m_exchanges.names(), m_forwarder.report_listener()}, m_backends, m_paths,
-          m_crashes, m_log,
+      m_relays({m_context, m_clock, m_exchanges.names(), m_forwarder.report_listener(), nullptr,
+                   &m_exchanges.memory()},
+          m_backends, m_paths, m_crashes, m_log,
           [this](const std::string& _ip)
           {
 	          return m_fleet.is_member_address(_ip);
@@ -205,6 +206,7 @@
 {
 	m_forwarder.set_backend_choice(_settings.backend_choice);
 	m_fleet.set_domains(domains_of(_settings));
+	m_exchanges.memory().set_limits(_settings.overload.max_response_mb, _settings.overload.memory_mb);
 	m_replica.set_rollouts(&m_rollouts);
 	m_replica.set_blocks(&m_crashes);
 	m_crashes.set_path_witness(&m_paths);
--- a/src/entry_node/entry_settings_p.h
+++ b/src/entry_node/entry_settings_p.h
@@ -21,6 +21,7 @@
 {
 	admission_kind admission = admission_kind::arrival;
 	std::optional<int> memory_mb; ///< Memory of the process; absent: no bound.
+	int max_response_mb = k_max_response_mb;
 };
 
 /// Validated settings of one larkrack-edge process; the schema in entry_settings.cpp describes each field.
--- a/src/entry_node/exchange_maker_p.h
+++ b/src/entry_node/exchange_maker_p.h
@@ -67,6 +67,11 @@
 	{
 		return m_promises;
 	}
+	/// @returns Memory of the responses that are being read.
+	response_memory& memory()
+	{
+		return m_memory;
+	}
 	const header_names& names() const
 	{
 		return m_names;
@@ -90,5 +95,6 @@
 	steady_time m_last_relayed_at{}; ///< Epoch: no connection to a relay is open.
 	exchange_counters m_counters;
 	promise_ledger m_promises;
+	response_memory m_memory;
 };
 } // namespace larkrack
--- a/src/entry_node/exchange_p.h
+++ b/src/entry_node/exchange_p.h
@@ -11,6 +11,7 @@
 #include "entry_node/backend_registry_p.h"
 #include "entry_node/http_listener_p.h"
 #include "entry_node/report_reader_p.h"
+#include "entry_node/response_memory_p.h"
 #include "steering/answer_verdict_p.h"
 #include "steering/promise_ledger_p.h"
 #include "steering/request_fingerprint_p.h"
@@ -29,6 +30,7 @@
 	const header_names& names;
 	backend_report_listener_base& reports;
 	promise_ledger* promises = nullptr; ///< Promises to check exchanges against; null: none are known.
+	response_memory* memory = nullptr;  ///< Bounds of the responses; null: there are none.
 };
 
 /// How an exchange ended.
--- a/src/entry_node/upstream.cpp
+++ b/src/entry_node/upstream.cpp
@@ -27,6 +27,10 @@
 /// Maximum idle connections to one backend server. More cost descriptors and memory, fewer cost new
 /// connections after a burst.
 constexpr int k_max_idle_connections = 16;
+/// Maximum interim responses (1xx) before the final one.
+constexpr int k_max_interim_responses = 16;
+/// Minimum size of the buffer for what is not parsed yet; it also bounds a line that never ends.
+constexpr std::size_t k_read_buffer_bytes = 65536;
 /// Maximum late responses to earlier requests that one exchange skips: a faulty peer must not hold it up.
 constexpr int k_max_foreign_responses = 2;
 
@@ -241,13 +245,21 @@
 void upstream_exchange::read()
 {
 	m_parser.emplace();
-	m_parser->body_limit(k_unlimited_body);
+	m_parser->eager(true);
+	m_parser->body_limit(
+	    nullptr == m_services.memory ? k_unlimited_body : m_services.memory->max_response_bytes());
 	m_parser->header_limit(m_request.max_header_bytes);
 	m_parser->skip(m_request.head);
 	m_parser->on_chunk_header(m_on_chunk);
 	m_marks.reset();
+	m_connection->buffer.max_size(std::max<std::size_t>(k_read_buffer_bytes, m_request.max_header_bytes));
+	read_more();
+}
+
+void upstream_exchange::read_more()
+{
 	// The handler keeps the connection alive, since the operation uses it also after a cancellation.
-	http::async_read(m_connection->socket, m_connection->buffer, *m_parser,
+	http::async_read_some(m_connection->socket, m_connection->buffer, *m_parser,
 	    [self = shared_from_this(), connection = m_connection](beast::error_code _error, std::size_t)
 	    {
 		    if (self->m_done)
@@ -256,22 +268,56 @@
 		    }
 		    if (_error)
 		    {
-			    const bool closed =
-			        http::error::end_of_stream == _error || asio::error::connection_reset == _error;
-			    self->handle_partial_report();
-			    if (self->m_cancelled)
-			    {
-				    self->finish_cancelled();
-				    return;
-			    }
-			    self->m_connection_broke = closed;
-			    self->fail(exchange_outcome::lost, closed ? "closed" : "broken_answer", backend_signal::lost);
+			    self->fail_read(_error);
+			    return;
+		    }
+		    if (self->m_parser->is_done())
+		    {
+			    self->on_response();
 			    return;
 		    }
-		    self->on_response();
+		    self->report_memory();
+		    if (!self->m_done)
+		    {
+			    self->read_more();
+		    }
 	    });
 }
 
+void upstream_exchange::report_memory()
+{
+	if (nullptr != m_services.memory)
+	{
+		const bool has_length = m_parser->is_header_done() && m_parser->content_length().has_value();
+		const std::string& body = m_parser->get().body();
+		m_services.memory->set(*this, has_length ? body.size() : body.capacity(), has_length);
+	}
+}
+
+void upstream_exchange::end_for_memory()
+{
+	if (m_cancelled)
+	{
+		finish_cancelled();
+		return;
+	}
+	fail(exchange_outcome::lost, "no_memory", backend_signal::lost);
+}
+
+void upstream_exchange::fail_read(beast::error_code _error)
+{
+	const bool closed = http::error::end_of_stream == _error || asio::error::connection_reset == _error;
+	handle_partial_report();
+	if (m_cancelled)
+	{
+		finish_cancelled();
+		return;
+	}
+	m_connection_broke = closed;
+	const char* detail = http::error::body_limit == _error ? "too_large" : "broken_answer";
+	fail(exchange_outcome::lost, closed ? "closed" : detail, backend_signal::lost);
+}
+
 answer_marks upstream_exchange::marks_of(const http::response_header<>& _head) const
 {
 	return read_answer_marks(_head, m_services.names, m_request.request_id, m_written);
@@ -298,6 +344,16 @@
 	const unsigned status = m_parser->get().result_int();
 	if (status < 200 && 101 != status)
 	{
+		if (++m_interim_responses > k_max_interim_responses)
+		{
+			if (m_cancelled)
+			{
+				finish_cancelled();
+				return;
+			}
+			fail(exchange_outcome::lost, "interim_answers", backend_signal::lost);
+			return;
+		}
 		read(); // An interim response (1xx); the final response follows.
 		return;
 	}
@@ -419,6 +475,7 @@
 {
 	m_done = true;
 	m_timer.cancel();
+	release_memory();
 	count_in_flight(-1);
 	m_backend->on_exchange_end(_signal, m_services.clock.steady(), report_of(_signal));
 	close_connection();
@@ -471,6 +528,15 @@
 {
 	m_done = true;
 	m_timer.cancel();
+	release_memory();
 	close_connection();
 }
+
+void upstream_exchange::release_memory()
+{
+	if (nullptr != m_services.memory)
+	{
+		m_services.memory->release(*this);
+	}
+}
 } // namespace larkrack
--- a/src/entry_node/upstream_p.h
+++ b/src/entry_node/upstream_p.h
@@ -51,7 +51,9 @@
 };
 
 /// Sends one request to one backend server over this node's own connection.
-class upstream_exchange : public exchange_base, public std::enable_shared_from_this<upstream_exchange>
+class upstream_exchange : public exchange_base,
+                          private response_holder_base,
+                          public std::enable_shared_from_this<upstream_exchange>
 {
 public:
 	/// @param[in] _services Must outlive the exchange, as must _paths.
@@ -75,7 +77,16 @@
 	/// Sends the request on a new connection, unless the backend server stopped accepting requests meanwhile.
 	void write_if_accepted();
 	void write();
+	/// Begins to read a response, after the one before it if that was an interim one.
 	void read();
+	/// Reads more of the response.
+	void read_more();
+	/// Reports the size of the response.
+	void report_memory();
+	void release_memory();
+	void end_for_memory() override;
+	/// Ends an exchange whose response is broken, too large or not whole.
+	void fail_read(beast::error_code _error);
 	void on_response();
 	/// Skips a response to another request and reads the next one, or gives the connection up.
 	void skip_foreign_response();
@@ -123,6 +134,7 @@
 	std::optional<steady_time::duration> m_connect_time;
 	steady_time m_started_at{};
 	int m_foreign_responses = 0;
+	int m_interim_responses = 0;
 	std::optional<answer_marks> m_marks; ///< Of the last answer whose head came.
 	/// Reads the marks of an answer in chunks before its trailer becomes part of the head.
 	std::function<void(std::uint64_t, beast::string_view, beast::error_code&)> m_on_chunk;
--- /dev/null
+++ b/tests/endless_response_test.cpp
@@ -0,0 +1,141 @@
+// Copyright 2026 the larkrack developers. All rights reserved.
+// License: BSD 2-Clause, see LICENSE.
+
+/// @file
+/// Responses that never end, or are too large: they end as soon as that is known, and their memory is
+/// bounded.
+
+#include "entry_fixture.h"
+
+namespace larkrack
+{
+/// Exchange that only notes that it was ended.
+struct noted_holder : public response_holder_base
+{
+	void end_for_memory() override
+	{
+		ended = true;
+	}
+	bool ended = false;
+};
+
+class endless_response_test : public entry_fixture
+{
+	CPPUNIT_TEST_SUITE(endless_response_test);
+	CPPUNIT_TEST(interim_responses_without_end_are_given_up_at_once);
+	CPPUNIT_TEST(few_interim_responses_are_passed_over);
+	CPPUNIT_TEST(chunk_extension_without_end_is_given_up_at_once);
+	CPPUNIT_TEST(trailer_without_end_is_given_up_at_once);
+	CPPUNIT_TEST(body_beyond_the_bound_is_given_up_at_once);
+	CPPUNIT_TEST(body_up_to_the_bound_is_passed_on_whole);
+	CPPUNIT_TEST(bodies_beyond_the_memory_of_all_end_the_largest_without_length);
+	CPPUNIT_TEST(bodies_that_end_leave_no_memory_counted);
+	CPPUNIT_TEST_SUITE_END();
+
+protected:
+	static constexpr std::size_t k_endless_bytes = 4U << 20U;
+
+	static std::string head(const std::string& _framing)
+	{
+		return "HTTP/1.1 200 X\r\nLarkrack-Request-Id: {id}\r\nLarkrack-Signature: s\r\n" + _framing + "\r\n";
+	}
+	static std::string chunked()
+	{
+		return head("Transfer-Encoding: chunked\r\n");
+	}
+	static std::string repeated(const std::string& _text, std::size_t _bytes)
+	{
+		std::string all;
+		while (all.size() < _bytes)
+		{
+			all += _text;
+		}
+		return all;
+	}
+	/// Sends an order to a backend server that gives these bytes and then keeps the connection open.
+	caller_response order(const std::string& _bytes)
+	{
+		if (m_backends.empty())
+		{
+			set_routes();
+			add_backend("b1");
+		}
+		m_backends.front()->usual = {_bytes, false, false, false};
+		return ask(request("POST", "/pay/1", "o" + std::to_string(++m_orders), "", "x"));
+	}
+	/// Asserts that such an order gets 502 long before its deadline of 1.5 s.
+	void assert_given_up(const std::string& _bytes)
+	{
+		const steady_time begin = m_clock.steady();
+		CPPUNIT_ASSERT_EQUAL(502U, order(_bytes).result_int());
+		CPPUNIT_ASSERT(m_clock.steady() - begin < std::chrono::milliseconds(700));
+	}
+
+	/// Guards against callers that wait until their deadline for a response that can't come any more.
+	void interim_responses_without_end_are_given_up_at_once()
+	{
+		assert_given_up(repeated("HTTP/1.1 100 X\r\n\r\n", k_endless_bytes));
+		assert_given_up(repeated("HTTP/1.1 103 X\r\nLink: a\r\n\r\n", k_endless_bytes));
+	}
+	void few_interim_responses_are_passed_over()
+	{
+		const std::string few = repeated("HTTP/1.1 103 X\r\nLink: a\r\n\r\n", 200);
+		const caller_response response = order(few + scripted_backend::answer("fine"));
+		CPPUNIT_ASSERT_EQUAL(200U, response.result_int());
+		CPPUNIT_ASSERT_EQUAL(std::string("fine"), std::string(response.body()));
+	}
+	void chunk_extension_without_end_is_given_up_at_once()
+	{
+		assert_given_up(chunked() + "5;a=" + repeated("a", k_endless_bytes));
+	}
+	void trailer_without_end_is_given_up_at_once()
+	{
+		assert_given_up(chunked() + "5\r\nhello\r\n0\r\n" + repeated("A: b\r\n", k_endless_bytes));
+	}
+	void body_beyond_the_bound_is_given_up_at_once()
+	{
+		m_exchanges->memory().set_limits(1, std::nullopt);
+		assert_given_up(chunked() + repeated("1000\r\n" + std::string(4096, 'x') + "\r\n", k_endless_bytes));
+		assert_given_up(head("") + std::string(k_endless_bytes, 'x'));
+		assert_given_up(head("Content-Length: 2000000\r\n"));
+	}
+	void body_up_to_the_bound_is_passed_on_whole()
+	{
+		m_exchanges->memory().set_limits(1, std::nullopt);
+		const std::string body(1U << 20U, 'x');
+		const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
+		CPPUNIT_ASSERT(body == std::string(order(head(length) + body).body()));
+		CPPUNIT_ASSERT(body == std::string(order(chunked() + "100000\r\n" + body + "\r\n0\r\n\r\n").body()));
+	}
+
+	/// Guards the memory of the process under many such responses at once.
+	void bodies_beyond_the_memory_of_all_end_the_largest_without_length()
+	{
+		response_memory memory;
+		memory.set_limits(64, 100); // 35 MB for all of them.
+		noted_holder large;
+		noted_holder endless;
+		noted_holder small;
+		memory.set(large, 20U << 20U, true);
+		memory.set(small, 1U << 20U, false);
+		memory.set(endless, 13U << 20U, false);
+		CPPUNIT_ASSERT(!large.ended && !endless.ended && !small.ended);
+		memory.set(endless, 16U << 20U, false);
+		CPPUNIT_ASSERT(endless.ended && !large.ended && !small.ended);
+		CPPUNIT_ASSERT_EQUAL(std::uint64_t{21U << 20U}, memory.held());
+	}
+	void bodies_that_end_leave_no_memory_counted()
+	{
+		const std::string body(200000, 'x');
+		order(head("Content-Length: 200000\r\n") + body);
+		order(chunked() + "30d40\r\n" + body + "\r\n0\r\n\r\n");
+		m_exchanges->memory().set_limits(1, std::nullopt);
+		assert_given_up(chunked() + "200000\r\n" + std::string(2U << 20U, 'x'));
+		CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, m_exchanges->memory().held());
+	}
+
+	int m_orders = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(endless_response_test);
+} // namespace larkrack
--- a/tests/forms/entry_settings_form_test.cpp
+++ b/tests/forms/entry_settings_form_test.cpp
@@ -81,6 +81,7 @@
 		    {"/name", true, R"({"minLength":1,"type":"string"})"},
 		    {"/overload", false, R"({"type":"object"})"},
 		    {"/overload/admission", false, R"({"enum":["arrival","priority"],"type":"string"})"},
+		    {"/overload/max_response_mb", false, R"({"minimum":1,"type":"integer"})"},
 		    {"/overload/memory_mb", false, R"({"minimum":64,"type":"integer"})"},
 		    {"/overload/backend_choice", false,
 		        R"({"enum":["count","reported","completion"],"type":"string"})"},
