--- a/src/base/events_p.h
+++ b/src/base/events_p.h
@@ -89,7 +89,8 @@
 	X(1925, unread_refused, info, "A request was refused before it was read whole.")                         \
 	X(1926, promise_broken, error, "A request that was refused as not run was sent, or ran.")                \
 	X(1927, store_call_failed, warning, "The store did not answer a call, or refused it.")                   \
-	X(1928, store_unheard, warning, "What this node knows has not been confirmed by the store for too long.") \
+	X(1928, store_unheard, warning,                                                                          \
+	    "What this node knows has not been confirmed by the store for too long.")                            \
 	X(1929, store_heard, info, "What this node knows is confirmed by the store again.")
 
 /// Log event; the value is its number in the catalogue.
--- a/src/base/http_client.cpp
+++ b/src/base/http_client.cpp
@@ -12,9 +12,6 @@
 /// Maximum number of idle connections for each server. A higher value saves connecting after a traffic peak
 /// and costs file descriptors.
 constexpr std::size_t k_idle_per_endpoint = 64;
-/// Maximum idle time of a reused control connection: that of calls in a row. It is shorter than the timeout
-/// of any call, so that connections which fell silent together cost one timeout and not one each.
-constexpr std::chrono::milliseconds k_max_control_idle{300};
 /// Maximum time to establish a control connection, whatever the response may take.
 constexpr std::chrono::milliseconds k_max_connect_time{900};
 
@@ -100,7 +97,7 @@
 result<http_response> http_caller::call(const endpoint& _endpoint, const http_request& _request,
     std::chrono::milliseconds _timeout, const yield_context& _yield)
 {
-	connection_ptr connection = m_pool.take(_endpoint, k_max_control_idle);
+	connection_ptr connection = m_pool.take(_endpoint, m_max_idle);
 	const bool kept = nullptr != connection;
 	if (!kept)
 	{
--- a/src/base/http_p.h
+++ b/src/base/http_p.h
@@ -233,6 +233,10 @@
 	std::unordered_map<std::string, std::vector<connection_ptr>> m_idle;
 };
 
+/// Maximum idle time of a reused control connection: that of calls in a row. It is shorter than the timeout
+/// of any call, so that connections which fell silent together cost one timeout and not one each.
+constexpr std::chrono::milliseconds k_max_control_idle{300};
+
 /// How the connection of one call behaved.
 struct connection_report
 {
@@ -245,7 +249,10 @@
 class http_caller
 {
 public:
-	explicit http_caller(const asio::any_io_executor& _executor) : m_pool(_executor)
+	/// @param[in] _max_idle Maximum idle time of a connection that is used again.
+	explicit http_caller(
+	    const asio::any_io_executor& _executor, std::chrono::milliseconds _max_idle = k_max_control_idle)
+	    : m_pool(_executor), m_max_idle(_max_idle)
 	{
 	}
 	/// @returns The response; error "refused" when nothing was sent; error "unsure" when the request was
@@ -262,6 +269,7 @@
 
 private:
 	connection_pool m_pool;
+	std::chrono::milliseconds m_max_idle;
 	connection_report m_last_call;
 	client_connection* m_waiting = nullptr; ///< Connection of the latest call, while it waits.
 };
--- a/src/store/store_p.h
+++ b/src/store/store_p.h
@@ -155,7 +155,7 @@
 	    const std::function<bool(const watch_batch&)>& _on_batch, const yield_context& _yield) = 0;
 
 	/// Sets who chooses the times of watches; an implementation whose watches are no repeated calls ignores
-	/// it. It must outlive the store.
+	/// it. It must outlive the calls.
 	void set_watch_pacer(watch_pacer_base* _pacer)
 	{
 		m_pacer = _pacer;
--- a/tests/store_sync_test.cpp
+++ b/tests/store_sync_test.cpp
@@ -70,9 +70,8 @@
 		    [](const std::string&)
 		    {
 		    });
-		m_sync = std::make_unique<store_sync>(
-		    *m_context, m_clock, *m_store, *m_replica, m_codec, m_others, m_log, change_bounds(), "n1",
-		    "10.0.0.1");
+		m_sync = std::make_unique<store_sync>(*m_context, m_clock, *m_store, *m_replica, m_codec, m_others,
+		    m_log, change_bounds(), "n1", "10.0.0.1");
 	}
 	void tearDown() override
 	{
