--- a/src/entry_node/response_memory.cpp
+++ b/src/entry_node/response_memory.cpp
@@ -10,9 +10,10 @@
 {
 namespace
 {
-/// Part of the process's memory for responses that are being read. A text that grows is copied once more, by
-/// half of its size on average.
-constexpr double k_response_share = 0.35;
+/// Part of the process's memory for all responses that are being read.
+constexpr double k_response_share = 0.65;
+/// Part of that for responses without a stated length, whose texts are copied as they grow.
+constexpr double k_growing_share = 0.4;
 } // namespace
 
 void response_memory::set_limits(int _max_response_mb, std::optional<int> _process_mb)
@@ -39,12 +40,27 @@
 	return m_holders.end() == it ? nullptr : it->first;
 }
 
+bool response_memory::exceeded() const
+{
+	const double max_growing = k_growing_share * static_cast<double>(m_max_held);
+	if (static_cast<double>(m_held) <= max_growing)
+	{
+		return false;
+	}
+	std::uint64_t growing = 0;
+	for (const auto& [holder, held] : m_holders)
+	{
+		growing += held.has_length ? 0 : held.bytes;
+	}
+	return m_held > m_max_held || static_cast<double>(growing) > max_growing;
+}
+
 void response_memory::set(response_holder_base& _holder, std::uint64_t _bytes, bool _has_length)
 {
 	holding& own = m_holders[&_holder];
 	m_held += _bytes - own.bytes;
 	own = {_bytes, _has_length};
-	while (m_held > m_max_held)
+	while (exceeded())
 	{
 		response_holder_base* ended = choose();
 		if (nullptr == ended)
--- a/src/entry_node/response_memory_p.h
+++ b/src/entry_node/response_memory_p.h
@@ -2,8 +2,9 @@
 // License: BSD 2-Clause, see LICENSE.
 
 /// @file
-/// Memory for responses of backend servers that are being read: a bound for each and one for all of them.
-/// Where all together need more, the one ends that states no length and holds most, else the largest one.
+/// Memory for responses of backend servers that are being read: a bound for each, one for all of them, and a
+/// lower one for those that state no length. Where all together need more, the one ends that states no length
+/// and holds most, else the largest one.
 ///
 /// Owns the sizes. Relies on the exchanges to report theirs as they grow, and to release them at their end.
 #pragma once
@@ -54,6 +55,8 @@
 		std::uint64_t bytes = 0;
 		bool has_length = false;
 	};
+	/// @returns Whether the responses hold more than one of the bounds of all together.
+	bool exceeded() const;
 	/// @returns The holder that has to end first.
 	response_holder_base* choose() const;
 
