Rank backend servers by completion without a division

Cause: for each of 3,000 servers a division and a chain of conversions that depend on each other. Change: the divisor is looked up by the number of slots; the fading of a report is a slope that is worked out once a report. Ranks may differ from before in the last digit.

--- a/src/steering/completion_choice.cpp
+++ b/src/steering/completion_choice.cpp
@@ -4,6 +4,7 @@
 #include "steering/completion_choice_p.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace larkrack
@@ -16,16 +17,36 @@
 	const bool tried = is_among(_backend, _query.tried) && !is_among(_backend, _query.may_try_again);
 	return tried || is_among(_backend, _query.without_token);
 }
+/// Slots up to which the divisor of a rank is looked up.
+constexpr int k_tabled_slots = 64;
+
+constexpr std::array<double, k_tabled_slots + 1> make_inverses()
+{
+	std::array<double, k_tabled_slots + 1> inverses{};
+	for (int slots = 0; slots <= k_tabled_slots; ++slots)
+	{
+		inverses[static_cast<std::size_t>(slots)] = 1.0 / ((slots > 1 ? slots : 1) * k_max_ranked_time_s);
+	}
+	return inverses;
+}
+
+/// @returns 1 / (slots * k_max_ranked_time_s).
+double inverse_of(int _slots)
+{
+	static constexpr std::array<double, k_tabled_slots + 1> s_inverses = make_inverses();
+	return _slots >= 0 && _slots <= k_tabled_slots ? s_inverses[static_cast<std::size_t>(_slots)]
+	                                               : 1.0 / (std::max(1, _slots) * k_max_ranked_time_s);
+}
 } // namespace
 
 double completion_choice::load_rank(const backend_state& _backend, steady_time _now) const
 {
-	// Called for each server of a region: the expected time and the tie break with a single division.
+	// Called for each server of a region: the expected time and the tie break, without a division.
 	const double slots = std::max(1, _backend.registered.slots);
 	const double load = _backend.estimated_load(_now);
 	const double filled = std::max(slots, load + 1.0);
-	const double work_s = works.own_s() * filled * _backend.slowness.factor(_now);
-	return std::min(1.0, (work_s + k_load_tie_break_s * load) / (slots * k_max_ranked_time_s));
+	const double work_s = filled * works.own_s() * _backend.slowness.factor(_now);
+	return std::min(1.0, (work_s + k_load_tie_break_s * load) * inverse_of(_backend.registered.slots));
 }
 
 std::size_t completion_choice::own_servers(const backend_query& _query, std::size_t _candidates) const
--- a/src/steering/server_slowness.cpp
+++ b/src/steering/server_slowness.cpp
@@ -11,6 +11,7 @@
 {
 	m_mean = reported() ? m_mean + k_slowness_mean_weight * (_factor - m_mean) : _factor;
 	m_last = _factor;
+	m_change_per_tick = (m_mean - m_last) * per_tick();
 	m_reported_at = _now;
 }
 
--- a/src/steering/server_slowness_p.h
+++ b/src/steering/server_slowness_p.h
@@ -55,8 +55,11 @@
 		{
 			return 1.0; // Also without any report.
 		}
-		const double faded = std::min(1.0, static_cast<double>(age.count()) * per_tick());
-		return m_last + faded * (m_mean - m_last);
+		if (age >= k_slowness_lifetime)
+		{
+			return m_mean;
+		}
+		return m_last + static_cast<double>(age.count()) * m_change_per_tick;
 	}
 	/// @returns Whether the server has ever reported a valid value.
 	bool reported() const
@@ -79,6 +82,7 @@
 
 	double m_last = 1.0;
 	double m_mean = 1.0;
+	double m_change_per_tick = 0.0; ///< Of the factor, from the last report on, until it is the mean.
 	/// Time of the last report.
 	steady_time m_reported_at = never();
 };
