--- a/src/entry_node/exchange_p.h
+++ b/src/entry_node/exchange_p.h
@@ -57,6 +57,8 @@
 	bool connection_broke = false;            ///< Lost: the backend server closed or reset the connection.
 	bool relay_failed = false;                ///< Not sent: the relay was not reached, or refused.
 	bool no_connection = false;               ///< Not sent: this node's own connection was not established.
+	bool on_kept_connection = false;          ///< Earlier exchanges have used the connection.
+	unsigned relay_status = 0;                ///< With which a relay answered instead of a result; 0: none.
 	/// Time that a new connection took to establish; nothing when no connection was made.
 	std::optional<steady_time::duration> connect_time;
 };
--- a/src/entry_node/forwarded_request_attempts.cpp
+++ b/src/entry_node/forwarded_request_attempts.cpp
@@ -254,6 +254,7 @@
 	request.first_attempt = m_tried.empty();
 	m_state = state::sent;
 	m_tried.push_back(_backend->registered.id);
+	++m_attempts;
 	m_context.backends.mark_in_use(*_backend);
 	m_sent_at = m_context.clock.steady();
 	m_admission->on_sent(m_admission_request, m_sent_at);
@@ -447,6 +448,8 @@
 	    .text("service", m_service.text)
 	    .text("backend", _backend.registered.id.text)
 	    .text("why", _result.detail)
+	    .number("attempt", m_attempts)
+	    .text("connection", _result.on_kept_connection ? "kept" : "new")
 	    .decimal("busy", _backend.estimated_load(m_context.clock.steady()))
 	    .number("ms", to_ms(m_context.clock.steady() - m_sent_at).count());
 	if (_result.marks)
@@ -457,6 +460,10 @@
 	{
 		line.text("relay", m_relay);
 	}
+	if (0 != _result.relay_status)
+	{
+		line.number("relay_status", _result.relay_status);
+	}
 	m_context.log.write(line);
 }
 } // namespace larkrack
--- a/src/entry_node/relay_client.cpp
+++ b/src/entry_node/relay_client.cpp
@@ -68,6 +68,7 @@
 	m_connection = m_connections.pool.take({m_relay_ip, m_connections.port}, k_max_idle);
 	if (m_connection)
 	{
+		m_on_kept_connection = true;
 		write();
 		return;
 	}
@@ -258,6 +259,11 @@
 	--m_backend->load.in_flight;
 	m_backend->on_exchange_end(_signal, m_services.clock.steady(),
 	    _result.slots_free ? refusal_report::slots_free : refusal_report::none);
+	_result.on_kept_connection = m_on_kept_connection;
+	if (m_parser && m_parser->is_header_done() && http::status::ok != m_parser->get().result())
+	{
+		_result.relay_status = m_parser->get().result_int();
+	}
 	close();
 	const handler decided = std::exchange(m_handler, nullptr);
 	decided(std::move(_result));
--- a/src/entry_node/relay_client_p.h
+++ b/src/entry_node/relay_client_p.h
@@ -101,6 +101,7 @@
 	http_request m_message;
 	std::optional<http::response_parser<http::string_body>> m_parser;
 	steady_time m_sent_at{};
+	bool m_on_kept_connection = false;
 	bool m_sent = false;
 	bool m_written = false; ///< The whole message was sent.
 	bool m_done = false;
--- a/src/entry_node/upstream.cpp
+++ b/src/entry_node/upstream.cpp
@@ -169,6 +169,7 @@
 		if (connection->reuse(m_services.clock.steady(), max_idle_time))
 		{
 			m_connection = connection;
+			m_on_kept_connection = true;
 			write();
 			return;
 		}
@@ -484,6 +485,7 @@
 	_result.connect_time = m_connect_time;
 	_result.marks = m_marks;
 	_result.connection_broke = m_connection_broke;
+	_result.on_kept_connection = m_on_kept_connection;
 	_result.slots_free = refusal_report::slots_free == report_of(_signal);
 	handler(std::move(_result));
 }
--- a/src/entry_node/upstream_p.h
+++ b/src/entry_node/upstream_p.h
@@ -127,6 +127,7 @@
 	bool m_sent = false;
 	bool m_written = false; ///< The whole request was sent.
 	bool m_done = false;
+	bool m_on_kept_connection = false;
 	bool m_cancelled = false; ///< Cancelled; only a report is still of interest, until m_done.
 	/// The backend server closed the connection before a response began, or reset it.
 	bool m_connection_broke = false;
