--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -357,6 +357,9 @@
 		bool close = false; ///< Closes the connection after the bytes were sent.
 		bool reset = false; ///< Resets the connection after the bytes were sent.
 		bool hold = false;  ///< Sends nothing and keeps the connection open.
+		/// Sent first where the connection has carried a request before, with the id of that one: a surplus
+		/// answer to it.
+		std::string surplus = "";
 	};
 
 	explicit scripted_backend(asio::io_context& _context)
@@ -403,6 +406,7 @@
 		tcp::socket socket;
 		beast::flat_buffer buffer;
 		http::request<http::string_body> request;
+		std::string former_id; ///< Of the request before; empty: there was none.
 	};
 	using session_ptr = std::shared_ptr<session>;
 
@@ -438,6 +442,14 @@
 			    run_step(_session);
 		    });
 	}
+	static std::string with_id(std::string _bytes, const std::string& _id)
+	{
+		for (std::size_t at = _bytes.find("{id}"); std::string::npos != at; at = _bytes.find("{id}"))
+		{
+			_bytes.replace(at, 4, _id);
+		}
+		return _bytes;
+	}
 	void run_step(const session_ptr& _session)
 	{
 		step next = usual;
@@ -453,12 +465,9 @@
 			return;
 		}
 		const std::string id(_session->request["Larkrack-Request-Id"]);
-		std::string bytes = next.bytes;
-		for (std::size_t at = bytes.find("{id}"); std::string::npos != at; at = bytes.find("{id}"))
-		{
-			bytes.replace(at, 4, id);
-		}
-		const auto text = std::make_shared<std::string>(bytes);
+		const std::string former = std::exchange(_session->former_id, id);
+		const std::string surplus = former.empty() ? "" : with_id(next.surplus, former);
+		const auto text = std::make_shared<std::string>(surplus + with_id(next.bytes, id));
 		asio::async_write(_session->socket, asio::buffer(*text),
 		    [this, _session, text, next](beast::error_code, std::size_t)
 		    {
--- a/tests/refusal_promise_test.cpp
+++ b/tests/refusal_promise_test.cpp
@@ -21,6 +21,7 @@
 	CPPUNIT_TEST(mark_that_contradicts_the_answer_proves_nothing);
 	CPPUNIT_TEST(mark_outside_of_the_final_head_proves_nothing);
 	CPPUNIT_TEST(mark_in_a_broken_answer_proves_nothing);
+	CPPUNIT_TEST(rejection_that_comes_twice_is_not_the_answer_of_the_next_attempt);
 	CPPUNIT_TEST(promise_that_is_broken_is_counted);
 	CPPUNIT_TEST_SUITE_END();
 
@@ -171,6 +172,21 @@
 		    "HTTP/1.1 503 X\r\n" + id_line() + "Larkrack-Shed: 1\r\nContent-Length: 9\r\n\r\nshort";
 		assert_ran_once("broken", order(broken, true));
 	}
+	/// Guards against an order that runs although its caller was refused, since the rejection of its first
+	/// attempt came twice and was taken for that of its second.
+	void rejection_that_comes_twice_is_not_the_answer_of_the_next_attempt()
+	{
+		const std::string free = "Larkrack-Load: 0,0,3,100\r\n";
+		const std::string rejection = head(503, id_line() + "Larkrack-Shed: 1\r\n" + free);
+		set_routes();
+		scripted_backend& server = add_backend("b1");
+		server.script = {{scripted_backend::answer("fine", 200, free)}, {rejection}};
+		CPPUNIT_ASSERT_EQUAL(200U, ask(request("POST", "/pay/1", "first", "", "x")).result_int());
+		server.usual.surplus = rejection;
+		const unsigned status = ask(request("POST", "/pay/1", "twice", "", "x")).result_int();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), count_requests("twice"));
+		CPPUNIT_ASSERT_EQUAL(200U, status);
+	}
 	/// Guards the check itself: it sees a request that a backend server answers as run after its refusal.
 	void promise_that_is_broken_is_counted()
 	{
--- a/tests/relay_refusal_test.cpp
+++ b/tests/relay_refusal_test.cpp
@@ -29,7 +29,9 @@
 	CPPUNIT_TEST_SUITE(relay_refusal_test);
 	CPPUNIT_TEST(status_that_promises_not_sent_is_a_refusal);
 	CPPUNIT_TEST(status_that_promises_nothing_is_a_lost_request);
-	CPPUNIT_TEST(answer_of_another_version_is_a_refusal);
+	CPPUNIT_TEST(refusal_without_a_name_on_a_kept_connection_proves_nothing);
+	CPPUNIT_TEST(answer_of_another_form_is_a_lost_request);
+	CPPUNIT_TEST(answer_cut_anywhere_is_a_lost_request);
 	CPPUNIT_TEST(not_run_without_the_rejection_of_a_server_proves_nothing);
 	CPPUNIT_TEST(not_run_with_the_rejection_of_a_server_is_believed);
 	CPPUNIT_TEST(refusal_of_a_server_without_the_mark_promises_nothing);
@@ -46,9 +48,7 @@
 	/// @param[in] _headers Of the response of the relay, each with its end of line.
 	exchange_result end_with(const relay_result& _result, const std::string& _headers = "")
 	{
-		const std::string body = encode(_result);
-		return end_after("HTTP/1.1 200 X\r\nContent-Type: " + std::string(k_relay_content_type) + "\r\n" +
-		                 _headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+		return end_after(bytes_of(_result, _headers));
 	}
 	static relay_result result_of(exchange_outcome _end, std::optional<unsigned> _status, bool _has_mark)
 	{
@@ -67,15 +67,42 @@
 		return result;
 	}
 	/// @returns How an exchange ends whose relay answers with these bytes.
-	exchange_result end_after(const std::string& _bytes)
+	exchange_result end_after(const std::string& _bytes, bool _close = false)
 	{
-		set_routes();
 		scripted_backend relay(*m_context);
 		relay.usual.bytes = _bytes;
-		const std::string name = "b" + std::to_string(++m_exchanges_made);
-		add_backend(name);
+		relay.usual.close = _close;
 		relay_connections connections(*m_context);
 		connections.port = relay.address().port();
+		return exchange_over(connections);
+	}
+	/// @returns How an exchange ends whose relay answers with these bytes on a connection that has brought the
+	/// result of another exchange.
+	exchange_result end_on_kept_connection(const std::string& _bytes)
+	{
+		scripted_backend relay(*m_context);
+		relay.script = {{bytes_of(relay_result())}};
+		relay.usual.bytes = _bytes;
+		relay_connections connections(*m_context);
+		connections.port = relay.address().port();
+		exchange_over(connections);
+		const exchange_result end = exchange_over(connections);
+		CPPUNIT_ASSERT_EQUAL(1, relay.connections);
+		CPPUNIT_ASSERT(end.on_kept_connection);
+		return end;
+	}
+	/// @param[in] _headers Of the response of the relay, each with its end of line.
+	static std::string bytes_of(const relay_result& _result, const std::string& _headers = "")
+	{
+		const std::string body = encode(_result);
+		return "HTTP/1.1 200 X\r\nContent-Type: " + std::string(k_relay_content_type) + "\r\n" + _headers +
+		       "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+	}
+	exchange_result exchange_over(relay_connections& _connections)
+	{
+		set_routes();
+		const std::string name = "b" + std::to_string(++m_exchanges_made);
+		add_backend(name);
 		upstream_request request;
 		request.request_id = "r1";
 		request.at_most_once = true;
@@ -83,7 +110,7 @@
 		std::optional<exchange_result> end;
 		const exchange_services services{
 		    *m_context, m_clock, m_exchanges->names(), m_forwarder->report_listener()};
-		const auto exchange = std::make_shared<relay_exchange>(services, connections, m_listener_of_relays,
+		const auto exchange = std::make_shared<relay_exchange>(services, _connections, m_listener_of_relays,
 		    "127.0.0.1", m_registry->find(backend_id(name)), request, std::chrono::milliseconds(500),
 		    [&end](exchange_result&& _result)
 		    {
@@ -118,9 +145,32 @@
 		}
 		CPPUNIT_ASSERT_EQUAL(6, m_listener_of_relays.refused);
 	}
-	void answer_of_another_version_is_a_refusal()
+	/// Guards against an order that runs after a refusal on its connection was taken for its own.
+	void refusal_without_a_name_on_a_kept_connection_proves_nothing()
+	{
+		for (const unsigned status : {400U, 403U, 404U, 413U, 431U, 503U})
+		{
+			const exchange_result end = end_on_kept_connection(
+			    "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: 0\r\n\r\n");
+			CPPUNIT_ASSERT_MESSAGE(std::to_string(status), exchange_outcome::lost == end.end);
+		}
+	}
+	/// Guards against an order that runs although the success of a relay, in a form that this node does not
+	/// know, was taken for its refusal.
+	void answer_of_another_form_is_a_lost_request()
 	{
-		CPPUNIT_ASSERT(exchange_outcome::not_sent == end_with(200).end);
+		CPPUNIT_ASSERT(exchange_outcome::lost == end_with(200).end);
+	}
+	/// Guards against a part of a relay's answer that is taken for the whole.
+	void answer_cut_anywhere_is_a_lost_request()
+	{
+		relay_result result = result_of(exchange_outcome::not_run, 503, true);
+		const std::string bytes = bytes_of(result, "Larkrack-Request-Id: r1\r\n");
+		for (std::size_t size = 0; size < bytes.size(); ++size)
+		{
+			const exchange_result end = end_after(bytes.substr(0, size), true);
+			CPPUNIT_ASSERT_MESSAGE(std::to_string(size), exchange_outcome::lost == end.end);
+		}
 	}
 
 	/// Guards against an order that runs twice since a relay of an earlier version believed a 421 without an
