Carry one attempt for a request on a connection once its rejection has come there

Callers saw: 503 for an order that ran, where a backend server rejects with free slots and says so twice. Cause: all attempts for a request carry its id. After a rejection that reports free slots the request goes to the same server again, over the connection that was just kept; a surplus copy of the first rejection is due there in the place of the second answer, has id and mark, and was believed.

--- a/src/entry_node/upstream.cpp
+++ b/src/entry_node/upstream.cpp
@@ -67,7 +67,7 @@
 void upstream_connection::keep_idle(std::chrono::milliseconds _lifetime, steady_time _now)
 {
 	if (m_backend->gone || m_backend->idle_connections >= k_max_idle_connections ||
-	    _lifetime <= k_idle_margin)
+	    _lifetime <= k_idle_margin || rejections.is_full())
 	{
 		return;
 	}
@@ -95,14 +95,15 @@
 	m_timer.async_wait(end_idle);
 }
 
-bool upstream_connection::reuse(steady_time _now, std::chrono::milliseconds _max_idle_time)
+bool upstream_connection::reuse(
+    steady_time _now, std::chrono::milliseconds _max_idle_time, std::string_view _request_id)
 {
 	m_idle = false;
 	m_timer.cancel();
 	// An error here or in non_blocking() also shows in receive(), and the connection is not used.
 	beast::error_code error;
 	socket.cancel(error);
-	if (_now - m_idle_since > _max_idle_time)
+	if (_now - m_idle_since > _max_idle_time || !rejections.permits(_request_id))
 	{
 		return false;
 	}
@@ -166,7 +167,7 @@
 	    m_request.at_most_once ? k_max_idle_at_most_once : k_max_idle_repeatable;
 	while (const std::shared_ptr<upstream_connection> connection = m_backend->take_idle())
 	{
-		if (connection->reuse(m_services.clock.steady(), max_idle_time))
+		if (connection->reuse(m_services.clock.steady(), max_idle_time, m_request.request_id))
 		{
 			m_connection = connection;
 			m_on_kept_connection = true;
@@ -372,6 +373,7 @@
 		skip_foreign_response();
 		return;
 	}
+	note_rejection();
 	caller_response response = m_parser->release();
 	if (!m_reports.is_from_backend(response))
 	{
@@ -400,6 +402,15 @@
 	finish(std::move(result), backend_signal::answered);
 }
 
+void upstream_exchange::note_rejection()
+{
+	if (answer_verdict::rejected == verdict() && !m_request.request_id.empty())
+	{
+		m_connection->rejections.add(
+		    m_request.request_id, m_started_at + m_request.time_left, m_services.clock.steady());
+	}
+}
+
 void upstream_exchange::finish_rejected(caller_response&& _response)
 {
 	const bool wrong_server = http::status::misdirected_request == _response.result();
--- a/src/entry_node/upstream_p.h
+++ b/src/entry_node/upstream_p.h
@@ -13,6 +13,7 @@
 #include "entry_node/exchange_p.h"
 #include "entry_node/node_paths_p.h"
 #include "entry_node/report_reader_p.h"
+#include "steering/rejected_requests_p.h"
 
 namespace larkrack
 {
@@ -34,11 +35,14 @@
 	void keep_idle(std::chrono::milliseconds _lifetime, steady_time _now);
 	/// Takes the connection out of its idle state.
 	/// @param[in] _max_idle_time A connection that was idle for longer is rejected.
-	/// @returns Whether the connection is still usable: open, and without unexpected bytes.
-	bool reuse(steady_time _now, std::chrono::milliseconds _max_idle_time);
+	/// @param[in] _request_id Id of the request that is to be sent.
+	/// @returns Whether the connection is still usable: open, without unexpected bytes, and without a
+	/// rejection of that request.
+	bool reuse(steady_time _now, std::chrono::milliseconds _max_idle_time, std::string_view _request_id);
 
 	tcp::socket socket;
 	beast::flat_buffer buffer;
+	rejected_requests rejections;
 
 private:
 	void discard();
@@ -108,6 +112,8 @@
 	void count_in_flight(int _change);
 	/// @returns What the report of a response says that ends the exchange with a signal.
 	refusal_report report_of(backend_signal _signal) const;
+	/// Remembers that the connection has brought the rejection of the request.
+	void note_rejection();
 	void keep_connection(const caller_response& _response);
 	/// Closes the connection of a cancelled exchange.
 	void finish_cancelled();
