Let relays name the attempt they answer, and believe refusals by that name

Callers saw: nothing yet; by the tests, an order is refused or sent again although a relay may have sent it. Cause: a refusal of a relay was believed by its status, also on a connection on which earlier attempts may have left one; a 200 whose form is unknown counted as not sent. Change: requests to relays carry id and number of the attempt, relays give both back in each response, also in refusals (Larkrack-Attempt is new; older relays leave it out). judge_relay() decides; without a name the first response on a connection is believed, and where requests may repeat all are, as before. Cost: an order that an older relay refuses on a kept connection gets 502 while versions are mixed.

--- a/src/entry_node/exchange_p.h
+++ b/src/entry_node/exchange_p.h
@@ -80,6 +80,7 @@
 	bool head = false;          ///< A HEAD request: its response has no body.
 	bool by_completion = false; ///< The load report of a rejection counts more than the rejection.
 	bool at_most_once = false;  ///< Must not run twice: a connection that may be stale is not used.
+	unsigned attempt = 1;       ///< Number of the attempt for its request, from 1 on.
 	bool first_attempt = true;  ///< May be sent over a path in doubt, to see whether it works.
 	bool relayed = false;       ///< Sent for another node, which counts it as in flight.
 
--- a/src/entry_node/forwarded_request_attempts.cpp
+++ b/src/entry_node/forwarded_request_attempts.cpp
@@ -252,9 +252,9 @@
 	request.by_completion = steering.choice.by_completion();
 	request.at_most_once = repeat_rule::at_most_once == m_route->repeat;
 	request.first_attempt = m_tried.empty();
+	request.attempt = ++m_attempts;
 	m_state = state::sent;
 	m_tried.push_back(_backend->registered.id);
-	++m_attempts;
 	m_context.backends.mark_in_use(*_backend);
 	m_sent_at = m_context.clock.steady();
 	m_admission->on_sent(m_admission_request, m_sent_at);
--- a/src/entry_node/forwarded_request_p.h
+++ b/src/entry_node/forwarded_request_p.h
@@ -242,7 +242,7 @@
 	work_sample m_expected;                  ///< State of the backend server when the request was sent.
 	std::vector<backend_id> m_without_token; ///< Backend servers whose limit had no token left.
 	attempt_history m_history;
-	int m_attempts = 0; ///< Sent so far, or about to be.
+	unsigned m_attempts = 0;                    ///< Sent so far, or about to be.
 	std::optional<retry_counts> m_denied_retry; ///< Counts with which the retry budget denied a retry.
 	admission_base* m_admission = nullptr;      ///< Of m_service; null: not asked yet.
 	admission_request m_admission_request;      ///< Set once m_admission is.
--- a/src/entry_node/relay_client.cpp
+++ b/src/entry_node/relay_client.cpp
@@ -28,23 +28,15 @@
 	return backend_signal::lost;
 }
 
-/// @returns Whether a relay promises by that status that it has not sent the request to a backend server, and
-/// never will. A 408 is no such promise: relays of earlier versions went on with a request after it. Other
-/// statuses are none that a relay gives.
-bool promises_not_sent(http::status _status)
+/// @returns Whose name a header of a response gives.
+answer_id name_in(const http::response_header<>& _head, const std::string& _header, const std::string& _own)
 {
-	switch (_status)
+	const auto name = _head.find(_header);
+	if (_head.end() == name)
 	{
-	case http::status::bad_request:
-	case http::status::forbidden:
-	case http::status::not_found:
-	case http::status::payload_too_large:
-	case http::status::request_header_fields_too_large:
-	case http::status::service_unavailable:
-		return true;
-	default:
-		return false;
+		return answer_id::none;
 	}
+	return name->value() == _own ? answer_id::own : answer_id::other;
 }
 } // namespace
 
@@ -60,6 +52,8 @@
 	m_message = make_request(http::verb::post, k_relay_target, where,
 	    encode(relay_request{m_backend->registered.id, m_backend->registered.started_ms, m_request}));
 	m_message.set(http::field::content_type, "application/cbor");
+	m_message.set(m_services.names.request_id, m_request.request_id);
+	m_message.set(k_attempt_header, std::to_string(m_request.attempt));
 }
 
 void relay_exchange::start()
@@ -163,17 +157,10 @@
 
 void relay_exchange::on_response()
 {
-	const http::status status = m_parser->get().result();
-	if (is_foreign(m_parser->get()) || (http::status::ok != status && !promises_not_sent(status)))
+	const relay_verdict verdict = judge_relay(marks_of(m_parser->get()), m_request.repeat());
+	if (relay_verdict::result != verdict)
 	{
-		m_listener.on_relay_refused(m_relay_ip);
-		fail(exchange_outcome::lost, "relay_broken_answer", backend_signal::not_tried);
-		return;
-	}
-	const bool other_version = k_relay_content_type != m_parser->get()[http::field::content_type];
-	if (http::status::ok != status || other_version)
-	{
-		fail_relay("relay_refused");
+		on_refusal(verdict);
 		return;
 	}
 	result<relay_result> decoded = decode_relay_result(m_parser->get().body());
@@ -203,10 +190,26 @@
 	finish(std::move(message->result), signal);
 }
 
-bool relay_exchange::is_foreign(const http::response_header<>& _head) const
+relay_marks relay_exchange::marks_of(const http::response_header<>& _head) const
 {
-	const auto id = _head.find(m_services.names.request_id);
-	return _head.end() != id && id->value() != m_request.request_id;
+	relay_marks marks;
+	marks.status = _head.result_int();
+	marks.has_result = k_relay_content_type == _head[http::field::content_type];
+	marks.request = name_in(_head, m_services.names.request_id, m_request.request_id);
+	marks.attempt = name_in(_head, k_attempt_header, std::to_string(m_request.attempt));
+	marks.on_kept_connection = m_on_kept_connection;
+	return marks;
+}
+
+void relay_exchange::on_refusal(relay_verdict _verdict)
+{
+	if (relay_verdict::not_sent == _verdict)
+	{
+		fail_relay("relay_refused");
+		return;
+	}
+	m_listener.on_relay_refused(m_relay_ip);
+	fail(exchange_outcome::lost, "relay_broken_answer", backend_signal::not_tried);
 }
 
 void relay_exchange::judge(exchange_result& _result) const
--- a/src/entry_node/relay_client_p.h
+++ b/src/entry_node/relay_client_p.h
@@ -23,6 +23,7 @@
 #include "entry_node/relay_messages_p.h"
 
 #include "base/http_p.h"
+#include "steering/relay_verdict_p.h"
 
 namespace larkrack
 {
@@ -77,8 +78,9 @@
 	void write();
 	void read();
 	void on_response();
-	/// @returns Whether the response is that to another request. A relay of an earlier version does not tell.
-	bool is_foreign(const http::response_header<>& _head) const;
+	relay_marks marks_of(const http::response_header<>& _head) const;
+	/// Handles a response that holds no result.
+	void on_refusal(relay_verdict _verdict);
 	/// Judges the result of a relay by the head of the backend server's answer, as for an answer of its own:
 	/// a relay of another version may believe more.
 	void judge(exchange_result& _result) const;
--- a/src/entry_node/relay_messages_p.h
+++ b/src/entry_node/relay_messages_p.h
@@ -23,6 +23,9 @@
 /// Content type of both responses. Nodes of an earlier version respond to both targets with another one.
 constexpr const char* k_relay_content_type = "application/vnd.larkrack.relay+cbor";
 
+/// Header with the number of an attempt. A relay gives it back, with the id of the request, in each response.
+constexpr const char* k_attempt_header = "Larkrack-Attempt";
+
 /// A request to forward.
 struct relay_request
 {
--- a/src/entry_node/relay_server.cpp
+++ b/src/entry_node/relay_server.cpp
@@ -22,14 +22,19 @@
 }
 } // namespace
 
+relayed_attempt relayed_attempt::of(const caller_request& _request, const header_names& _names)
+{
+	return {std::string(_request[_names.request_id]), std::string(_request[k_attempt_header])};
+}
+
 /// One request of another node, from its arrival to its result.
 class relay_server::relayed_request : public std::enable_shared_from_this<relayed_request>
 {
 public:
-	relayed_request(relay_server& _owner, std::shared_ptr<caller_session> _session, backend_ptr _backend,
-	    upstream_request _request, steady_time _deadline)
-	    : m_owner(_owner), m_session(std::move(_session)), m_backend(std::move(_backend)),
-	      m_request_id(_request.request_id), m_fingerprint(_request.fingerprint),
+	relayed_request(relay_server& _owner, std::shared_ptr<caller_session> _session, relayed_attempt _name,
+	    backend_ptr _backend, upstream_request _request, steady_time _deadline)
+	    : m_owner(_owner), m_session(std::move(_session)), m_name(std::move(_name)),
+	      m_backend(std::move(_backend)), m_fingerprint(_request.fingerprint),
 	      m_at_most_once(_request.at_most_once), m_timer(_owner.m_services.io),
 	      m_began_at(_owner.m_services.clock.steady()), m_deadline(_deadline)
 	{
@@ -101,16 +106,16 @@
 		_message.taken = m_owner.m_services.clock.steady() - m_began_at;
 		if (exchange_outcome::answered != _message.result.end)
 		{
-			m_owner.log_failed(m_session->address(), m_request_id, *m_backend, _message);
+			m_owner.log_failed(m_session->address(), m_name.request_id, *m_backend, _message);
 		}
 		m_owner.m_requests.erase(self);
-		m_owner.respond(m_session, m_request_id, _message);
+		m_owner.respond(m_session, m_name, _message);
 	}
 
 	relay_server& m_owner;
 	std::shared_ptr<caller_session> m_session;
+	relayed_attempt m_name;
 	backend_ptr m_backend;
-	std::string m_request_id;
 	request_fingerprint m_fingerprint;
 	bool m_at_most_once;
 	asio::steady_timer m_timer;
@@ -146,10 +151,25 @@
 	}
 }
 
-void relay_server::refuse(const std::shared_ptr<caller_session>& _session, http::status _status)
+void relay_server::set_name(caller_response& _response, const relayed_attempt& _name) const
+{
+	if (!_name.request_id.empty())
+	{
+		_response.set(m_services.names.request_id, _name.request_id);
+	}
+	if (!_name.number.empty())
+	{
+		_response.set(k_attempt_header, _name.number);
+	}
+}
+
+void relay_server::refuse(
+    const std::shared_ptr<caller_session>& _session, const relayed_attempt& _name, http::status _status)
 {
 	++m_counters.refused;
-	_session->respond(caller_response(_status, 11));
+	caller_response response(_status, 11);
+	set_name(response, _name);
+	_session->respond(std::move(response));
 }
 
 void relay_server::log_failed(const std::string& _sender, const std::string& _id,
@@ -169,12 +189,12 @@
 	m_log.write(line.text("relayed_for", _sender));
 }
 
-void relay_server::respond(const std::shared_ptr<caller_session>& _session, const std::string& _id,
+void relay_server::respond(const std::shared_ptr<caller_session>& _session, const relayed_attempt& _name,
     const relay_result& _result) const
 {
 	caller_response response(http::status::ok, 11);
 	response.set(http::field::content_type, k_relay_content_type);
-	response.set(m_services.names.request_id, _id);
+	set_name(response, _name);
 	response.body() = encode(_result);
 	_session->respond(std::move(response));
 }
@@ -203,50 +223,52 @@
 void relay_server::handle_request(
     const std::shared_ptr<caller_session>& _session, const caller_request& _request)
 {
+	relayed_attempt name = relayed_attempt::of(_request, m_services.names);
 	if (!m_is_node(_session->address()))
 	{
-		refuse(_session, http::status::forbidden);
+		refuse(_session, name, http::status::forbidden);
 		return;
 	}
 	if (m_requests.size() >= k_max_requests)
 	{
-		refuse(_session, http::status::service_unavailable);
+		refuse(_session, name, http::status::service_unavailable);
 		return;
 	}
 	result<relay_request> decoded = decode_relay_request(_request.body(), m_services.names.request_id);
 	relay_request* message = value_of(decoded);
 	if (nullptr == message)
 	{
-		refuse(_session, http::status::bad_request);
+		refuse(_session, name, http::status::bad_request);
 		return;
 	}
+	name.request_id = message->request.request_id;
 	const steady_time now = m_services.clock.steady();
 	const steady_time deadline = m_gap.arrival(now) + message->request.time_left;
 	if (now >= deadline)
 	{
-		respond(_session, message->request.request_id, not_sent("deadline", false));
+		respond(_session, name, not_sent("deadline", false));
 		return;
 	}
 	if (m_stop && deadline - now > stop_time_left(*m_stop, now))
 	{
-		refuse(_session, http::status::service_unavailable);
+		refuse(_session, name, http::status::service_unavailable);
 		return;
 	}
 	if (const std::optional<relay_result> reason = reason_not_to_send(*message))
 	{
-		respond(_session, message->request.request_id, *reason);
+		respond(_session, name, *reason);
 		return;
 	}
 	const backend_ptr backend = m_backends.find(message->backend);
 	if (path_use::direct != backend->path)
 	{
-		refuse(_session, http::status::service_unavailable);
+		refuse(_session, name, http::status::service_unavailable);
 		return;
 	}
 	++m_counters.relayed;
 	message->request.time_left = to_ms(deadline - now);
-	const auto request =
-	    std::make_shared<relayed_request>(*this, _session, backend, std::move(message->request), deadline);
+	const auto request = std::make_shared<relayed_request>(
+	    *this, _session, name, backend, std::move(message->request), deadline);
 	m_requests.insert(request);
 	request->start();
 }
@@ -258,7 +280,8 @@
 	const std::vector<domain_name>* domains = value_of(decoded);
 	if (nullptr == domains || m_stop)
 	{
-		refuse(_session, nullptr == domains ? http::status::bad_request : http::status::service_unavailable);
+		refuse(
+		    _session, {}, nullptr == domains ? http::status::bad_request : http::status::service_unavailable);
 		return;
 	}
 	m_paths.report(*domains,
--- a/src/entry_node/relay_server_p.h
+++ b/src/entry_node/relay_server_p.h
@@ -31,6 +31,15 @@
 	std::uint64_t refused = 0; ///< Requests of other nodes that were refused.
 };
 
+/// Name of an attempt of another node, as that node gives it.
+struct relayed_attempt
+{
+	std::string request_id;
+	std::string number; ///< Empty: a node of an earlier version gives none.
+
+	static relayed_attempt of(const caller_request& _request, const header_names& _names);
+};
+
 /// Forwards requests of other nodes.
 class relay_server
 {
@@ -73,14 +82,16 @@
 
 private:
 	class relayed_request;
-	void refuse(const std::shared_ptr<caller_session>& _session, http::status _status);
+	/// Lets a response name the attempt that it answers.
+	void set_name(caller_response& _response, const relayed_attempt& _name) const;
+	void refuse(
+	    const std::shared_ptr<caller_session>& _session, const relayed_attempt& _name, http::status _status);
 	/// @returns Why a request is not sent, or nothing.
 	std::optional<relay_result> reason_not_to_send(const relay_request& _message) const;
 	/// Logs a request that no backend server answered, under the id by which the other node logs it.
 	void log_failed(const std::string& _sender, const std::string& _id, const backend_server& _backend,
 	    const relay_result& _result);
-	/// @param[in] _id Id of the request, which the response carries back.
-	void respond(const std::shared_ptr<caller_session>& _session, const std::string& _id,
+	void respond(const std::shared_ptr<caller_session>& _session, const relayed_attempt& _name,
 	    const relay_result& _result) const;
 
 	exchange_services m_services;
--- a/tests/relay_refusal_test.cpp
+++ b/tests/relay_refusal_test.cpp
@@ -30,6 +30,7 @@
 	CPPUNIT_TEST(status_that_promises_not_sent_is_a_refusal);
 	CPPUNIT_TEST(status_that_promises_nothing_is_a_lost_request);
 	CPPUNIT_TEST(refusal_without_a_name_on_a_kept_connection_proves_nothing);
+	CPPUNIT_TEST(refusal_that_names_the_attempt_is_believed_on_a_kept_connection);
 	CPPUNIT_TEST(answer_of_another_form_is_a_lost_request);
 	CPPUNIT_TEST(answer_cut_anywhere_is_a_lost_request);
 	CPPUNIT_TEST(not_run_without_the_rejection_of_a_server_proves_nothing);
@@ -76,8 +77,8 @@
 		connections.port = relay.address().port();
 		return exchange_over(connections);
 	}
-	/// @returns How an exchange ends whose relay answers with these bytes on a connection that has brought the
-	/// result of another exchange.
+	/// @returns How an exchange ends whose relay answers with these bytes on a connection that has brought
+	/// the result of another exchange.
 	exchange_result end_on_kept_connection(const std::string& _bytes)
 	{
 		scripted_backend relay(*m_context);
@@ -155,6 +156,15 @@
 			CPPUNIT_ASSERT_MESSAGE(std::to_string(status), exchange_outcome::lost == end.end);
 		}
 	}
+	void refusal_that_names_the_attempt_is_believed_on_a_kept_connection()
+	{
+		const std::string rest = "Content-Length: 0\r\n\r\n";
+		const std::string named = "HTTP/1.1 503 X\r\nLarkrack-Request-Id: r1\r\nLarkrack-Attempt: ";
+		const exchange_result own = end_on_kept_connection(named + "1\r\n" + rest);
+		CPPUNIT_ASSERT(exchange_outcome::not_sent == own.end);
+		CPPUNIT_ASSERT_EQUAL(503U, own.relay_status);
+		CPPUNIT_ASSERT(exchange_outcome::lost == end_on_kept_connection(named + "2\r\n" + rest).end);
+	}
 	/// Guards against an order that runs although the success of a relay, in a form that this node does not
 	/// know, was taken for its refusal.
 	void answer_of_another_form_is_a_lost_request()
--- a/tests/relay_requests_test.cpp
+++ b/tests/relay_requests_test.cpp
@@ -174,24 +174,31 @@
 	}
 	void foreign_senders_and_malformed_messages_are_refused()
 	{
-		const auto status_of = [this](const std::string& _own_ip, const std::string& _body)
+		const auto answer_of = [this](const std::string& _own_ip, const std::string& _body)
 		{
 			tcp::socket socket(*m_context);
 			socket.open(tcp::v4());
 			socket.bind({asio::ip::make_address(_own_ip), 0});
 			socket.connect({asio::ip::make_address(peer_address_of(1)), m_nodes->at(1).peer_port()});
-			const std::string bytes =
-			    "POST /relay HTTP/1.1\r\nHost: n\r\nContent-Length: " + std::to_string(_body.size()) +
-			    "\r\n\r\n" + _body;
+			const std::string bytes = "POST /relay HTTP/1.1\r\nHost: n\r\nLarkrack-Request-Id: named\r\n"
+			                          "Larkrack-Attempt: 7\r\nContent-Length: " +
+			                          std::to_string(_body.size()) + "\r\n\r\n" + _body;
 			asio::write(socket, asio::buffer(bytes));
 			run_for(ms(100));
-			std::string answer(12, '\0');
+			std::string answer(socket.available(), '\0');
 			asio::read(socket, asio::buffer(answer));
-			return answer.substr(9);
+			return answer;
 		};
-		CPPUNIT_ASSERT_EQUAL(std::string("403"), status_of("127.0.9.9", "x"));
-		CPPUNIT_ASSERT_EQUAL(std::string("400"), status_of(peer_address_of(2), "x"));
-		CPPUNIT_ASSERT_EQUAL(std::string("400"), status_of(peer_address_of(2), encode_path_query({})));
+		for (const auto& [sender, body, status] :
+		    std::vector<std::tuple<std::string, std::string, std::string>>{{"127.0.9.9", "x", "403"},
+		        {peer_address_of(2), "x", "400"}, {peer_address_of(2), encode_path_query({}), "400"}})
+		{
+			const std::string answer = answer_of(sender, body);
+			CPPUNIT_ASSERT_EQUAL(status, answer.substr(9, 3));
+			// A refusal names the attempt, so that it is not taken for that of another one.
+			CPPUNIT_ASSERT(std::string::npos != answer.find("Larkrack-Request-Id: named\r\n"));
+			CPPUNIT_ASSERT(std::string::npos != answer.find("Larkrack-Attempt: 7\r\n"));
+		}
 	}
 	/// Guards against requests that wait although no backend server can serve them.
 	void service_that_is_down_is_refused_at_once()
