Pass on answers without a length as such

Cause: this node held all that had come before the close and stated its size; the close proves no end. Change: such an answer goes to the caller without a length and with the end of its connection, over relays as well (a flag that older nodes pass over). A reset stays 502.

--- a/src/entry_node/caller_session.cpp
+++ b/src/entry_node/caller_session.cpp
@@ -373,19 +373,20 @@
 	    });
 }
 
-void caller_session::respond(caller_response _response)
+void caller_session::respond(caller_response _response, response_framing _framing)
 {
 	if (step::serve == m_step)
 	{
-		send_response(std::move(_response));
+		send_response(std::move(_response), _framing);
 	}
 }
 
-void caller_session::send_response(caller_response&& _response)
+void caller_session::send_response(caller_response&& _response, response_framing _framing)
 {
 	enter(step::send);
 	m_disconnect_handler = nullptr;
-	m_keep_alive = m_keep_alive && !m_listener.stopping();
+	const bool by_close = response_framing::by_close == _framing;
+	m_keep_alive = m_keep_alive && !m_listener.stopping() && !by_close;
 	m_response.emplace(std::move(_response));
 	m_response->version(11);
 	m_response->erase(http::field::connection);
@@ -393,7 +394,7 @@
 	{
 		m_response->set(http::field::connection, "close");
 	}
-	if (!m_head_request || !m_response->has_content_length())
+	if (!by_close && (!m_head_request || !m_response->has_content_length()))
 	{
 		m_response->content_length(m_response->body().size());
 	}
--- a/src/entry_node/caller_session_p.h
+++ b/src/entry_node/caller_session_p.h
@@ -50,6 +50,13 @@
 
 class http_listener;
 
+/// What tells the end of a response.
+enum class response_framing
+{
+	by_length, ///< Its Content-Length: this node holds the whole of it.
+	by_close,  ///< The end of its connection, which may come early unnoticed.
+};
+
 /// Connection from a caller.
 class caller_session : public std::enable_shared_from_this<caller_session>
 {
@@ -61,8 +68,8 @@
 	/// Sends the response to the current request, then reads the next request. Without effect once the
 	/// request has its response or the connection is closed.
 	/// @param[in] _response Its Content-Length is set here, unless the request was HEAD and the response
-	/// states one.
-	void respond(caller_response _response);
+	/// states one, or its end is that of the connection.
+	void respond(caller_response _response, response_framing _framing = response_framing::by_length);
 	/// Sets the handler for a caller that disconnects before its response was sent.
 	void set_disconnect_handler(std::function<void()> _handler)
 	{
@@ -138,7 +145,7 @@
 	/// far as this node can tell; 0: it is late.
 	std::chrono::steady_clock::duration reading_time_left();
 	bool has_unread_bytes();
-	void send_response(caller_response&& _response);
+	void send_response(caller_response&& _response, response_framing _framing);
 	void on_sent(beast::error_code _error);
 	/// Shuts down the sending side, then closes the connection once the caller has closed it, or after
 	/// k_close_timeout.
--- a/src/entry_node/exchange_p.h
+++ b/src/entry_node/exchange_p.h
@@ -48,17 +48,18 @@
 struct exchange_result
 {
 	exchange_outcome end = exchange_outcome::not_sent;
-	std::optional<caller_response> response;  ///< Set when answered; when not run, the head of the rejection.
-	std::optional<rejection_proof> rejection; ///< Set when not run.
-	std::string detail;                       ///< Error name for the log.
-	std::optional<answer_marks> marks;        ///< Of the answer that ended the exchange; nothing: none came.
-	bool withheld = false;                    ///< Not sent: the backend server stopped accepting requests.
-	bool slots_free = false;                  ///< Not run, although the backend server reported free slots.
-	bool connection_broke = false;            ///< Lost: the backend server closed or reset the connection.
-	bool relay_failed = false;                ///< Not sent: the relay was not reached, or refused.
-	bool no_connection = false;               ///< Not sent: this node's own connection was not established.
-	bool on_kept_connection = false;          ///< Earlier exchanges have used the connection.
-	unsigned relay_status = 0;                ///< With which a relay answered instead of a result; 0: none.
+	std::optional<caller_response> response; ///< Set when answered; when not run, the head of the rejection.
+	response_framing framing = response_framing::by_length; ///< Of the response.
+	std::optional<rejection_proof> rejection;               ///< Set when not run.
+	std::string detail;                                     ///< Error name for the log.
+	std::optional<answer_marks> marks; ///< Of the answer that ended the exchange; nothing: none came.
+	bool withheld = false;             ///< Not sent: the backend server stopped accepting requests.
+	bool slots_free = false;           ///< Not run, although the backend server reported free slots.
+	bool connection_broke = false;     ///< Lost: the backend server closed or reset the connection.
+	bool relay_failed = false;         ///< Not sent: the relay was not reached, or refused.
+	bool no_connection = false;        ///< Not sent: this node's own connection was not established.
+	bool on_kept_connection = false;   ///< Earlier exchanges have used the connection.
+	unsigned relay_status = 0;         ///< With which a relay answered instead of a result; 0: none.
 	/// Time that a new connection took to establish; nothing when no connection was made.
 	std::optional<steady_time::duration> connect_time;
 };
--- a/src/entry_node/final_answer.cpp
+++ b/src/entry_node/final_answer.cpp
@@ -35,13 +35,16 @@
 	return {make_response(static_cast<unsigned>(_status)), _end, _why};
 }
 
-final_answer final_answer::forward(caller_response&& _response, repeat_rule _repeat)
+final_answer final_answer::forward(
+    caller_response&& _response, response_framing _framing, repeat_rule _repeat)
 {
 	if (repeat_rule::at_most_once == _repeat && is_promise(_response.result_int()))
 	{
 		return fail(failure_status::bad_gateway, outcome::unknown, reason::lost_answer);
 	}
 	strip_hop_by_hop(_response);
-	return {std::move(_response), outcome::served, reason::none};
+	final_answer answer(std::move(_response), outcome::served, reason::none);
+	answer.m_framing = _framing;
+	return answer;
 }
 } // namespace larkrack
--- a/src/entry_node/final_answer_p.h
+++ b/src/entry_node/final_answer_p.h
@@ -40,10 +40,10 @@
 	    const not_run_proof& _proof, refusal_status _status, double _retry_after_s, reason _why);
 	/// An answer of this node that promises nothing.
 	static final_answer fail(failure_status _status, outcome _end, reason _why);
-	/// Passes on the answer of a backend server.
+	/// Passes on the answer of a backend server, with an end as sure as the one that it has there.
 	/// @param[in] _repeat If the request must not run twice, a status that promises that it has not run
 	/// becomes 502 without the backend server's headers and body, whatever let it come this far.
-	static final_answer forward(caller_response&& _response, repeat_rule _repeat);
+	static final_answer forward(caller_response&& _response, response_framing _framing, repeat_rule _repeat);
 
 	unsigned status() const
 	{
@@ -62,6 +62,10 @@
 	{
 		return m_evidence;
 	}
+	response_framing framing() const
+	{
+		return m_framing;
+	}
 	caller_response take_response()
 	{
 		return std::move(m_response);
@@ -74,6 +78,7 @@
 	}
 
 	caller_response m_response;
+	response_framing m_framing = response_framing::by_length;
 	outcome m_end;
 	reason m_why;
 	std::optional<not_run_evidence> m_evidence;
--- a/src/entry_node/forwarded_request.cpp
+++ b/src/entry_node/forwarded_request.cpp
@@ -210,7 +210,7 @@
 {
 	if (_end.kept_response)
 	{
-		respond(final_answer::forward(std::move(*m_kept_response), m_route->repeat));
+		respond(final_answer::forward(std::move(*m_kept_response), m_kept_framing, m_route->repeat));
 		return;
 	}
 	if (outcome::unknown == _end.end)
@@ -241,7 +241,7 @@
 	}
 	const std::shared_ptr<caller_session> session = m_session;
 	release();
-	session->respond(_answer.take_response());
+	session->respond(_answer.take_response(), _answer.framing());
 }
 
 void forwarded_request::log_end(
--- a/src/entry_node/forwarded_request_attempts.cpp
+++ b/src/entry_node/forwarded_request_attempts.cpp
@@ -336,12 +336,13 @@
 	}
 	if (_rule.forward_response)
 	{
-		respond(final_answer::forward(std::move(*_result.response), m_route->repeat));
+		respond(final_answer::forward(std::move(*_result.response), _result.framing, m_route->repeat));
 		return;
 	}
 	if (_rule.keep_response)
 	{
 		m_kept_response = std::move(_result.response);
+		m_kept_framing = _result.framing;
 	}
 	const bool crash_suspected = _result.connection_broke && !m_context.crashes.may_retry(fingerprint());
 	const bool in_time = m_context.clock.steady() < m_deadline;
--- a/src/entry_node/forwarded_request_p.h
+++ b/src/entry_node/forwarded_request_p.h
@@ -233,6 +233,7 @@
 	std::shared_ptr<exchange_base> m_exchange; ///< Null between two attempts.
 	/// Failure response of a backend server, passed on if no later attempt succeeds.
 	std::optional<caller_response> m_kept_response;
+	response_framing m_kept_framing = response_framing::by_length;
 	std::vector<backend_id> m_tried;
 	std::vector<backend_id> m_unsent; ///< Those of m_tried that received nothing.
 	std::string m_relay;              ///< Address of the node that forwarded the last attempt; empty: none.
--- a/src/entry_node/relay_messages.cpp
+++ b/src/entry_node/relay_messages.cpp
@@ -39,6 +39,7 @@
 constexpr unsigned k_flag_slots_free = 2;
 constexpr unsigned k_flag_connection_broke = 4;
 constexpr unsigned k_flag_unreachable = 8;
+constexpr unsigned k_flag_ends_by_close = 16;
 
 error decode_error(const char* _why)
 {
@@ -198,6 +199,8 @@
 	message.result.slots_free = 0 != (flags & k_flag_slots_free);
 	message.result.connection_broke = 0 != (flags & k_flag_connection_broke);
 	message.unreachable = 0 != (flags & k_flag_unreachable);
+	message.result.framing =
+	    0 != (flags & k_flag_ends_by_close) ? response_framing::by_close : response_framing::by_length;
 	message.taken = std::chrono::microseconds(_document.at(4).get<std::uint32_t>());
 	message.result.response = response_of_json(_document.at(5));
 	const bool answered = exchange_outcome::answered == message.result.end;
@@ -254,7 +257,8 @@
 	const unsigned flags = (result.withheld ? k_flag_withheld : 0) |
 	                       (result.slots_free ? k_flag_slots_free : 0) |
 	                       (result.connection_broke ? k_flag_connection_broke : 0) |
-	                       (_message.unreachable ? k_flag_unreachable : 0);
+	                       (_message.unreachable ? k_flag_unreachable : 0) |
+	                       (response_framing::by_close == result.framing ? k_flag_ends_by_close : 0);
 	const std::uint64_t taken =
 	    std::min<std::uint64_t>(UINT32_MAX, static_cast<std::uint64_t>(_message.taken.count()));
 	return to_text({k_result_layout, static_cast<unsigned>(result.end), result.detail, flags, taken,
--- a/src/entry_node/upstream.cpp
+++ b/src/entry_node/upstream.cpp
@@ -399,6 +399,7 @@
 	exchange_result result;
 	result.end = exchange_outcome::answered;
 	result.response = std::move(response);
+	result.framing = m_parser->need_eof() ? response_framing::by_close : response_framing::by_length;
 	finish(std::move(result), backend_signal::answered);
 }
 
