--- a/tests/cut_answer_test.cpp
+++ b/tests/cut_answer_test.cpp
@@ -2,8 +2,8 @@
 // License: BSD 2-Clause, see LICENSE.
 
 /// @file
-/// Answers of backend servers that end early: a caller never gets a part of a body in a form that says that it
-/// is the whole, and never a promise.
+/// Answers of backend servers that end early: a caller never gets a part of a body in a form that says that
+/// it is the whole, and never a promise.
 
 #include "entry_fixture.h"
 
