Keep the same one of two changes of a block at all nodes, and tell a node that has missed the newer

Cause: two nodes changed its state at the same time, to cleared and to looked_at, with one number; each node kept what it heard first, and nothing repairs a node that hears a newer state of nobody. Change: states have an order (number, then a clearance over a block, then trials); a node that is sent a smaller state than its own answers with its own; a write is repeated where the store has the smaller one.

--- a/src/entry_node/crash_guard.cpp
+++ b/src/entry_node/crash_guard.cpp
@@ -229,10 +229,16 @@
 	}
 	else if (const auto* update = std::get_if<block_update>(&_message))
 	{
-		if (apply_block(update->block) && update->forwards_changes)
+		const bool is_new = apply_block(update->block);
+		if (is_new && update->forwards_changes)
 		{
 			send_to_region(update->block);
 		}
+		const request_block* known = m_blocked.known(update->block.request);
+		if (!is_new && nullptr != known && update->block < *known)
+		{
+			send(block_update{*known, false}, {_sender_ip}); // The sender has missed the newer state.
+		}
 	}
 	else if (const auto* asked = std::get_if<trial_request>(&_message))
 	{
--- a/src/entry_node/crash_guard_blocks.cpp
+++ b/src/entry_node/crash_guard_blocks.cpp
@@ -185,11 +185,13 @@
 void crash_guard::on_block(const request_block& _block)
 {
 	const auto it = m_unwritten.find(_block.request);
-	if (m_unwritten.end() != it && it->second.number <= _block.number)
+	apply_block(_block);
+	// Where this node keeps a greater state than the store has, its write is repeated.
+	const request_block* known = m_blocked.known(_block.request);
+	if (m_unwritten.end() != it && (nullptr == known || !(_block < *known)))
 	{
 		m_unwritten.erase(it);
 	}
-	apply_block(_block);
 }
 
 void crash_guard::on_block_removed(const request_fingerprint& _request)
--- a/src/steering/blocked_requests.cpp
+++ b/src/steering/blocked_requests.cpp
@@ -4,13 +4,23 @@
 #include "steering/blocked_requests_p.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace larkrack
 {
+bool operator<(const request_block& _left, const request_block& _right)
+{
+	const auto rank = [](const request_block& _block)
+	{
+		return std::make_tuple(_block.number, !_block.blocked, _block.trials, _block.versions);
+	};
+	return rank(_left) < rank(_right);
+}
+
 bool blocked_requests::take(const request_block& _block, steady_time _now)
 {
 	const auto [it, is_new] = m_entries.try_emplace(_block.request);
-	if (!is_new && it->second.block.number >= _block.number)
+	if (!is_new && !(it->second.block < _block))
 	{
 		return false;
 	}
--- a/src/steering/blocked_requests_p.h
+++ b/src/steering/blocked_requests_p.h
@@ -58,6 +58,11 @@
 	std::uint32_t versions = 0;  ///< Hash of the versions that were running at the last trial.
 };
 
+/// Order of the states of one request: of two, every node keeps the greater one. Two nodes may change a state
+/// at the same time and give both changes one number; then a clearance, by which a backend server has served
+/// the request, outranks a block, and more trials outrank fewer.
+bool operator<(const request_block& _left, const request_block& _right);
+
 /// What a node does with a request.
 enum class block_decision
 {
--- a/tests/steering_crash_test.cpp
+++ b/tests/steering_crash_test.cpp
@@ -53,6 +53,7 @@
 	CPPUNIT_TEST(blocked_request_gets_another_trial_only_after_a_release);
 	CPPUNIT_TEST(trial_that_reached_no_server_may_be_repeated);
 	CPPUNIT_TEST(change_that_is_older_is_ignored);
+	CPPUNIT_TEST(changes_with_one_number_leave_the_same_state_in_any_order);
 	CPPUNIT_TEST(block_for_any_caller_holds_for_each);
 	CPPUNIT_TEST(block_of_a_request_that_stays_away_expires);
 	CPPUNIT_TEST(many_blocks_are_remembered_up_to_the_maximum_and_the_oldest_are_evicted);
@@ -207,6 +208,27 @@
 		CPPUNIT_ASSERT_EQUAL(std::size_t(1), blocked.size());
 	}
 
+	/// Guards against an innocent request that stays blocked at some nodes, since they heard of a trial
+	/// before they heard of the clearance that another node decided at the same time.
+	void changes_with_one_number_leave_the_same_state_in_any_order()
+	{
+		request_block cleared = block_of(2);
+		cleared.blocked = false;
+		request_block tried = block_of(2);
+		tried.trials = 1;
+		blocked_requests first;
+		blocked_requests second;
+		first.take(cleared, k_begin);
+		CPPUNIT_ASSERT(!first.take(tried, k_begin));
+		second.take(tried, k_begin);
+		CPPUNIT_ASSERT(second.take(cleared, k_begin));
+		CPPUNIT_ASSERT(block_decision::open == first.decide(request_of(1), 7, k_begin));
+		CPPUNIT_ASSERT(block_decision::open == second.decide(request_of(1), 7, k_begin));
+		request_block tried_twice = tried;
+		tried_twice.trials = 2;
+		CPPUNIT_ASSERT(tried < tried_twice && tried_twice < cleared && cleared < block_of(3));
+	}
+
 	void block_for_any_caller_holds_for_each()
 	{
 		blocked_requests blocked;
