Hold the end of an answer over a relay in a test, and let a result of a fixture be moved

Change: one const less; answer_without_a_length_keeps_its_end_over_a_relay. It passes with the code as it is, and was not seen red.

--- a/tests/relay_refusal_test.cpp
+++ b/tests/relay_refusal_test.cpp
@@ -37,6 +37,7 @@
 	CPPUNIT_TEST(not_run_with_the_rejection_of_a_server_is_believed);
 	CPPUNIT_TEST(refusal_of_a_server_without_the_mark_promises_nothing);
 	CPPUNIT_TEST(result_of_another_request_is_a_lost_request);
+	CPPUNIT_TEST(answer_without_a_length_keeps_its_end_over_a_relay);
 	CPPUNIT_TEST_SUITE_END();
 
 protected:
@@ -87,7 +88,7 @@
 		relay_connections connections(*m_context);
 		connections.port = relay.address().port();
 		exchange_over(connections);
-		const exchange_result end = exchange_over(connections);
+		exchange_result end = exchange_over(connections);
 		CPPUNIT_ASSERT_EQUAL(1, relay.connections);
 		CPPUNIT_ASSERT(end.on_kept_connection);
 		return end;
@@ -212,6 +213,19 @@
 		CPPUNIT_ASSERT(exchange_outcome::not_sent == end_with(unsent).end);
 	}
 
+	/// Guards against a body that its backend server broke off, which a relay makes whole.
+	void answer_without_a_length_keeps_its_end_over_a_relay()
+	{
+		for (const response_framing framing : {response_framing::by_length, response_framing::by_close})
+		{
+			relay_result result = result_of(exchange_outcome::answered, 200, false);
+			result.result.framing = framing;
+			const exchange_result end = end_with(result);
+			CPPUNIT_ASSERT(exchange_outcome::answered == end.end);
+			CPPUNIT_ASSERT(framing == end.framing);
+		}
+	}
+
 	int m_exchanges_made = 0;
 	counting_relay_listener m_listener_of_relays;
 };
