Pass on answers without a length as such in larkrackd, too

Change: such an answer goes on without a length and ends with the caller's connection, over another entry VM as well; when it is reset, the caller's connection is reset, since a usual close would make the part look whole. A connection whose answer ended with it isn't kept.

--- a/src/base/http_p.h
+++ b/src/base/http_p.h
@@ -76,6 +76,13 @@
 void sleep_for(
     const asio::any_io_executor& _executor, std::chrono::microseconds _time, const yield_context& _yield);
 
+/// How the receiver of a streamed response knows the end of its body.
+enum class body_end
+{
+	framed,   ///< By Content-Length or by chunks.
+	by_close, ///< By the end of the connection.
+};
+
 /// Server side of one connection from a caller.
 class http_session
 {
@@ -102,9 +109,10 @@
 	/// Sends the response to a HEAD request: headers only, with Content-Length as the caller of this method
 	/// set it.
 	bool send_head_only(http_response& _response, const yield_context& _yield);
-	/// Sends the headers of a streamed response, which uses chunked encoding unless Content-Length is set.
+	/// Sends the headers of a streamed response. A framed one uses chunked encoding unless Content-Length is
+	/// set; one that ends with the connection is the last on it.
 	/// @param[in] _head Must stay valid until send_end().
-	bool send_head(http::response<http::buffer_body>& _head, const yield_context& _yield);
+	bool send_head(http::response<http::buffer_body>& _head, body_end _body, const yield_context& _yield);
 	/// Sends a part of the body of a streamed response.
 	bool send_piece(const char* _data, std::size_t _size, const yield_context& _yield);
 	/// Completes a streamed response.
@@ -113,6 +121,8 @@
 	bool peer_has_closed();
 	/// Closes the connection immediately.
 	void close();
+	/// Ends the connection in the middle of a streamed response, so that it does not look complete.
+	void break_off();
 	/// Makes the next response the last one on this connection (`Connection: close`).
 	void close_after_response()
 	{
@@ -140,6 +150,7 @@
 	beast::flat_buffer m_buffer;
 	tcp::endpoint m_peer;
 	bool m_keep_alive = true;
+	body_end m_body_end = body_end::framed; ///< Of the streamed response that is being sent.
 	bool m_check_headers = true;
 	std::size_t m_requests = 0;
 	http::response<http::buffer_body>* m_head = nullptr;
--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -181,10 +181,13 @@
 	return !failure;
 }
 
-bool http_session::send_head(http::response<http::buffer_body>& _head, const yield_context& _yield)
+bool http_session::send_head(
+    http::response<http::buffer_body>& _head, body_end _body, const yield_context& _yield)
 {
+	m_body_end = _body;
+	m_keep_alive = m_keep_alive && body_end::framed == _body;
 	_head.keep_alive(m_keep_alive);
-	if (!_head.has_content_length())
+	if (body_end::framed == _body && !_head.has_content_length())
 	{
 		_head.chunked(true);
 	}
@@ -242,6 +245,20 @@
 	m_stream.close();
 }
 
+void http_session::break_off()
+{
+	if (body_end::framed == m_body_end)
+	{
+		close();
+		return;
+	}
+	// After a usual close the part that was sent would pass for the whole.
+	m_keep_alive = false;
+	boost::system::error_code ignored; // Fails when the peer has already closed the connection.
+	m_stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+	m_stream.close();
+}
+
 http_server::http_server(asio::io_context& _context, http_handler _handler, std::size_t _limit)
     : m_context(_context), m_acceptor(_context),
       m_handler(std::make_shared<http_handler>(std::move(_handler))), m_limit(_limit),
--- a/src/larkrackd/carrier_deliver.cpp
+++ b/src/larkrackd/carrier_deliver.cpp
@@ -135,10 +135,10 @@
 	_queue->notify();
 }
 
-bool carrier::send_pieces(http_session& _session, http::response<http::buffer_body>& _head,
+bool carrier::send_pieces(http_session& _session, http::response<http::buffer_body>& _head, body_end _body,
     read_ahead& _queue, const yield_context& _yield)
 {
-	bool open = _session.send_head(_head, _yield);
+	bool open = _session.send_head(_head, _body, _yield);
 	while (open && !(_queue.pieces.empty() && (_queue.done || _queue.failed)))
 	{
 		if (_queue.pieces.empty())
@@ -171,6 +171,7 @@
 	{
 		head.content_length(*length);
 	}
+	const body_end body = _up->parser.need_eof() ? body_end::by_close : body_end::framed;
 	const std::size_t ahead = m_settings.read_ahead ? k_max_read_ahead : k_piece;
 	auto queue = std::make_shared<read_ahead>(m_context);
 	start(m_context,
@@ -178,12 +179,12 @@
 	    {
 		    read_pieces(up, queue, ahead, _inner);
 	    });
-	const bool open = send_pieces(_session, head, *queue, _yield);
+	const bool open = send_pieces(_session, head, body, *queue, _yield);
 	if (!open || queue->failed)
 	{
-		// The caller already got a part of the response; closing the connection is the only way to signal
+		// The caller already got a part of the response; the end of the connection is the only way to signal
 		// that the response is incomplete.
-		_session.close();
+		_session.break_off();
 		if (_up->connection)
 		{
 			_up->connection->stream.cancel();
--- a/src/larkrackd/carrier_p.h
+++ b/src/larkrackd/carrier_p.h
@@ -140,8 +140,8 @@
 	    std::size_t _ahead, const yield_context& _yield);
 	/// Sends the head, then the pieces that read_pieces() queues; stops the reading when the caller is gone.
 	/// @returns Whether the caller's connection is still usable.
-	bool send_pieces(http_session& _session, http::response<http::buffer_body>& _head, read_ahead& _queue,
-	    const yield_context& _yield);
+	bool send_pieces(http_session& _session, http::response<http::buffer_body>& _head, body_end _body,
+	    read_ahead& _queue, const yield_context& _yield);
 	void set_answer_head(const proxied_request& _call, const upstream& _up, http::fields& _fields) const;
 	void finish(upstream& _up, exchange_status _end);
 	void abandon(const std::shared_ptr<upstream>& _up);
--- a/src/larkrackd/carrier_upstream.cpp
+++ b/src/larkrackd/carrier_upstream.cpp
@@ -122,7 +122,7 @@
 	{
 		m_gate.release(*_up.slot, _end, m_clock.steady());
 	}
-	if (exchange_status::completed == _end && _up.parser.is_done() && _up.parser.get().keep_alive())
+	if (exchange_status::completed == _end && _up.parser.is_done() && _up.parser.keep_alive())
 	{
 		m_pool.give(_up.where, std::move(_up.connection));
 	}
--- a/src/larkrackd/operators_views.cpp
+++ b/src/larkrackd/operators_views.cpp
@@ -212,7 +212,7 @@
 {
 	http::response<http::buffer_body> head(http::status::ok, 11);
 	head.set(http::field::content_type, "application/x-ndjson");
-	bool open = _session.send_head(head, _yield);
+	bool open = _session.send_head(head, body_end::framed, _yield);
 	std::string last;
 	while (open && !m_stopping && !_session.peer_has_closed())
 	{
--- a/src/testing/fake_backend.cpp
+++ b/src/testing/fake_backend.cpp
@@ -214,7 +214,7 @@
 	{
 		finish_run(_run);
 	}
-	open = _session.send_head(head, _yield);
+	open = _session.send_head(head, body_end::framed, _yield);
 	while (open && sent < size && !_run->cancelled)
 	{
 		const std::size_t part = std::min<std::uint64_t>(piece.size(), size - sent);
--- a/src/testing/fake_platform.cpp
+++ b/src/testing/fake_platform.cpp
@@ -221,7 +221,7 @@
 	next = 0 == next ? m_engine.revision() + 1 : next;
 	const std::uint64_t epoch = m_epoch;
 	http::response<http::buffer_body> head(http::status::ok, 11);
-	bool open = _session.send_head(head, _yield);
+	bool open = _session.send_head(head, body_end::framed, _yield);
 	const std::string created =
 	    nlohmann::json({{"result", {{"header", header()}, {"created", true}}}}).dump() + "\n";
 	open = open && _session.send_piece(created.data(), created.size(), _yield);
--- a/tests/carrier_test.cpp
+++ b/tests/carrier_test.cpp
@@ -32,6 +32,9 @@
 	CPPUNIT_TEST(payment_when_grant_forged_is_refused);
 	CPPUNIT_TEST(lookup_when_asked_names_entry_vm_and_grant);
 	CPPUNIT_TEST(caller_when_gone_frees_the_slot);
+	CPPUNIT_TEST(answer_without_length_when_backend_closes_is_not_framed_as_whole);
+	CPPUNIT_TEST(answer_without_length_when_relayed_and_backend_closes_is_not_framed_as_whole);
+	CPPUNIT_TEST(answer_without_length_when_reset_does_not_look_whole);
 	CPPUNIT_TEST_SUITE_END();
 
 	/// One entry VM without its control thread; the test publishes the traffic_view.
@@ -93,6 +96,35 @@
 private:
 	/// Publishes a view in which region east serves all traffic and east-1 owns the backend server.
 	void publish(incarnation _incarnation)
+	{
+		publish(_incarnation, m_backend->port());
+	}
+
+	/// How the connection of a scripted backend server ends.
+	enum class ending
+	{
+		close,
+		reset,
+	};
+
+	/// Puts a backend server in place that answers each request with these bytes and ends the connection.
+	void use_scripted_backend(const std::string& _bytes, ending _ending)
+	{
+		m_scripted = std::make_unique<http_server>(m_context,
+		    [this, _bytes, _ending](http_session& _session, http_request&, const yield_context& _yield)
+		    {
+			    beast::error_code ignored; // The caller may have left.
+			    asio::async_write(_session.stream(), asio::buffer(_bytes), _yield[ignored]);
+			    sleep_for(m_context.get_executor(), std::chrono::milliseconds(50), _yield);
+			    _session.stream().socket().set_option(
+			        asio::socket_base::linger(ending::reset == _ending, 0), ignored);
+			    _session.stream().socket().close(ignored);
+		    });
+		m_scripted->listen({"127.0.0.1", 0});
+		publish({1}, m_scripted->port());
+	}
+
+	void publish(incarnation _incarnation, std::uint16_t _backend_port)
 	{
 		config_state state = small_configuration();
 		put(state, "steering/shop", {{"shares", {{"east", 1.0}}}});
@@ -124,7 +156,7 @@
 		backend_grant grant;
 		grant.name = "shop-east";
 		grant.service = "shop";
-		grant.address = {"127.0.0.1", m_backend->port()};
+		grant.address = {"127.0.0.1", _backend_port};
 		grant.slots = 2;
 		grant.owned = true;
 		m_east->slots().update({grant}, 1.0, clock_system().steady());
@@ -191,6 +223,7 @@
 	asio::io_context m_context{1};
 	history_writer m_runs{""};
 	std::unique_ptr<fake_backend> m_backend;
+	std::unique_ptr<http_server> m_scripted;
 	std::unique_ptr<entry_vm_fixture> m_east;
 	std::unique_ptr<entry_vm_fixture> m_west;
 
@@ -352,6 +385,33 @@
 		    });
 		CPPUNIT_ASSERT_EQUAL(0, m_backend->counts()["running"].get<int>());
 	}
+
+	static void assert_ends_with_its_connection(const http_response& _answer)
+	{
+		CPPUNIT_ASSERT_EQUAL(std::string("served"), outcome_of(_answer));
+		CPPUNIT_ASSERT_EQUAL(std::string("whole"), _answer.body());
+		CPPUNIT_ASSERT(!_answer.has_content_length() && !_answer.chunked() && !_answer.keep_alive());
+	}
+
+	/// Guards against a body that its backend server broke off, passed on in chunks that make it whole.
+	void answer_without_length_when_backend_closes_is_not_framed_as_whole()
+	{
+		use_scripted_backend("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole", ending::close);
+		assert_ends_with_its_connection(call(*m_east, http::verb::get, "/shop/page"));
+	}
+
+	void answer_without_length_when_relayed_and_backend_closes_is_not_framed_as_whole()
+	{
+		use_scripted_backend("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole", ending::close);
+		assert_ends_with_its_connection(call(*m_west, http::verb::get, "/shop/page"));
+	}
+
+	void answer_without_length_when_reset_does_not_look_whole()
+	{
+		use_scripted_backend("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole", ending::reset);
+		CPPUNIT_ASSERT_EQUAL(std::string(), outcome_of(call(*m_east, http::verb::get, "/shop/page")));
+		CPPUNIT_ASSERT_EQUAL(std::string(), outcome_of(call(*m_west, http::verb::get, "/shop/page")));
+	}
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(carrier_test);
