Believe in larkrackd that a request was not run only of a refusal of its own

Callers saw: nothing yet; by the tests, not_run for an order that a backend server answered with 200 and the not-run mark, or for which the answer to another request came. Cause: Larkrack-Shed was believed at any status and whatever request the answer named. Change: the mark proves that a request was not run beside a status of 400 or more, in an answer that names no other request; its servers reject with 409, 503 and 504 and without an id. Else the outcome is unknown, and the run is cancelled. Evidence: carrier_test, two tests fail with the rule of before (not_run) and pass now; 21 passed.

--- a/src/larkrackd/carrier_upstream.cpp
+++ b/src/larkrackd/carrier_upstream.cpp
@@ -36,6 +36,27 @@
 	}
 	return reason::none;
 }
+
+/// Meaning of the not-run mark in an answer of a backend server.
+enum class shed_mark
+{
+	none,        ///< There is no mark.
+	proves_shed, ///< The request was not run.
+	contradicts, ///< The mark stands beside a success, or in an answer to another request: it proves nothing.
+};
+
+shed_mark shed_mark_of(const http::fields& _head, http::status _status, const std::string& _id)
+{
+	if ("1" != header_of(_head, k_header_shed))
+	{
+		return shed_mark::none;
+	}
+	const std::string id = header_of(_head, k_header_request_id);
+	const bool own = id.empty() || _id == id;
+	const http::status_class kind = http::to_status_class(_status);
+	const bool refuses = http::status_class::client_error == kind || http::status_class::server_error == kind;
+	return own && refuses ? shed_mark::proves_shed : shed_mark::contradicts;
+}
 } // namespace
 
 http_request carrier::make_backend_request(
@@ -208,10 +229,16 @@
 		}
 		return end;
 	}
-	if ("1" == header_of(up->parser.get(), k_header_shed))
+	switch (shed_mark_of(up->parser.get(), up->parser.get().result(), _call.id))
 	{
+	case shed_mark::proves_shed:
 		finish(*up, exchange_status::shed);
 		return refused_result(reason::shed);
+	case shed_mark::contradicts:
+		abandon(up);
+		return unknown_result(reason::lost_answer);
+	case shed_mark::none:
+		break;
 	}
 	proxied_result end;
 	end.result = outcome::served;
--- a/tests/carrier_test.cpp
+++ b/tests/carrier_test.cpp
@@ -35,6 +35,8 @@
 	CPPUNIT_TEST(answer_without_length_when_backend_closes_is_not_framed_as_whole);
 	CPPUNIT_TEST(answer_without_length_when_relayed_and_backend_closes_is_not_framed_as_whole);
 	CPPUNIT_TEST(answer_without_length_when_reset_does_not_look_whole);
+	CPPUNIT_TEST(order_when_shed_mark_stands_beside_success_is_unknown);
+	CPPUNIT_TEST(order_when_shed_mark_is_of_another_request_is_unknown);
 	CPPUNIT_TEST_SUITE_END();
 
 	/// One entry VM without its control thread; the test publishes the traffic_view.
@@ -412,6 +414,24 @@
 		CPPUNIT_ASSERT_EQUAL(std::string(), outcome_of(call(*m_east, http::verb::get, "/shop/page")));
 		CPPUNIT_ASSERT_EQUAL(std::string(), outcome_of(call(*m_west, http::verb::get, "/shop/page")));
 	}
+
+	/// Guards against an order that ran and is said not to have run, since its answer carries the mark.
+	void order_when_shed_mark_stands_beside_success_is_unknown()
+	{
+		use_scripted_backend(
+		    "HTTP/1.1 200 OK\r\nLarkrack-Shed: 1\r\nContent-Length: 0\r\n\r\n", ending::close);
+		const http_response answer = call(*m_east, http::verb::post, "/shop/pay", "own key", true);
+		CPPUNIT_ASSERT_EQUAL(std::string("unknown"), outcome_of(answer));
+	}
+
+	void order_when_shed_mark_is_of_another_request_is_unknown()
+	{
+		use_scripted_backend("HTTP/1.1 503 No\r\nLarkrack-Shed: 1\r\nLarkrack-Request-Id: other\r\n"
+		                     "Content-Length: 0\r\n\r\n",
+		    ending::close);
+		const http_response answer = call(*m_east, http::verb::post, "/shop/pay", "own key", true);
+		CPPUNIT_ASSERT_EQUAL(std::string("unknown"), outcome_of(answer));
+	}
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(carrier_test);
