--- a/src/larkrackd/carrier_upstream.cpp
+++ b/src/larkrackd/carrier_upstream.cpp
@@ -45,7 +45,8 @@
 	contradicts, ///< The mark stands beside a success, or in an answer to another request: it proves nothing.
 };
 
-shed_mark shed_mark_of(const http::fields& _head, http::status _status, const std::string& _id)
+/// @param[in] _id Id of the request that was sent.
+shed_mark shed_mark_of(const http::response_header<>& _head, const std::string& _id)
 {
 	if ("1" != header_of(_head, k_header_shed))
 	{
@@ -53,7 +54,7 @@
 	}
 	const std::string id = header_of(_head, k_header_request_id);
 	const bool own = id.empty() || _id == id;
-	const http::status_class kind = http::to_status_class(_status);
+	const http::status_class kind = http::to_status_class(_head.result());
 	const bool refuses = http::status_class::client_error == kind || http::status_class::server_error == kind;
 	return own && refuses ? shed_mark::proves_shed : shed_mark::contradicts;
 }
@@ -229,7 +230,7 @@
 		}
 		return end;
 	}
-	switch (shed_mark_of(up->parser.get(), up->parser.get().result(), _call.id))
+	switch (shed_mark_of(up->parser.get(), _call.id))
 	{
 	case shed_mark::proves_shed:
 		finish(*up, exchange_status::shed);
