Put the new fields of attempt_failed behind the known ones

Callers of the log saw: 1902 had attempt and connection between why and busy since, where readers by position expect busy. Change: attempt, connection and relay_status come last; the form test holds the line with them.

--- a/src/entry_node/forwarded_request_attempts.cpp
+++ b/src/entry_node/forwarded_request_attempts.cpp
@@ -449,8 +449,6 @@
 	    .text("service", m_service.text)
 	    .text("backend", _backend.registered.id.text)
 	    .text("why", _result.detail)
-	    .number("attempt", m_attempts)
-	    .text("connection", _result.on_kept_connection ? "kept" : "new")
 	    .decimal("busy", _backend.estimated_load(m_context.clock.steady()))
 	    .number("ms", to_ms(m_context.clock.steady() - m_sent_at).count());
 	if (_result.marks)
@@ -461,6 +459,7 @@
 	{
 		line.text("relay", m_relay);
 	}
+	line.number("attempt", m_attempts).text("connection", _result.on_kept_connection ? "kept" : "new");
 	if (0 != _result.relay_status)
 	{
 		line.number("relay_status", _result.relay_status);
--- a/tests/forms/backend_request_form_test.cpp
+++ b/tests/forms/backend_request_form_test.cpp
@@ -277,7 +277,7 @@
 		CPPUNIT_ASSERT_EQUAL(
 		    std::string(R"({"t_us":0,"node":"n\"1\\\u000a","event":1902,"name":"attempt_failed","id":"r1",)"
 		                R"("service":"shop","backend":"b1","why":"shed","busy":3.000,"ms":0,)"
-		                R"("answer":"503+id+not_run"})"),
+		                R"("answer":"503+id+not_run","attempt":1,"connection":"new"})"),
 		    lines[0]);
 		CPPUNIT_ASSERT_EQUAL(
 		    std::string(R"({"t_us":0,"node":"n\"1\\\u000a","event":1901,"name":"request_ended","id":"r1",)"
