End no body by a piece without bytes, and cut larkrackd's answers at every byte in a test

Callers saw (reports of other operators: answers cut in their head): a backend server answers in chunks and closes right behind its head or between two chunks; callers of larkrackd got 200 with an empty or short body and a last chunk, framed as whole. Cause: the read that failed queued a piece of no bytes, and an empty piece is written as the last chunk. Change: http_session::send_piece() writes nothing for a piece without bytes, whoever sends it; only send_end() ends a body. Evidence: carrier_test::answer_in_chunks_when_cut_anywhere_is_never_whole fails without it at byte 46, the end of the head; 23 passed now. It cuts at each byte by close and by reset, directly and over another entry VM; answer_with_length_... passed before, too.

--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -203,6 +203,10 @@
 
 bool http_session::send_piece(const char* _data, std::size_t _size, const yield_context& _yield)
 {
+	if (0 == _size)
+	{
+		return true; // An empty chunk would end the body.
+	}
 	m_head->body().data = const_cast<char*>(_data);
 	m_head->body().size = _size;
 	m_head->body().more = true;
--- a/tests/carrier_test.cpp
+++ b/tests/carrier_test.cpp
@@ -35,6 +35,8 @@
 	CPPUNIT_TEST(answer_without_length_when_backend_closes_is_not_framed_as_whole);
 	CPPUNIT_TEST(answer_without_length_when_relayed_and_backend_closes_is_not_framed_as_whole);
 	CPPUNIT_TEST(answer_without_length_when_reset_does_not_look_whole);
+	CPPUNIT_TEST(answer_with_length_when_cut_anywhere_is_never_whole);
+	CPPUNIT_TEST(answer_in_chunks_when_cut_anywhere_is_never_whole);
 	CPPUNIT_TEST(order_when_shed_mark_stands_beside_success_is_unknown);
 	CPPUNIT_TEST(order_when_shed_mark_is_of_another_request_is_unknown);
 	CPPUNIT_TEST_SUITE_END();
@@ -109,15 +111,24 @@
 		reset,
 	};
 
-	/// Puts a backend server in place that answers each request with these bytes and ends the connection.
-	void use_scripted_backend(const std::string& _bytes, ending _ending)
+	/// Puts a backend server in place that answers each request with these bytes and ends the connection; it
+	/// confirms each cancellation.
+	void use_scripted_backend(const std::string& _bytes, ending _ending,
+	    std::chrono::milliseconds _pause = std::chrono::milliseconds(50))
 	{
 		m_scripted = std::make_unique<http_server>(m_context,
-		    [this, _bytes, _ending](http_session& _session, http_request&, const yield_context& _yield)
+		    [this, _bytes, _ending, _pause](
+		        http_session& _session, http_request& _request, const yield_context& _yield)
 		    {
+			    if (http::verb::delete_ == _request.method())
+			    {
+				    http_response confirmed = make_json(http::status::ok, "{}");
+				    _session.send(confirmed, _yield);
+				    return;
+			    }
 			    beast::error_code ignored; // The caller may have left.
 			    asio::async_write(_session.stream(), asio::buffer(_bytes), _yield[ignored]);
-			    sleep_for(m_context.get_executor(), std::chrono::milliseconds(50), _yield);
+			    sleep_for(m_context.get_executor(), _pause, _yield);
 			    _session.stream().socket().set_option(
 			        asio::socket_base::linger(ending::reset == _ending, 0), ignored);
 			    _session.stream().socket().close(ignored);
@@ -417,6 +428,40 @@
 		}
 	}
 
+	/// Asserts that no caller gets a part of an answer that looks whole, directly and over a relay.
+	void assert_never_whole_when_cut(const std::string& _whole)
+	{
+		for (std::size_t size = 0; size < _whole.size(); ++size)
+		{
+			for (const ending how : {ending::close, ending::reset})
+			{
+				use_scripted_backend(_whole.substr(0, size), how, std::chrono::milliseconds(0));
+				for (entry_vm_fixture* one : {m_east.get(), m_west.get()})
+				{
+					const std::string outcome = outcome_of(call(*one, http::verb::post, "/shop/pay"));
+					CPPUNIT_ASSERT_MESSAGE(std::to_string(size) + outcome, "served" != outcome);
+					CPPUNIT_ASSERT_MESSAGE(std::to_string(size) + outcome, "not_run" != outcome);
+					run_until(m_context,
+					    [&]
+					    {
+						    return 0 == m_east->slots().running("shop-east");
+					    });
+				}
+			}
+		}
+	}
+
+	void answer_with_length_when_cut_anywhere_is_never_whole()
+	{
+		assert_never_whole_when_cut("HTTP/1.1 200 X\r\nContent-Length: 12\r\n\r\nwhole answer");
+	}
+
+	void answer_in_chunks_when_cut_anywhere_is_never_whole()
+	{
+		assert_never_whole_when_cut(
+		    "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n");
+	}
+
 	/// Guards against an order that ran and is said not to have run, since its answer carries the mark.
 	void order_when_shed_mark_stands_beside_success_is_unknown()
 	{
