--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -226,6 +226,16 @@
         if self.running():
             self.process.send_signal(signal.SIGKILL)
 
+    def terminate(self, grace_s):
+        """Stops the process as the platform does: SIGTERM, and SIGKILL when the time of grace is over."""
+        self.process.send_signal(signal.SIGTERM)
+        asyncio.get_running_loop().call_later(grace_s, kill_process, self.process)
+
+
+def kill_process(process):
+    if process.returncode is None:
+        process.send_signal(signal.SIGKILL)
+
 
 def resident_mb(pid):
     """Returns the resident memory of a process."""
