--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -200,6 +200,8 @@
                 self.process = await asyncio.create_subprocess_exec(
                     PROGRAM, stdout=log, stderr=log, env=environment, cwd=ROOT
                 )
+                if self.rig.over:
+                    self.kill()
                 code = await self.process.wait()
                 if not self.rig.over:
                     self.rig.record.write("%s ended with %d" % (self.name, code))
@@ -256,6 +258,7 @@
         self.store = kv_store.KvStore(self.random)
         self.nodes = []
         self.backends = []
+        self.runs = []
         self.tasks = []
         self.over = False
         self.work_s = 0.1
@@ -276,8 +279,7 @@
             await self.backends[-1].start()
         for number, zone in enumerate(node_zones, 1):
             self.nodes.append(Node(self, "edge-%s-%d" % (zone, number), zone, "127.76.%d.1" % number, memory_mb))
-        for one in self.nodes:
-            self.spawn(one.run())
+        self.runs = [self.spawn(one.run()) for one in self.nodes]
         self.spawn(self.store.expire_leases())
         for one in self.nodes:
             await self.wait_ready(one)
@@ -336,9 +338,7 @@
         self.over = True
         for one in self.nodes:
             one.kill()
-        for one in self.nodes:
-            if one.process is not None:
-                await one.process.wait()
+        await asyncio.gather(*self.runs)  # Each ends with its process, also with one that is just being started.
         for task in self.tasks:
             task.cancel()
         if os.environ.get("KEEP"):
