--- a/review/rig-3/rig.py
+++ b/review/rig-3/rig.py
@@ -8,8 +8,9 @@
 import base64
 import json
 import os
-import signal
+import random
 import shutil
+import signal
 import socket
 import sys
 import tempfile
@@ -42,19 +43,15 @@
         self.file.flush()
 
 
-def free_port(ip):
-    with socket.socket() as one:
-        one.bind((ip, 0))
-        return one.getsockname()[1]
-
-
-def free_udp_port(ips):
+def free_port(ips):
+    """Returns a port that is free for TCP and UDP at all addresses, below those that the system gives to clients."""
     while True:
-        port = free_port(ips[0])
+        port = random.randrange(10000, 30000)
         try:
             for ip in ips:
-                with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as one:
-                    one.bind((ip, port))
+                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                    with socket.socket(socket.AF_INET, kind) as one:
+                        one.bind((ip, port))
             return port
         except OSError:
             continue
@@ -282,7 +279,7 @@
 
 
 class Node:
-    """One entry node: a process with the command of the deploy file, started again when it ends, as the platform does."""
+    """One entry node: a process with the command of the deploy file; the platform starts it again when it ends."""
 
     def __init__(self, rig, number, zone):
         self.rig, self.name, self.zone = rig, "edge-%s-%d" % (zone, number), zone
@@ -299,7 +296,7 @@
         self.folder = os.path.join(self.rig.folder, self.name)
         os.makedirs(self.folder, exist_ok=True)
         uses = ("callers", "readiness", "lookups", "metrics")
-        self.ports = {use: free_port(self.ip) for use in uses}
+        self.ports = {use: free_port([self.ip]) for use in uses}
         self.ports["peers"] = self.rig.peer_port
         listen = {use: "%s:%d" % (self.ip, port) for use, port in self.ports.items()}
         settings = {
@@ -333,9 +330,7 @@
     async def start(self):
         log = open(os.path.join(self.folder, "log.txt"), "ab")
         environment = {"PATH": os.environ.get("PATH", ""), "LARKRACK_CONFIG": self.settings}
-        self.process = await asyncio.create_subprocess_exec(
-            PROGRAM, stdout=log, stderr=log, env=environment, cwd=ROOT
-        )
+        self.process = await asyncio.create_subprocess_exec(PROGRAM, stdout=log, stderr=log, env=environment, cwd=ROOT)
         log.close()
         if self.task is None:
             self.task = asyncio.create_task(self._keep())
@@ -414,8 +409,7 @@
 
     async def start(self, routes, services):
         ips = [one.ip for one in self.nodes]
-        self.peer_port = free_udp_port(ips)
-        self.inner_port = free_udp_port(ips)
+        self.peer_port, self.inner_port = free_port(ips), free_port(ips)
         await self.store.start()
         await self.put_config(7, routes, services)
         for one in self.backends:
@@ -430,7 +424,10 @@
         await asyncio.sleep(2.0)  # Nodes hear of each other.
 
     async def put_config(self, version, routes, services):
-        listed = [{"Name": name, "HealthPath": "/health", "MaxConns": 330, "WarmupS": 3.0, "WarmupPerS": 14.0} for name in services]
+        listed = [
+            {"Name": name, "HealthPath": "/health", "MaxConns": 330, "WarmupS": 3.0, "WarmupPerS": 14.0}
+            for name in services
+        ]
         config = {"Version": "r%d" % version, "Routes": routes, "Services": listed, "Limits": LIMITS}
         await self.store.put("op/config", json.dumps(config).encode())
 
