--- a/review/rig-3/rig.py
+++ b/review/rig-3/rig.py
@@ -453,6 +453,20 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
+async def watch_memory(one):
+    """The platform: kills a process over MemoryMb, which starts again after a short delay."""
+    while True:
+        for node in one.nodes:
+            used = node.memory_mb()
+            node.peak_mb = max(node.peak_mb, used)
+            if used > MEMORY_MB and node.process.returncode is None:
+                one.record.write("%s holds %.0f MB, over MemoryMb %d" % (node.name, used, MEMORY_MB))
+                node.process.kill()
+                node.memory_ends += 1
+                await asyncio.sleep(0.1)
+        await asyncio.sleep(0.02)
+
+
 def route(name, host, prefix, kind, service, timeout_ms=2000):
     return {
         "Name": name,
