--- a/review/rig-3/rig.py
+++ b/review/rig-3/rig.py
@@ -26,11 +26,6 @@
 LIMITS = {"MaxHeaderBytes": 16384, "MaxBodyBytes": 67108864, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}
 
 
-def trouble():
-    """Returns whether the disruption takes place."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 class Record:
     """What was sent, answered and run, in record.txt of a case."""
 
