An empty or doubled signature is none

Fix: read_answer_marks() tells an odd signature, and judge_answer(), which judges own and relayed answers, wants exactly one that is not empty for a success. A 421 with an odd signature stays no proof that the request has not run.

--- a/src/entry_node/answer_words.cpp
+++ b/src/entry_node/answer_words.cpp
@@ -91,7 +91,10 @@
 		marks.id = own ? answer_id::own : answer_id::other;
 	}
 	marks.not_run = _head.end() != _head.find(_names.not_run);
-	marks.has_signature = _head.end() != _head.find(_names.signature);
+	const auto signatures = _head.equal_range(_names.signature);
+	marks.has_signature = signatures.first != signatures.second;
+	marks.odd_signature = marks.has_signature && (signatures.first->value().empty() ||
+	                                                 std::next(signatures.first) != signatures.second);
 	marks.whole_request = _whole_request;
 	return marks;
 }
--- a/src/steering/answer_marks.cpp
+++ b/src/steering/answer_marks.cpp
@@ -28,6 +28,7 @@
 	}
 	text += _marks.not_run ? "+not_run" : "";
 	text += _marks.has_signature ? "+signature" : "";
+	text += _marks.odd_signature ? "+odd_signature" : "";
 	text += _marks.whole_request ? "" : "+early";
 	return text;
 }
--- a/src/steering/answer_marks_p.h
+++ b/src/steering/answer_marks_p.h
@@ -42,6 +42,7 @@
 	bool not_run = false;       ///< It has the header of a request that was not run.
 	bool has_signature = false; ///< It has the signature of the backend server that ran the request.
 	bool whole_request = false; ///< The request had been written whole before the answer came.
+	bool odd_signature = false; ///< The signature is empty, or stands there more than once.
 };
 
 /// @returns The marks as one word for the log, such as "503+id+not_run"; "early" stands for an answer that
--- a/src/steering/answer_verdict.cpp
+++ b/src/steering/answer_verdict.cpp
@@ -53,7 +53,8 @@
 		return answer_verdict::rejected;
 	}
 	const bool false_promise = is_promise(_marks.status) && repeat_rule::at_most_once == _repeat;
-	const bool unsigned_success = is_success(_marks.status) && !_marks.has_signature;
+	const bool is_signed = _marks.has_signature && !_marks.odd_signature;
+	const bool unsigned_success = is_success(_marks.status) && !is_signed;
 	return _marks.not_run || false_promise || unsigned_success ? answer_verdict::inconclusive
 	                                                           : answer_verdict::answered;
 }
--- a/src/steering/answer_verdict_p.h
+++ b/src/steering/answer_verdict_p.h
@@ -14,8 +14,11 @@
 /// | own | 421 without a signature | no | rejected |
 /// | own | any other | yes | inconclusive |
 /// | own | 408, 421, 429, 503 | no | inconclusive if it must not run twice, else answered |
+/// | own | 2xx without exactly one signature, not empty | no | inconclusive |
 /// | own | any other | no | answered |
 ///
+/// A signature is opaque: whether it is that of this request or of this backend server can't be told.
+///
 /// A status alone proves nothing, since a backend server gives any status to requests that it has run; only
 /// 421 stands for another server at the address, which runs nothing. The mark beside a success or a server
 /// error contradicts the answer, and is not believed.
--- a/tests/answer_form_test.cpp
+++ b/tests/answer_form_test.cpp
@@ -24,6 +24,7 @@
 	CPPUNIT_TEST(lengths_that_contradict_each_other_are_no_answer);
 	CPPUNIT_TEST(result_of_a_relay_with_an_odd_head_is_refused);
 	CPPUNIT_TEST(success_without_a_signature_is_no_answer);
+	CPPUNIT_TEST(success_with_an_odd_signature_is_no_answer);
 	CPPUNIT_TEST_SUITE_END();
 
 protected:
@@ -141,6 +142,22 @@
 		CPPUNIT_ASSERT_EQUAL(404U,
 		    status_after("HTTP/1.1 404 X\r\nLarkrack-Request-Id: {id}\r\nContent-Length: 4\r\n\r\npage"));
 	}
+	/// Guards against the same page behind something that looks like a signature.
+	void success_with_an_odd_signature_is_no_answer()
+	{
+		const std::string id = "Larkrack-Request-Id: {id}\r\n";
+		const std::string start = "HTTP/1.1 200 OK\r\n" + id;
+		const std::string end = "Content-Length: 4\r\n\r\npage";
+		for (const char* odd : {"Larkrack-Signature:\r\n", "Larkrack-Signature: \t \r\n",
+		         "Larkrack-Signature: s\r\nLarkrack-Signature: t\r\n",
+		         "Larkrack-Signature: s\r\nlarkrack-signature: s\r\n"})
+		{
+			assert_no_answer(start + odd + end);
+		}
+		assert_no_answer("HTTP/1.1 103 X\r\n" + id + "Larkrack-Signature: s\r\n\r\n" + start + end);
+		assert_no_answer(
+		    start + "Transfer-Encoding: chunked\r\n\r\n4\r\npage\r\n0\r\nLarkrack-Signature: s\r\n\r\n");
+	}
 	void result_of_a_relay_with_an_odd_head_is_refused()
 	{
 		const auto decoded = [](unsigned _status, const std::string& _name, const std::string& _value)
--- a/tests/steering_answer_verdict_test.cpp
+++ b/tests/steering_answer_verdict_test.cpp
@@ -35,9 +35,10 @@
 		{
 			for (const answer_id id : {answer_id::none, answer_id::own, answer_id::other})
 			{
-				for (int bits = 0; bits < 8; ++bits)
+				for (int bits = 0; bits < 16; ++bits)
 				{
-					_check(answer_marks{status, id, 0 != (bits & 1), 0 != (bits & 2), 0 != (bits & 4)});
+					_check(answer_marks{
+					    status, id, 0 != (bits & 1), 0 != (bits & 2), 0 != (bits & 4), 0 != (bits & 8)});
 				}
 			}
 		}
@@ -82,7 +83,8 @@
 			        to_string(_marks), answer_verdict::answered != once || !is_promise(_marks.status));
 			    const bool is_success = 200 <= _marks.status && _marks.status < 300;
 			    const bool sound = answer_id::own == _marks.id && !_marks.not_run &&
-			                       !is_promise(_marks.status) && (!is_success || _marks.has_signature);
+			                       !is_promise(_marks.status) &&
+			                       (!is_success || (_marks.has_signature && !_marks.odd_signature));
 			    CPPUNIT_ASSERT_EQUAL_MESSAGE(to_string(_marks), sound, answer_verdict::answered == once);
 		    });
 	}
