Silence on a path is judged by the kinds of the requests that wait

Cause: "no response for three mean response times" measures the long requests that are left by the mean of short ones.

Fix: the verdict needs, besides that silence, as many requests that are overdue by their own kind (mean and deviation by route and service; 0.7 of the time until their deadline where nothing is known). Requests that were given up overdue since the last response count, so that a cut shows where all deadlines are short. It can only make fewer verdicts than before.

--- a/src/entry_node/exchange_p.h
+++ b/src/entry_node/exchange_p.h
@@ -13,6 +13,7 @@
 #include "entry_node/report_reader_p.h"
 #include "steering/answer_verdict_p.h"
 #include "steering/memory_ledger_p.h"
+#include "steering/names_p.h"
 #include "steering/promise_ledger_p.h"
 #include "steering/request_fingerprint_p.h"
 
@@ -76,6 +77,7 @@
 	std::string after;  ///< From the end of that line.
 	body_ptr body;      ///< What follows, shared by the attempts; null: nothing.
 	std::string request_id;
+	request_kind kind;               ///< Of which this node has seen the times; empty: those are not known.
 	request_fingerprint fingerprint; ///< Sent to a relay, which reports crashes in place of this node.
 	std::chrono::milliseconds time_left{0};
 	/// Maximum bytes of the headers of its response. A response beyond it is lost, although it has run.
--- a/src/entry_node/forwarded_request_attempts.cpp
+++ b/src/entry_node/forwarded_request_attempts.cpp
@@ -246,6 +246,7 @@
 	    nullptr == m_customer ? customer_name() : m_customer->name, m_body);
 	request.time_left = time_for_backend(m_context.clock.steady());
 	request.request_id = m_request_id;
+	request.kind = request_kind(m_service.text + ' ' + m_route->name);
 	request.max_header_bytes = std::max(k_default_response_header_bytes, m_routes->limits().header_bytes);
 	request.head = http::verb::head == m_request.method();
 	service_steering& steering = m_owner.service_entry(m_service).steering;
--- a/src/entry_node/node_paths.cpp
+++ b/src/entry_node/node_paths.cpp
@@ -53,19 +53,20 @@
 	}
 }
 
-void node_paths::on_exchange_start(const backend_server& _backend)
+path_request node_paths::on_exchange_start(
+    const backend_server& _backend, const request_kind& _kind, steady_time::duration _until_deadline)
 {
-	m_monitor.on_exchange_start(domain_of(_backend), m_clock.steady());
+	return m_monitor.on_exchange_start(domain_of(_backend), _kind, _until_deadline, m_clock.steady());
 }
 
-void node_paths::on_exchange_end(const backend_server& _backend)
+void node_paths::on_exchange_end(const backend_server& _backend, const path_request& _request)
 {
-	m_monitor.on_exchange_end(domain_of(_backend));
+	m_monitor.on_exchange_end(domain_of(_backend), _request, m_clock.steady());
 }
 
-void node_paths::on_response(const backend_server& _backend, steady_time::duration _taken)
+void node_paths::on_response(const backend_server& _backend, path_request& _request, bool _ran)
 {
-	m_monitor.on_response(domain_of(_backend), m_clock.steady(), _taken);
+	m_monitor.on_response(domain_of(_backend), _request, _ran, m_clock.steady());
 }
 
 void node_paths::on_connected(const backend_server& _backend)
--- a/src/entry_node/node_paths_p.h
+++ b/src/entry_node/node_paths_p.h
@@ -34,10 +34,13 @@
 {
 public:
 	virtual ~path_listener_base() = default;
-	virtual void on_exchange_start(const backend_server& _backend) = 0;
-	virtual void on_exchange_end(const backend_server& _backend) = 0;
-	/// @param[in] _taken Time from the request to the response.
-	virtual void on_response(const backend_server& _backend, steady_time::duration _taken) = 0;
+	/// @param[in] _until_deadline Time that the request has.
+	/// @returns What is passed to the following two.
+	virtual path_request on_exchange_start(
+	    const backend_server& _backend, const request_kind& _kind, steady_time::duration _until_deadline) = 0;
+	virtual void on_exchange_end(const backend_server& _backend, const path_request& _request) = 0;
+	/// @param[in] _ran Whether the backend server ran the request.
+	virtual void on_response(const backend_server& _backend, path_request& _request, bool _ran) = 0;
 	virtual void on_connected(const backend_server& _backend) = 0;
 	virtual void on_connect_failed(const backend_server& _backend) = 0;
 };
@@ -100,9 +103,10 @@
 	node_paths(const node_paths&) = delete;
 	node_paths& operator=(const node_paths&) = delete;
 
-	void on_exchange_start(const backend_server& _backend) override;
-	void on_exchange_end(const backend_server& _backend) override;
-	void on_response(const backend_server& _backend, steady_time::duration _taken) override;
+	path_request on_exchange_start(const backend_server& _backend, const request_kind& _kind,
+	    steady_time::duration _until_deadline) override;
+	void on_exchange_end(const backend_server& _backend, const path_request& _request) override;
+	void on_response(const backend_server& _backend, path_request& _request, bool _ran) override;
 	void on_connected(const backend_server& _backend) override;
 	void on_connect_failed(const backend_server& _backend) override;
 	bool sends_directly(const backend_server& _backend, bool _may_try) override;
--- a/src/entry_node/upstream.cpp
+++ b/src/entry_node/upstream.cpp
@@ -154,11 +154,11 @@
 	m_backend->load.in_flight += m_request.relayed ? 0 : _change;
 	if (_change > 0)
 	{
-		m_paths.on_exchange_start(*m_backend);
+		m_path_request = m_paths.on_exchange_start(*m_backend, m_request.kind, m_request.time_left);
 	}
 	else
 	{
-		m_paths.on_exchange_end(*m_backend);
+		m_paths.on_exchange_end(*m_backend, m_path_request);
 	}
 }
 
@@ -404,8 +404,8 @@
 		read(); // An interim response (1xx); the final response follows.
 		return;
 	}
-	m_paths.on_response(*m_backend, m_services.clock.steady() - m_started_at);
 	m_marks = m_marks ? m_marks : marks_of(m_parser->get());
+	m_paths.on_response(*m_backend, m_path_request, answer_verdict::answered == verdict());
 	check_promises(m_parser->get());
 	handle_report(m_parser->get());
 	if (m_cancelled)
--- a/src/entry_node/upstream_p.h
+++ b/src/entry_node/upstream_p.h
@@ -145,6 +145,7 @@
 	steady_time m_connecting_since{};
 	std::optional<steady_time::duration> m_connect_time;
 	steady_time m_started_at{};
+	path_request m_path_request; ///< While it counts as in flight.
 	int m_foreign_responses = 0;
 	int m_interim_responses = 0;
 	std::optional<answer_marks> m_marks; ///< Of the last answer whose head came.
--- a/src/steering/names_p.h
+++ b/src/steering/names_p.h
@@ -52,6 +52,7 @@
 using node_name = text_id<struct node_name_tag>;
 using backend_id = text_id<struct backend_id_tag>; ///< Id of one incarnation of a backend server.
 using request_id = text_id<struct request_id_tag>;
+using request_kind = text_id<struct request_kind_tag>; ///< Requests of similar duration; empty: not known.
 } // namespace larkrack
 
 namespace std
--- a/src/steering/path_monitor.cpp
+++ b/src/steering/path_monitor.cpp
@@ -50,31 +50,73 @@
 	return _now - m_waiting_since > std::max<steady_time::duration>(k_unresponsive_factor * limit(), least);
 }
 
-void path_monitor::on_exchange_start(const domain_name& _domain, steady_time _now)
+void overdue_requests::on_start(const path_request& _request)
 {
+	m_in_flight.insert(_request.overdue_at);
+}
+
+void overdue_requests::on_end(const path_request& _request, steady_time _now)
+{
+	m_in_flight.erase(m_in_flight.find(_request.overdue_at));
+	const bool given_up = !_request.answered && _now >= _request.overdue_at;
+	m_ended += given_up ? 1 : 0;
+}
+
+bool overdue_requests::enough(steady_time _now) const
+{
+	int count = m_ended;
+	for (auto it = m_in_flight.begin(); m_in_flight.end() != it && *it <= _now && count < k_min_unanswered;
+	     ++it)
+	{
+		++count;
+	}
+	return count >= k_min_unanswered;
+}
+
+path_request path_monitor::on_exchange_start(const domain_name& _domain, const request_kind& _kind,
+    steady_time::duration _until_deadline, steady_time _now)
+{
+	const path_request request{_kind, _now, _now + m_times.overdue_after(_kind, _until_deadline)};
 	domain_path& path = m_paths[_domain];
 	if (0 == path.in_flight++)
 	{
 		path.responses.on_first_request(_now);
+		path.overdue.clear_ended();
 	}
 	if (0 == m_in_flight++)
 	{
 		m_all_responses.on_first_request(_now);
+		m_all_overdue.clear_ended();
 	}
+	path.overdue.on_start(request);
+	m_all_overdue.on_start(request);
+	return request;
 }
 
-void path_monitor::on_exchange_end(const domain_name& _domain)
+void path_monitor::on_exchange_end(const domain_name& _domain, const path_request& _request, steady_time _now)
 {
-	--m_paths[_domain].in_flight;
+	domain_path& path = m_paths[_domain];
+	--path.in_flight;
 	--m_in_flight;
+	path.overdue.on_end(_request, _now);
+	m_all_overdue.on_end(_request, _now);
 }
 
-void path_monitor::on_response(const domain_name& _domain, steady_time _now, steady_time::duration _taken)
+void path_monitor::on_response(
+    const domain_name& _domain, path_request& _request, bool _ran, steady_time _now)
 {
+	const steady_time::duration taken = _now - _request.sent_at;
 	domain_path& path = m_paths[_domain];
-	path.responses.on_response(_now, _taken);
+	_request.answered = true;
+	if (_ran)
+	{
+		m_times.add(_request.kind, taken);
+	}
+	path.responses.on_response(_now, taken);
+	path.overdue.clear_ended();
 	path.unresponsive = false;
-	m_all_responses.on_response(_now, _taken);
+	m_all_responses.on_response(_now, taken);
+	m_all_overdue.clear_ended();
 	m_all_unresponsive = false;
 }
 
@@ -139,12 +181,15 @@
 
 void path_monitor::tick(steady_time _now)
 {
-	m_all_unresponsive =
-	    m_all_unresponsive || (m_in_flight >= k_min_unanswered && m_all_responses.unresponsive(_now));
+	const auto lost =
+	    [_now](int _in_flight, const response_silence& _responses, const overdue_requests& _overdue)
+	{
+		return _in_flight >= k_min_unanswered && _responses.unresponsive(_now) && _overdue.enough(_now);
+	};
+	m_all_unresponsive = m_all_unresponsive || lost(m_in_flight, m_all_responses, m_all_overdue);
 	for (auto& [domain, path] : m_paths)
 	{
-		path.unresponsive =
-		    path.unresponsive || (path.in_flight >= k_min_unanswered && path.responses.unresponsive(_now));
+		path.unresponsive = path.unresponsive || lost(path.in_flight, path.responses, path.overdue);
 	}
 }
 
--- a/src/steering/path_monitor_p.h
+++ b/src/steering/path_monitor_p.h
@@ -6,7 +6,8 @@
 /// as opposed to a backend server that is down.
 ///
 /// Inputs: for each failure domain, what this node's own connections show: connections established or failed
-/// (with the backend server), responses, requests in flight; the time (steady clock).
+/// (with the backend server), responses, requests in flight with their kind and deadline; the time (steady
+/// clock).
 ///
 /// Algorithm:
 /// - A failed connection, or requests in flight without any response for longer than usual, make a failure
@@ -20,7 +21,9 @@
 /// - A path is also broken while connections are established but k_min_unanswered requests have gone without
 ///   any response for k_unresponsive_factor times longer than usual, and for k_unresponsive_times mean
 ///   response times: responses may be lost while requests are not. The latter bound holds where requests
-///   become rare. Only a response ends that; one request in each trial_interval() still goes directly.
+///   become rare. Since both are measured on other requests, which may have ceased, as many requests have to
+///   be overdue by the times of their own kind (usual_times). Only a response ends that; one request in each
+///   trial_interval() still goes directly.
 /// - Open connections may work while new ones fail: responses since the first failure show that.
 ///
 /// "Longer than usual" is k_silent_gaps mean intervals between responses, at least k_min_silence and at most
@@ -39,9 +42,7 @@
 /// Relies on its owner to report each event once, and to make the checks.
 #pragma once
 
-#include "steering/names_p.h"
-
-#include "base/clock_p.h"
+#include "steering/usual_times_p.h"
 
 #include <cstdint>
 #include <map>
@@ -113,14 +114,48 @@
 	steady_time::duration m_mean_time{0};
 };
 
+/// A request over a direct connection, as the path monitor sees it.
+struct path_request
+{
+	request_kind kind;
+	steady_time sent_at{};
+	steady_time overdue_at{};
+	bool answered = false; ///< A response of its backend server came.
+};
+
+/// Requests that should have been answered.
+class overdue_requests
+{
+public:
+	void on_start(const path_request& _request);
+	/// @param[in] _now Counts the request on if it is overdue then and was given up without a response.
+	void on_end(const path_request& _request, steady_time _now);
+	/// Forgets requests that were given up.
+	void clear_ended()
+	{
+		m_ended = 0;
+	}
+	/// @returns Whether enough requests are overdue for a verdict.
+	bool enough(steady_time _now) const;
+
+private:
+	std::multiset<steady_time> m_in_flight; ///< When each one is overdue.
+	int m_ended = 0;                        ///< Given up since the last response.
+};
+
 /// Verdicts on the paths to all failure domains.
 class path_monitor
 {
 public:
-	/// An exchange over a direct connection started or ended.
-	void on_exchange_start(const domain_name& _domain, steady_time _now);
-	void on_exchange_end(const domain_name& _domain);
-	void on_response(const domain_name& _domain, steady_time _now, steady_time::duration _taken);
+	/// An exchange over a direct connection started.
+	/// @param[in] _until_deadline Time that its request has.
+	/// @returns What the owner passes to the following two while the exchange runs.
+	path_request on_exchange_start(const domain_name& _domain, const request_kind& _kind,
+	    steady_time::duration _until_deadline, steady_time _now);
+	/// The exchange ended, with or without a response.
+	void on_exchange_end(const domain_name& _domain, const path_request& _request, steady_time _now);
+	/// @param[in] _ran Whether the backend server ran the request, so that its time is one of its kind.
+	void on_response(const domain_name& _domain, path_request& _request, bool _ran, steady_time _now);
 	void on_connected(const domain_name& _domain, steady_time _now);
 	/// @param[in] _server Hash of the backend server's incarnation.
 	void on_connect_failed(const domain_name& _domain, std::uint32_t _server, steady_time _now);
@@ -171,6 +206,7 @@
 	struct domain_path
 	{
 		response_silence responses;
+		overdue_requests overdue;
 		steady_time last_connected_at{};
 		steady_time failing_since{};    ///< First failure since then; epoch: none.
 		std::set<std::uint32_t> failed; ///< Backend servers that failed since then, at most
@@ -187,6 +223,8 @@
 
 	std::map<domain_name, domain_path> m_paths;
 	response_silence m_all_responses;
+	overdue_requests m_all_overdue;
+	usual_times m_times;
 	int m_in_flight = 0;
 	/// Failure domains whose path broke since a connection was established anywhere.
 	std::set<domain_name> m_broken_since_connected;
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -212,13 +212,14 @@
 class direct_paths : public path_steering_base
 {
 public:
-	void on_exchange_start(const backend_server&) override
+	path_request on_exchange_start(const backend_server&, const request_kind&, steady_time::duration) override
 	{
+		return {};
 	}
-	void on_exchange_end(const backend_server&) override
+	void on_exchange_end(const backend_server&, const path_request&) override
 	{
 	}
-	void on_response(const backend_server&, steady_time::duration) override
+	void on_response(const backend_server&, path_request&, bool) override
 	{
 	}
 	void on_connected(const backend_server&) override
--- a/tests/steering_path_test.cpp
+++ b/tests/steering_path_test.cpp
@@ -22,6 +22,9 @@
 constexpr std::size_t k_servers = 4; ///< In each failure domain.
 constexpr ms k_usual_gap{10};        ///< Between two responses.
 constexpr ms k_usual_time{100};      ///< From a request to its response.
+constexpr ms k_deadline{2500};       ///< Of a request, from its begin.
+const request_kind k_kind("usual");
+const request_kind k_long_kind("long");
 } // namespace
 
 class steering_path_monitor_test : public CppUnit::TestFixture
@@ -36,6 +39,11 @@
 	CPPUNIT_TEST(slow_responses_of_rare_requests_are_not_checked);
 	CPPUNIT_TEST(established_connections_without_responses_are_unresponsive_until_response);
 	CPPUNIT_TEST(rare_requests_after_busy_time_do_not_break_path);
+	CPPUNIT_TEST(long_requests_that_are_left_do_not_break_path);
+	CPPUNIT_TEST(long_requests_of_a_known_kind_do_not_break_path);
+	CPPUNIT_TEST(overdue_requests_of_an_unknown_kind_break_path);
+	CPPUNIT_TEST(requests_given_up_when_overdue_break_path_with_later_ones);
+	CPPUNIT_TEST(requests_given_up_early_do_not_break_path);
 	CPPUNIT_TEST(unresponsive_path_gets_one_trial_an_interval);
 	CPPUNIT_TEST(open_connections_work_while_responses_arrive_after_failure);
 	CPPUNIT_TEST(contact_is_unknown_while_path_is_broken);
@@ -87,7 +95,7 @@
 	void unanswered_requests_are_checked_sooner_where_responses_are_frequent()
 	{
 		answer_regularly(k_domain_a, k_usual_gap, k_usual_time, 200);
-		m_monitor.on_exchange_start(k_domain_a, m_now);
+		start(k_domain_a);
 		m_now += k_min_silence;
 		CPPUNIT_ASSERT(m_monitor.due_checks(m_now).empty());
 		m_now += ms(10);
@@ -97,7 +105,7 @@
 	{
 		const ms slow{3000};
 		answer_regularly(k_domain_a, slow, slow, 100);
-		m_monitor.on_exchange_start(k_domain_a, m_now);
+		start(k_domain_a);
 		m_now += slow + slow / 2;
 		CPPUNIT_ASSERT(m_monitor.due_checks(m_now).empty());
 	}
@@ -106,7 +114,7 @@
 		answer_regularly(k_domain_a, k_usual_gap, k_usual_time, 200);
 		for (int i = 0; i < k_min_unanswered; ++i)
 		{
-			m_monitor.on_exchange_start(k_domain_a, m_now);
+			start(k_domain_a);
 		}
 		m_now += k_min_unresponsive;
 		m_monitor.on_connected(k_domain_a, m_now);
@@ -117,7 +125,7 @@
 		CPPUNIT_ASSERT(m_monitor.broken(k_domain_a));
 		m_monitor.on_connected(k_domain_a, m_now);
 		CPPUNIT_ASSERT(m_monitor.broken(k_domain_a));
-		m_monitor.on_response(k_domain_a, m_now, k_usual_time);
+		answer(k_domain_a, k_usual_time);
 		CPPUNIT_ASSERT(!m_monitor.broken(k_domain_a));
 	}
 	/// Guards against requests that are given up at a node to which few callers are left.
@@ -127,18 +135,72 @@
 		answer_regularly(k_domain_a, k_usual_gap, time, 200);
 		for (int i = 0; i < k_min_unanswered; ++i)
 		{
-			m_monitor.on_exchange_start(k_domain_a, m_now);
+			start(k_domain_a);
 		}
 		m_now += 2 * time;
 		m_monitor.tick(m_now);
 		CPPUNIT_ASSERT(!m_monitor.broken(k_domain_a));
 	}
+	/// Guards against long requests that are broken off at work since the short ones, whose mean time was the
+	/// measure of silence, have ceased.
+	void long_requests_that_are_left_do_not_break_path()
+	{
+		change_mix(k_long_kind);
+		wait(ms(1700));
+		CPPUNIT_ASSERT(!m_monitor.broken(k_domain_a));
+		CPPUNIT_ASSERT(!m_monitor.cut_off());
+	}
+	void long_requests_of_a_known_kind_do_not_break_path()
+	{
+		for (int i = 0; i < k_min_kind_times; ++i)
+		{
+			path_request ended = start(k_domain_a, k_long_kind);
+			m_now += ms(1900);
+			m_monitor.on_response(k_domain_a, ended, true, m_now);
+			m_monitor.on_exchange_end(k_domain_a, ended, m_now);
+		}
+		change_mix(k_long_kind);
+		wait(3 * ms(1900) - ms(1));
+		CPPUNIT_ASSERT(!m_monitor.broken(k_domain_a));
+		wait(ms(100));
+		CPPUNIT_ASSERT(m_monitor.broken(k_domain_a));
+	}
+	void overdue_requests_of_an_unknown_kind_break_path()
+	{
+		change_mix(k_long_kind);
+		wait(ms(1760));
+		CPPUNIT_ASSERT(m_monitor.broken(k_domain_a));
+		CPPUNIT_ASSERT(m_monitor.cut_off());
+	}
+	/// Guards against a cut that is never noticed, since all requests reach their deadline before a verdict.
+	void requests_given_up_when_overdue_break_path_with_later_ones()
+	{
+		for (const path_request& given_up : change_mix(k_kind))
+		{
+			m_now += ms(101);
+			m_monitor.on_exchange_end(k_domain_a, given_up, m_now);
+			start(k_domain_a, k_long_kind);
+		}
+		wait(ms(200));
+		CPPUNIT_ASSERT(m_monitor.broken(k_domain_a));
+	}
+	void requests_given_up_early_do_not_break_path()
+	{
+		const std::vector<path_request> given_up = change_mix(k_kind);
+		change_mix(k_long_kind);
+		for (const path_request& request : given_up)
+		{
+			m_monitor.on_exchange_end(k_domain_a, request, request.sent_at + ms(200));
+		}
+		wait(ms(1000));
+		CPPUNIT_ASSERT(!m_monitor.broken(k_domain_a));
+	}
 	void unresponsive_path_gets_one_trial_an_interval()
 	{
 		CPPUNIT_ASSERT(!m_monitor.take_trial(k_domain_a, m_now));
 		for (int i = 0; i < k_min_unanswered; ++i)
 		{
-			m_monitor.on_exchange_start(k_domain_a, m_now);
+			start(k_domain_a);
 		}
 		m_now += k_unresponsive_factor * k_max_silence + ms(1);
 		m_monitor.tick(m_now);
@@ -151,7 +213,7 @@
 		break_path(k_domain_a);
 		CPPUNIT_ASSERT(!m_monitor.open_connections_work(k_domain_a, m_now));
 		m_now += ms(10);
-		m_monitor.on_response(k_domain_a, m_now, k_usual_time);
+		answer(k_domain_a, k_usual_time);
 		CPPUNIT_ASSERT(m_monitor.open_connections_work(k_domain_a, m_now));
 		CPPUNIT_ASSERT(!m_monitor.open_connections_work(k_domain_a, m_now + k_open_connection_proof));
 	}
@@ -172,13 +234,41 @@
 	/// Lets requests begin and end at a steady pace, with one in flight at least.
 	void answer_regularly(const domain_name& _domain, ms _gap, ms _time, int _count)
 	{
-		m_monitor.on_exchange_start(_domain, m_now);
+		const path_request running = start(_domain);
 		for (int i = 0; i < _count; ++i)
 		{
 			m_now += _gap;
-			m_monitor.on_response(_domain, m_now, _time);
+			answer(_domain, _time);
+		}
+		m_monitor.on_exchange_end(_domain, running, m_now);
+	}
+	path_request start(
+	    const domain_name& _domain, const request_kind& _kind = k_kind, ms _deadline = k_deadline)
+	{
+		return m_monitor.on_exchange_start(_domain, _kind, _deadline, m_now);
+	}
+	/// Lets the response of a request come that was sent that long ago.
+	void answer(const domain_name& _domain, ms _time)
+	{
+		path_request request{k_kind, m_now - _time, m_now, false};
+		m_monitor.on_response(_domain, request, true, m_now);
+	}
+	/// Lets requests of the usual kind be answered at a steady pace, and then cease while others run.
+	/// @returns The requests that still run.
+	std::vector<path_request> change_mix(const request_kind& _kind)
+	{
+		answer_regularly(k_domain_a, k_usual_gap, k_usual_time, 200);
+		std::vector<path_request> running;
+		for (int i = 0; i < 2 * k_min_unanswered; ++i)
+		{
+			running.push_back(start(k_domain_a, _kind));
 		}
-		m_monitor.on_exchange_end(_domain);
+		return running;
+	}
+	void wait(ms _time)
+	{
+		m_now += _time;
+		m_monitor.tick(m_now);
 	}
 
 	steady_time m_now{std::chrono::hours(1)};
