A stopping node answers each new connection and takes no order that it may not finish

Cause: the step that closes idle connections each 100 ms took a connection whose first request was on its way for one that rests; the end of the process reset connections that were established and not accepted; the first seconds of a stop took requests of unknown times whether or not they may run twice.

Fix: only connections that have carried a request are closed as idle; what is established is accepted before accepting ends, 0.2 s before the process does; a new connection counts as activity.

--- a/src/entry_node/caller_session.cpp
+++ b/src/entry_node/caller_session.cpp
@@ -678,7 +678,7 @@
 
 void caller_session::close_if_idle()
 {
-	if (step::idle == m_step && !has_unread_bytes())
+	if (step::idle == m_step && m_proven && !has_unread_bytes())
 	{
 		close();
 	}
--- a/src/entry_node/caller_session_p.h
+++ b/src/entry_node/caller_session_p.h
@@ -93,7 +93,8 @@
 	body_ptr hold_body(std::string&& _body);
 	/// Closes the connection without a response.
 	void close();
-	/// Closes the connection if it carries no request.
+	/// Closes the connection if it has carried requests and carries none now. Otherwise its first request may
+	/// be on its way.
 	void close_if_idle();
 	/// @returns Whether it has sent a whole request.
 	bool proven() const
--- a/src/entry_node/entry_node.cpp
+++ b/src/entry_node/entry_node.cpp
@@ -428,6 +428,7 @@
 void entry_node::end_taking_requests()
 {
 	m_stop_told = true;
+	m_accepting_ended_at = m_clock.steady();
 	m_callers.stop_accepting();
 	m_forwarder.refuse_waiting();
 	m_sync.end();
@@ -436,10 +437,21 @@
 	m_log.flush();
 }
 
+bool entry_node::ends_now(const stop_decision& _decision, steady_time _now) const
+{
+	return _decision.end &&
+	       (_now - m_accepting_ended_at >= k_stop_last_time || _now - m_stop.began_at >= m_stop.grace);
+}
+
 void entry_node::stop_step()
 {
 	const steady_time now = m_clock.steady();
 	const std::size_t busy = m_callers.busy() + m_relays.in_flight();
+	if (m_callers.accepted() != m_accepted_before)
+	{
+		m_accepted_before = m_callers.accepted();
+		m_last_request_at = now;
+	}
 	const steady_time::duration since_request = 0 == busy ? now - m_last_request_at : steady_time::duration{};
 	const stop_decision decision = plan_stop({now - m_stop.began_at, m_stop.grace, busy, since_request});
 	if (decision.close_idle)
@@ -450,7 +462,7 @@
 	{
 		end_taking_requests();
 	}
-	if (decision.end)
+	if (ends_now(decision, now))
 	{
 		m_context.stop();
 		return;
--- a/src/entry_node/entry_node_p.h
+++ b/src/entry_node/entry_node_p.h
@@ -76,6 +76,8 @@
 	/// Takes the actions of plan_stop() that are due, and repeats at each k_stop_check_interval until the
 	/// process ends.
 	void stop_step();
+	/// @returns Whether the process exits with this step.
+	bool ends_now(const stop_decision& _decision, steady_time _now) const;
 	/// Refuses what waits to be sent, and writes the log before the process may be killed.
 	void end_taking_requests();
 	/// Runs periodic work: ticks of the components, heartbeats, digests, fetches from other nodes, log
@@ -212,7 +214,9 @@
 	steady_time m_last_page_at{};
 	std::uint64_t m_page_requests = 0;
 	stop_course m_stop;
-	steady_time m_last_request_at{};
+	steady_time m_last_request_at{}; ///< While stopping also of the last new connection.
+	steady_time m_accepting_ended_at{};
+	std::uint64_t m_accepted_before = 0; ///< Connections accepted up to the last step of the stop.
 	steady_time m_next_heartbeat{};
 	bool m_stopping = false;
 	bool m_stop_told = false;        ///< The end of the planned stop was logged.
--- a/src/entry_node/forwarder.cpp
+++ b/src/entry_node/forwarder.cpp
@@ -101,7 +101,9 @@
 		return true;
 	}
 	const steady_time now = m_context.clock.steady();
-	return takes_while_stopping(*m_context.stop, {_until_deadline, estimate_times_of(_route, now)}, now);
+	const bool at_most_once = repeat_rule::at_most_once == _route.repeat;
+	return takes_while_stopping(
+	    *m_context.stop, {_until_deadline, estimate_times_of(_route, now), at_most_once}, now);
 }
 
 route_time_estimate forwarder::estimate_times_of(const route& _route, steady_time _now) const
--- a/src/entry_node/http_listener.cpp
+++ b/src/entry_node/http_listener.cpp
@@ -115,14 +115,20 @@
 			        });
 			    return;
 		    }
-		    if (make_room())
-		    {
-			    std::make_shared<caller_session>(std::move(_socket), m_caller, *this)->start();
-		    }
+		    on_accepted(std::move(_socket));
 		    accept();
 	    });
 }
 
+void http_listener::on_accepted(tcp::socket _socket)
+{
+	++m_accepted;
+	if (make_room())
+	{
+		std::make_shared<caller_session>(std::move(_socket), m_caller, *this)->start();
+	}
+}
+
 void http_listener::on_unread_refusal(const unread_refusal& _refusal)
 {
 	++m_unread_refusals;
@@ -157,6 +163,18 @@
 
 void http_listener::stop_accepting()
 {
+	// Closing resets connections that the callers see as established, with the requests that they sent.
+	beast::error_code error;
+	m_acceptor.non_blocking(true, error);
+	while (!error)
+	{
+		tcp::socket socket(m_acceptor.get_executor());
+		m_acceptor.accept(socket, m_caller, error);
+		if (!error)
+		{
+			on_accepted(std::move(socket));
+		}
+	}
 	beast::error_code ignored; // The acceptor is not used again.
 	m_acceptor.close(ignored);
 	m_accept_retry_timer.cancel();
--- a/src/entry_node/http_listener_p.h
+++ b/src/entry_node/http_listener_p.h
@@ -90,10 +90,15 @@
 	{
 		m_stopping = true;
 	}
-	/// Stops accepting.
+	/// Accepts the connections that are established already, then stops accepting.
 	void stop_accepting();
-	/// Closes connections that carry no request.
+	/// Closes connections that have carried requests and carry none now.
 	void close_idle();
+	/// @returns Connections that were accepted.
+	std::uint64_t accepted() const
+	{
+		return m_accepted;
+	}
 	/// @returns Connections with a request that is being read or served, or whose response is on its way.
 	std::size_t busy() const;
 	std::size_t connections() const
@@ -152,6 +157,8 @@
 	/// @returns Whether there is room.
 	bool make_room();
 	void accept();
+	/// Begins a session if there is room.
+	void on_accepted(tcp::socket _socket);
 	void on_unread_refusal(const unread_refusal& _refusal);
 	/// @returns Status to refuse a request with, by its headers; nothing: read the body.
 	std::optional<http::status> check_header(const caller_request& _request) const;
@@ -176,6 +183,7 @@
 	loop_stall_detector m_stalls;
 	std::uint64_t m_unread_refusals = 0;
 	std::uint64_t m_displaced = 0;
+	std::uint64_t m_accepted = 0;
 	std::size_t m_max_connections;
 	memory_ledger_ptr m_memory;
 	std::unordered_set<caller_session*> m_sessions;
--- a/src/steering/planned_stop.cpp
+++ b/src/steering/planned_stop.cpp
@@ -69,6 +69,10 @@
 	{
 		return true;
 	}
+	if (_request.at_most_once)
+	{
+		return false;
+	}
 	const steady_time::duration early = std::min<steady_time::duration>(
 	    k_stop_early_time, from_s(k_stop_early_fraction * to_s(_course.grace)));
 	const bool usually_too_long = known.usual && *known.usual > left;
--- a/src/steering/planned_stop_p.h
+++ b/src/steering/planned_stop_p.h
@@ -9,14 +9,16 @@
 /// its time until its deadline and what is known of the times of its route.
 ///
 /// Algorithm: the node state "stopping" at once makes the node not ready, removes it from lookup answers, and
-/// lets its answers close their connections. Idle connections are closed after k_stop_close_idle_after, when
-/// callers have looked up other nodes. A request is taken if it ends in time for certain (its deadline) or by
-/// what its route's requests take; all others are refused at once as not run, so that their callers go to
-/// another node. In the first seconds, in which callers cannot know of the stop, requests of which nothing is
-/// known are taken. The backend server of a request that is taken is told a deadline in time for its answer.
-/// The process exits when it has had no request for k_stop_quiet_time, but not before k_stop_min_time;
-/// k_stop_margin before the kill it writes its log and refuses what waits, and then runs only as long as
-/// answers are due.
+/// lets its answers close their connections. Kept connections that rest are closed after
+/// k_stop_close_idle_after, when callers have looked up other nodes; one on which no request has come yet
+/// stays open for it. A request is taken if it ends in time for certain (its deadline) or by what its route's
+/// requests take; all others are refused at once as not run, so that their callers go to another node. In the
+/// first seconds, in which callers cannot know of the stop, requests of which nothing is known are taken if
+/// they may run twice. The backend server of a request that is taken is told a deadline in time for its
+/// answer. The process exits when it has had no request or new connection for k_stop_quiet_time, but not
+/// before k_stop_min_time; it stops accepting k_stop_last_time before that, so that a connection that was
+/// established is answered. k_stop_margin before the kill it writes its log and refuses what waits, and then
+/// runs only as long as answers are due.
 ///
 /// Alternatives:
 /// - accepting requests until half a second before the end: those requests were aborted, 20 lost on a day of
@@ -35,6 +37,9 @@
 {
 /// Interval at which the stop is checked, in milliseconds. Longer: the process exits later than it could.
 constexpr std::chrono::milliseconds k_stop_check_interval{100};
+/// Time from the end of accepting to the exit, in milliseconds. Longer: the process exits later. Shorter: the
+/// request on a connection that was established just before is closed without an answer.
+constexpr std::chrono::milliseconds k_stop_last_time{200};
 
 /// Why the process exits, or does not exit yet.
 enum class stop_reason
@@ -59,8 +64,8 @@
 	steady_time::duration passed{};        ///< Time since the stop was requested.
 	std::chrono::milliseconds grace{0};    ///< From the stop request to the kill.
 	std::size_t busy_connections = 0;      ///< Connections with open work.
-	steady_time::duration since_request{}; ///< Time since the last request, or since the stop request; 0
-	                                       ///< while a request is open.
+	steady_time::duration since_request{}; ///< Time since the last request or new connection, or since the
+	                                       ///< stop request; 0 while a request is open.
 };
 
 /// @returns The steps to take now.
@@ -82,6 +87,8 @@
 {
 	steady_time::duration until_deadline{}; ///< The longest time that it can take.
 	route_time_estimate of_route;
+	bool at_most_once =
+	    false; ///< An answer in place of its backend server's would leave open whether it ran.
 };
 
 /// @returns Whether a stopping node takes a request; if not, the request is refused as not run.
--- a/tests/caller_session_test.cpp
+++ b/tests/caller_session_test.cpp
@@ -151,6 +151,8 @@
 	CPPUNIT_TEST(response_that_ends_with_its_connection_is_reset_when_it_is_not_sent_whole);
 	CPPUNIT_TEST(response_that_ends_with_its_connection_ends_in_good_order_when_it_is_sent_whole);
 	CPPUNIT_TEST(idle_connection_whose_request_came_in_time_is_not_closed);
+	CPPUNIT_TEST(new_connection_at_a_stopping_node_stays_open_for_its_request);
+	CPPUNIT_TEST(connection_that_was_established_before_the_end_of_accepting_is_answered);
 	CPPUNIT_TEST_SUITE_END();
 
 protected:
@@ -442,6 +444,40 @@
 
 	/// Guards against the close of connections whose next requests wait in the sockets of a node that wakes:
 	/// the event loop reports a part of many ready sockets only, but all timers that are due.
+	/// Guards against requests on new connections that a stopping node closes without an answer, since it
+	/// takes them for idle.
+	void new_connection_at_a_stopping_node_stays_open_for_its_request()
+	{
+		tcp::socket kept = connect();
+		send(kept, "GET / HTTP/1.1\r\nHost: shop.example\r\n\r\n");
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), count(answers(kept), "HTTP/1.1 200"));
+		tcp::socket fresh = connect();
+		run_node();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_listener->connections());
+		m_listener->begin_stop();
+		m_listener->close_idle();
+		CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_listener->connections());
+		send(fresh, "GET / HTTP/1.1\r\nHost: shop.example\r\n\r\n");
+		const std::string sent = answers(fresh);
+		CPPUNIT_ASSERT_EQUAL_MESSAGE(sent, std::size_t(1), count(sent, "HTTP/1.1 200"));
+		CPPUNIT_ASSERT_EQUAL_MESSAGE(sent, std::size_t(1), count(sent, "Connection: close"));
+	}
+	/// Guards against the reset of connections that callers see as established.
+	void connection_that_was_established_before_the_end_of_accepting_is_answered()
+	{
+		std::vector<tcp::socket> callers;
+		for (int i = 0; i < 3; ++i)
+		{
+			callers.push_back(connect());
+			send(callers.back(), "GET / HTTP/1.1\r\nHost: shop.example\r\n\r\n");
+		}
+		m_listener->begin_stop();
+		m_listener->stop_accepting();
+		for (tcp::socket& caller : callers)
+		{
+			CPPUNIT_ASSERT_EQUAL(std::size_t(1), count(answers(caller), "HTTP/1.1 200"));
+		}
+	}
 	void idle_connection_whose_request_came_in_time_is_not_closed()
 	{
 		constexpr std::chrono::milliseconds k_longer_than_all_accepts{300};
