A length is checked before anything is reserved for it

Cause: a parser that reads on behind the head goes on to the body although it refused the head for its length, and reserves that length (std::bad_alloc, by a stack of the exception). The client for the store and for other nodes had no limit at all.

Fix: the head is read alone first, at answers of backend servers, results of relays and the control client, which takes 16 MB at most; the line of a watch likewise.

--- a/src/base/http_client.cpp
+++ b/src/base/http_client.cpp
@@ -114,11 +114,16 @@
 	beast::error_code failure;
 	http::async_write(connection->stream, _request, _yield[failure]);
 	http::response_parser<http::string_body> parser;
-	parser.body_limit(k_unlimited_body_bytes);
+	parser.body_limit(k_max_control_body_bytes);
 	if (!failure)
 	{
 		m_waiting = connection.get();
-		http::async_read(connection->stream, connection->buffer, parser, _yield[failure]);
+		// The head alone first: a parser that reads on behind it passes over a length beyond the limit.
+		http::async_read_header(connection->stream, connection->buffer, parser, _yield[failure]);
+		if (!failure)
+		{
+			http::async_read(connection->stream, connection->buffer, parser, _yield[failure]);
+		}
 		m_waiting = m_waiting == connection.get() ? nullptr : m_waiting;
 	}
 	if (!failure && !is_final_answer_head(parser.get()))
--- a/src/entry_node/relay_client.cpp
+++ b/src/entry_node/relay_client.cpp
@@ -154,7 +154,6 @@
 void relay_exchange::read()
 {
 	m_parser.emplace();
-	m_parser->eager(true);
 	m_parser->body_limit(nullptr == m_services.memory
 	                         ? k_unlimited_body_bytes
 	                         : m_services.memory->max_response_bytes() + k_max_result_head_bytes);
@@ -164,6 +163,8 @@
 
 void relay_exchange::read_more()
 {
+	// A parser that reads on behind the head passes over a length beyond the limit, and reserves it.
+	m_parser->eager(m_parser->is_header_done());
 	http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser,
 	    [self = shared_from_this(), connection = m_connection](beast::error_code _error, std::size_t)
 	    {
--- a/src/entry_node/upstream.cpp
+++ b/src/entry_node/upstream.cpp
@@ -253,7 +253,6 @@
 void upstream_exchange::read()
 {
 	m_parser.emplace();
-	m_parser->eager(true);
 	m_parser->body_limit(
 	    nullptr == m_services.memory ? k_unlimited_body : m_services.memory->max_response_bytes());
 	m_parser->header_limit(m_request.max_header_bytes);
@@ -267,6 +266,8 @@
 void upstream_exchange::read_more()
 {
 	// The handler keeps the connection alive, since the operation uses it also after a cancellation.
+	// A parser that reads on behind the head passes over a length beyond the limit, and reserves it.
+	m_parser->eager(m_parser->is_header_done());
 	http::async_read_some(m_connection->socket, m_connection->buffer, *m_parser,
 	    [self = shared_from_this(), connection = m_connection](beast::error_code _error, std::size_t)
 	    {
--- a/src/store/store_http.cpp
+++ b/src/store/store_http.cpp
@@ -205,8 +205,14 @@
 	beast::error_code failure;
 	http::async_write(connection->stream, request, _yield[failure]);
 	http::response_parser<http::string_body> parser;
-	parser.body_limit(k_unlimited_body_bytes);
-	while (!failure && !m_partitioned)
+	parser.body_limit(k_unlimited_body_bytes); // A watch has no end; a line of it is bounded below.
+	connection->stream.expires_after(k_watch_idle_timeout);
+	http::async_read_header(connection->stream, connection->buffer, parser, _yield[failure]);
+	if (parser.content_length().value_or(0) > k_max_control_body_bytes)
+	{
+		return watch_end::broken;
+	}
+	while (!failure && !m_partitioned && parser.get().body().size() <= k_max_control_body_bytes)
 	{
 		connection->stream.expires_after(k_watch_idle_timeout);
 		http::async_read_some(connection->stream, connection->buffer, parser, _yield[failure]);
