--- a/src/base/cbor.cpp
+++ b/src/base/cbor.cpp
@@ -3,6 +3,9 @@
 
 #include "base/cbor_p.h"
 
+#include <algorithm>
+#include <array>
+
 namespace larkrack
 {
 namespace
@@ -15,9 +18,12 @@
 constexpr unsigned k_bytes = 2;
 constexpr unsigned k_text = 3;
 constexpr unsigned k_array = 4;
+constexpr unsigned k_map = 5;
+constexpr unsigned k_tag = 6;
 constexpr unsigned k_simple = 7;
 constexpr unsigned k_one_byte = 24;
 constexpr unsigned k_eight_bytes = 27;
+constexpr unsigned k_unstated_length = 31;
 
 /// Head of one item.
 struct item_head
@@ -87,6 +93,58 @@
 }
 } // namespace
 
+bool has_bounded_depth(std::string_view _message)
+{
+	std::array<std::uint64_t, k_max_cbor_depth> left{}; // Items that are due in each open container.
+	std::size_t depth = 0;
+	std::size_t at = 0;
+	while (at < _message.size())
+	{
+		const unsigned first = static_cast<unsigned char>(_message[at]);
+		const bool unstated = k_unstated_length == (first & 31U);
+		const std::optional<item_head> head =
+		    unstated ? item_head{first >> 5U, UINT64_MAX, at + 1} : head_at(_message, at);
+		if (!head)
+		{
+			return true; // Malformed: the library stops here as well.
+		}
+		at = head->end;
+		const bool is_break = unstated && k_simple == head->major;
+		const bool is_string = k_bytes == head->major || k_text == head->major;
+		if (is_string && !unstated)
+		{
+			if (head->argument > _message.size() - at)
+			{
+				return true;
+			}
+			at += head->argument;
+		}
+		const bool opens =
+		    k_array == head->major || k_map == head->major || k_tag == head->major || (is_string && unstated);
+		if (opens && (unstated || 0 != head->argument || k_tag == head->major))
+		{
+			if (k_max_cbor_depth == depth)
+			{
+				return false;
+			}
+			const bool is_map = k_map == head->major && !unstated;
+			const std::uint64_t items =
+			    is_map ? std::min(head->argument, UINT64_MAX / 2) * 2 : head->argument;
+			left[depth++] = k_tag == head->major ? 1 : items;
+			continue;
+		}
+		if (is_break && depth > 0)
+		{
+			--depth;
+		}
+		while (depth > 0 && 0 == --left[depth - 1])
+		{
+			--depth;
+		}
+	}
+	return true;
+}
+
 std::optional<cbor_bytes_place> last_cbor_bytes(std::string_view _message)
 {
 	std::size_t at = 0;
--- a/src/base/cbor_p.h
+++ b/src/base/cbor_p.h
@@ -32,11 +32,24 @@
 /// @returns The message up to the data of a byte string of that size.
 std::string with_cbor_bytes_head(std::string _message, std::size_t _size);
 
-/// @returns The document; a discarded one when the bytes are not exactly one valid CBOR item. The library
-/// alone throws on a size that no container can have, even where it is told not to throw.
+/// Maximum depth of containers within containers that is read. The library calls itself for each of them, so
+/// a message of many bytes could use up the stack.
+constexpr std::size_t k_max_cbor_depth = 32;
+
+/// @returns Whether no item of a message lies deeper than k_max_cbor_depth. Says nothing of what is
+/// malformed.
+bool has_bounded_depth(std::string_view _message);
+
+/// @returns The document; a discarded one when the bytes are not exactly one valid CBOR item of bounded
+/// depth. The library alone throws on a size that no container can have, even where it is told not to throw.
 template <typename Iterator>
 nlohmann::json parse_cbor(Iterator _begin, Iterator _end)
 {
+	const auto size = static_cast<std::size_t>(_end - _begin);
+	if (0 == size || !has_bounded_depth({reinterpret_cast<const char*>(&*_begin), size}))
+	{
+		return nlohmann::json(nlohmann::json::value_t::discarded);
+	}
 	try
 	{
 		return nlohmann::json::from_cbor(_begin, _end, true, false);
--- a/src/entry_node/heartbeat.cpp
+++ b/src/entry_node/heartbeat.cpp
@@ -3,6 +3,8 @@
 
 #include "entry_node/heartbeat_p.h"
 
+#include "base/cbor_p.h"
+
 #include <nlohmann/json.hpp>
 
 namespace larkrack
@@ -184,7 +186,7 @@
 {
 	try
 	{
-		const nlohmann::json document = nlohmann::json::from_cbor(_data, _data + _size);
+		const nlohmann::json document = parse_cbor(_data, _data + _size);
 		if (!document.is_array() || k_fields != document.size() || k_layout != document.at(0).get<int>())
 		{
 			return error{"bad_heartbeat", "unsupported layout"};
--- a/src/entry_node/store_changes_codec.cpp
+++ b/src/entry_node/store_changes_codec.cpp
@@ -90,7 +90,7 @@
 {
 	try
 	{
-		const nlohmann::json document = nlohmann::json::from_cbor(_data, _data + _size);
+		const nlohmann::json document = parse_cbor(_data, _data + _size);
 		if (!document.is_array() || document.empty() || k_layout != document.at(0).get<int>())
 		{
 			return error{"bad_changes", "unsupported layout"};
--- a/src/larkrackd/message.cpp
+++ b/src/larkrackd/message.cpp
@@ -3,6 +3,8 @@
 
 #include "larkrackd/message_p.h"
 
+#include "base/cbor_p.h"
+
 namespace larkrack
 {
 namespace
@@ -157,7 +159,7 @@
 	// The CBOR library throws on invalid input; here the exception becomes an error value.
 	try
 	{
-		const json document = json::from_cbor(_bytes);
+		const json document = parse_cbor(_bytes.begin(), _bytes.end());
 		return envelope{document.at("f"), body_from_json(document)};
 	}
 	catch (const json::exception& failure)
--- a/tests/endless_response_test.cpp
+++ b/tests/endless_response_test.cpp
@@ -7,6 +7,8 @@
 
 #include "entry_fixture.h"
 
+#include "base/cbor_p.h"
+
 namespace larkrack
 {
 /// Exchange that only notes that it was ended.
@@ -35,10 +37,12 @@
 	CPPUNIT_TEST(chunk_extension_without_end_is_given_up_at_once);
 	CPPUNIT_TEST(trailer_without_end_is_given_up_at_once);
 	CPPUNIT_TEST(body_beyond_the_bound_is_given_up_at_once);
+	CPPUNIT_TEST(stated_length_beyond_all_memory_is_given_up_at_once);
 	CPPUNIT_TEST(body_up_to_the_bound_is_passed_on_whole);
 	CPPUNIT_TEST(bodies_beyond_the_memory_of_all_end_the_largest_without_length);
 	CPPUNIT_TEST(body_of_a_stated_length_is_held_by_a_small_node);
 	CPPUNIT_TEST(bodies_that_end_leave_no_memory_counted);
+	CPPUNIT_TEST(message_of_nodes_nested_without_end_is_no_document);
 	CPPUNIT_TEST_SUITE_END();
 
 protected:
@@ -108,6 +112,35 @@
 		assert_given_up(head("") + std::string(k_endless_bytes, 'x'));
 		assert_given_up(head("Content-Length: 2000000\r\n"));
 	}
+	/// Guards against a process that ends since it reserves the length that a faulty backend server states.
+	void stated_length_beyond_all_memory_is_given_up_at_once()
+	{
+		for (const char* length : {"67108865", "1152921504606846976", "9223372036854775807"})
+		{
+			assert_given_up(head("Content-Length: " + std::string(length) + "\r\n") + std::string(100, 'x'));
+		}
+	}
+	/// Guards against a process that ends since a message of another one uses up its stack.
+	void message_of_nodes_nested_without_end_is_no_document()
+	{
+		const auto parsed = [](const std::string& _opening, std::size_t _depth)
+		{
+			const std::string bytes = repeated(_opening, _depth * _opening.size()) + '\0';
+			return !parse_cbor(bytes.begin(), bytes.end()).is_discarded();
+		};
+		for (const std::string& opening : {std::string("\x81"), std::string("\x82\x61z", 3)})
+		{
+			CPPUNIT_ASSERT(parsed(opening, k_max_cbor_depth));
+			CPPUNIT_ASSERT(!parsed(opening, k_max_cbor_depth + 1));
+			CPPUNIT_ASSERT(!parsed(opening, k_endless_bytes));
+		}
+		CPPUNIT_ASSERT(parsed(std::string("\xa1\x61z", 3), k_max_cbor_depth));
+		CPPUNIT_ASSERT(!parsed(std::string("\xa1\x61z", 3), k_endless_bytes));
+		CPPUNIT_ASSERT(!parsed("\x9f", k_endless_bytes));
+		// Many items beside each other are not deep.
+		const std::string flat("\x98\x40" + std::string(64, '\x80'));
+		CPPUNIT_ASSERT(parse_cbor(flat.begin(), flat.end()).is_array());
+	}
 	void body_up_to_the_bound_is_passed_on_whole()
 	{
 		m_exchanges->memory()->set_limits(1, std::nullopt);
