--- a/src/entry_node/node_paths.cpp
+++ b/src/entry_node/node_paths.cpp
@@ -59,14 +59,14 @@
 	return m_monitor.on_exchange_start(domain_of(_backend), _kind, _until_deadline, m_clock.steady());
 }
 
-void node_paths::on_exchange_end(const backend_server& _backend, const path_request& _request)
+void node_paths::on_exchange_end(const path_request& _request)
 {
-	m_monitor.on_exchange_end(domain_of(_backend), _request, m_clock.steady());
+	m_monitor.on_exchange_end(_request, m_clock.steady());
 }
 
-void node_paths::on_response(const backend_server& _backend, path_request& _request, bool _ran)
+void node_paths::on_response(path_request& _request, bool _ran)
 {
-	m_monitor.on_response(domain_of(_backend), _request, _ran, m_clock.steady());
+	m_monitor.on_response(_request, _ran, m_clock.steady());
 }
 
 void node_paths::on_connected(const backend_server& _backend)
--- a/src/entry_node/node_paths_p.h
+++ b/src/entry_node/node_paths_p.h
@@ -38,9 +38,9 @@
 	/// @returns What is passed to the following two.
 	virtual path_request on_exchange_start(
 	    const backend_server& _backend, const request_kind& _kind, steady_time::duration _until_deadline) = 0;
-	virtual void on_exchange_end(const backend_server& _backend, const path_request& _request) = 0;
+	virtual void on_exchange_end(const path_request& _request) = 0;
 	/// @param[in] _ran Whether the backend server ran the request.
-	virtual void on_response(const backend_server& _backend, path_request& _request, bool _ran) = 0;
+	virtual void on_response(path_request& _request, bool _ran) = 0;
 	virtual void on_connected(const backend_server& _backend) = 0;
 	virtual void on_connect_failed(const backend_server& _backend) = 0;
 };
@@ -105,8 +105,8 @@
 
 	path_request on_exchange_start(const backend_server& _backend, const request_kind& _kind,
 	    steady_time::duration _until_deadline) override;
-	void on_exchange_end(const backend_server& _backend, const path_request& _request) override;
-	void on_response(const backend_server& _backend, path_request& _request, bool _ran) override;
+	void on_exchange_end(const path_request& _request) override;
+	void on_response(path_request& _request, bool _ran) override;
 	void on_connected(const backend_server& _backend) override;
 	void on_connect_failed(const backend_server& _backend) override;
 	bool sends_directly(const backend_server& _backend, bool _may_try) override;
--- a/src/entry_node/upstream.cpp
+++ b/src/entry_node/upstream.cpp
@@ -158,7 +158,7 @@
 	}
 	else
 	{
-		m_paths.on_exchange_end(*m_backend, m_path_request);
+		m_paths.on_exchange_end(m_path_request);
 	}
 }
 
@@ -406,7 +406,7 @@
 		return;
 	}
 	m_marks = m_marks ? m_marks : marks_of(m_parser->get());
-	m_paths.on_response(*m_backend, m_path_request, answer_verdict::answered == verdict());
+	m_paths.on_response(m_path_request, answer_verdict::answered == verdict());
 	check_promises(m_parser->get());
 	handle_report(m_parser->get());
 	if (m_cancelled)
--- a/src/steering/path_monitor.cpp
+++ b/src/steering/path_monitor.cpp
@@ -57,7 +57,12 @@
 
 void overdue_requests::on_end(const path_request& _request, steady_time _now)
 {
-	m_in_flight.erase(m_in_flight.find(_request.overdue_at));
+	const auto found = m_in_flight.find(_request.overdue_at);
+	if (m_in_flight.end() == found)
+	{
+		return;
+	}
+	m_in_flight.erase(found);
 	const bool given_up = !_request.answered && _now >= _request.overdue_at;
 	m_ended += given_up ? 1 : 0;
 }
@@ -76,7 +81,7 @@
 path_request path_monitor::on_exchange_start(const domain_name& _domain, const request_kind& _kind,
     steady_time::duration _until_deadline, steady_time _now)
 {
-	const path_request request{_kind, _now, _now + m_times.overdue_after(_kind, _until_deadline)};
+	const path_request request{_domain, _kind, _now, _now + m_times.overdue_after(_kind, _until_deadline)};
 	domain_path& path = m_paths[_domain];
 	if (0 == path.in_flight++)
 	{
@@ -93,20 +98,19 @@
 	return request;
 }
 
-void path_monitor::on_exchange_end(const domain_name& _domain, const path_request& _request, steady_time _now)
+void path_monitor::on_exchange_end(const path_request& _request, steady_time _now)
 {
-	domain_path& path = m_paths[_domain];
+	domain_path& path = m_paths[_request.domain];
 	--path.in_flight;
 	--m_in_flight;
 	path.overdue.on_end(_request, _now);
 	m_all_overdue.on_end(_request, _now);
 }
 
-void path_monitor::on_response(
-    const domain_name& _domain, path_request& _request, bool _ran, steady_time _now)
+void path_monitor::on_response(path_request& _request, bool _ran, steady_time _now)
 {
 	const steady_time::duration taken = _now - _request.sent_at;
-	domain_path& path = m_paths[_domain];
+	domain_path& path = m_paths[_request.domain];
 	_request.answered = true;
 	if (_ran)
 	{
--- a/src/steering/path_monitor_p.h
+++ b/src/steering/path_monitor_p.h
@@ -117,6 +117,7 @@
 /// A request over a direct connection, as the path monitor sees it.
 struct path_request
 {
+	domain_name domain; ///< At its begin: the entry of its backend server may name another one at its end.
 	request_kind kind;
 	steady_time sent_at{};
 	steady_time overdue_at{};
@@ -153,9 +154,9 @@
 	path_request on_exchange_start(const domain_name& _domain, const request_kind& _kind,
 	    steady_time::duration _until_deadline, steady_time _now);
 	/// The exchange ended, with or without a response.
-	void on_exchange_end(const domain_name& _domain, const path_request& _request, steady_time _now);
+	void on_exchange_end(const path_request& _request, steady_time _now);
 	/// @param[in] _ran Whether the backend server ran the request, so that its time is one of its kind.
-	void on_response(const domain_name& _domain, path_request& _request, bool _ran, steady_time _now);
+	void on_response(path_request& _request, bool _ran, steady_time _now);
 	void on_connected(const domain_name& _domain, steady_time _now);
 	/// @param[in] _server Hash of the backend server's incarnation.
 	void on_connect_failed(const domain_name& _domain, std::uint32_t _server, steady_time _now);
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -216,10 +216,10 @@
 	{
 		return {};
 	}
-	void on_exchange_end(const backend_server&, const path_request&) override
+	void on_exchange_end(const path_request&) override
 	{
 	}
-	void on_response(const backend_server&, path_request&, bool) override
+	void on_response(path_request&, bool) override
 	{
 	}
 	void on_connected(const backend_server&) override
--- a/tests/steering_path_test.cpp
+++ b/tests/steering_path_test.cpp
@@ -44,6 +44,7 @@
 	CPPUNIT_TEST(overdue_requests_of_an_unknown_kind_break_path);
 	CPPUNIT_TEST(requests_given_up_when_overdue_break_path_with_later_ones);
 	CPPUNIT_TEST(requests_given_up_early_do_not_break_path);
+	CPPUNIT_TEST(request_that_was_never_begun_may_end);
 	CPPUNIT_TEST(unresponsive_path_gets_one_trial_an_interval);
 	CPPUNIT_TEST(open_connections_work_while_responses_arrive_after_failure);
 	CPPUNIT_TEST(contact_is_unknown_while_path_is_broken);
@@ -156,8 +157,8 @@
 		{
 			path_request ended = start(k_domain_a, k_long_kind);
 			m_now += ms(1900);
-			m_monitor.on_response(k_domain_a, ended, true, m_now);
-			m_monitor.on_exchange_end(k_domain_a, ended, m_now);
+			m_monitor.on_response(ended, true, m_now);
+			m_monitor.on_exchange_end(ended, m_now);
 		}
 		change_mix(k_long_kind);
 		wait(3 * ms(1900) - ms(1));
@@ -178,7 +179,7 @@
 		for (const path_request& given_up : change_mix(k_kind))
 		{
 			m_now += ms(101);
-			m_monitor.on_exchange_end(k_domain_a, given_up, m_now);
+			m_monitor.on_exchange_end(given_up, m_now);
 			start(k_domain_a, k_long_kind);
 		}
 		wait(ms(200));
@@ -190,11 +191,18 @@
 		change_mix(k_long_kind);
 		for (const path_request& request : given_up)
 		{
-			m_monitor.on_exchange_end(k_domain_a, request, request.sent_at + ms(200));
+			m_monitor.on_exchange_end(request, request.sent_at + ms(200));
 		}
 		wait(ms(1000));
 		CPPUNIT_ASSERT(!m_monitor.broken(k_domain_a));
 	}
+	void request_that_was_never_begun_may_end()
+	{
+		start(k_domain_a);
+		m_monitor.on_exchange_end(path_request{k_domain_b, k_kind, m_now, m_now, false}, m_now);
+		wait(ms(3000));
+		CPPUNIT_ASSERT(!m_monitor.broken(k_domain_b));
+	}
 	void unresponsive_path_gets_one_trial_an_interval()
 	{
 		CPPUNIT_ASSERT(!m_monitor.take_trial(k_domain_a, m_now));
@@ -240,7 +248,7 @@
 			m_now += _gap;
 			answer(_domain, _time);
 		}
-		m_monitor.on_exchange_end(_domain, running, m_now);
+		m_monitor.on_exchange_end(running, m_now);
 	}
 	path_request start(
 	    const domain_name& _domain, const request_kind& _kind = k_kind, ms _deadline = k_deadline)
@@ -250,8 +258,8 @@
 	/// Lets the response of a request come that was sent that long ago.
 	void answer(const domain_name& _domain, ms _time)
 	{
-		path_request request{k_kind, m_now - _time, m_now, false};
-		m_monitor.on_response(_domain, request, true, m_now);
+		path_request request{_domain, k_kind, m_now - _time, m_now, false};
+		m_monitor.on_response(request, true, m_now);
 	}
 	/// Lets requests of the usual kind be answered at a steady pace, and then cease while others run.
 	/// @returns The requests that still run.
