--- a/src/steering/path_monitor.cpp
+++ b/src/steering/path_monitor.cpp
@@ -81,7 +81,7 @@
 path_request path_monitor::on_exchange_start(const domain_name& _domain, const request_kind& _kind,
     steady_time::duration _until_deadline, steady_time _now)
 {
-	const path_request request{_domain, _kind, _now, _now + m_times.overdue_after(_kind, _until_deadline)};
+	path_request request{_domain, _kind, _now, _now + m_times.overdue_after(_kind, _until_deadline)};
 	domain_path& path = m_paths[_domain];
 	if (0 == path.in_flight++)
 	{
