Tests: a container is reserved, as the linter asks; a cut answer's test tells what it got

Its message now holds the method and the head that the caller got, and a response that did not come holds the error of the read: such a response counts as one that keeps its connection, too, so that the failure of that time may have been a reset and no answer of the node. Checks are unchanged.

The cause is still not known.

--- a/tests/cut_answer_test.cpp
+++ b/tests/cut_answer_test.cpp
@@ -33,6 +33,12 @@
 	{
 		return "Larkrack-Request-Id: {id}\r\nLarkrack-Signature: s\r\n";
 	}
+	static std::string head_of(const caller_response& _response)
+	{
+		std::ostringstream text;
+		text << _response.base();
+		return text.str();
+	}
 	/// @returns The answer to a request whose backend server sends these bytes and ends its connection.
 	caller_response answer_after(const std::string& _bytes, const std::string& _method, end _how)
 	{
@@ -93,8 +99,10 @@
 				const caller_response response = answer_after(
 				    "HTTP/1.1 200 X\r\n" + marks() + "Connection: close\r\n\r\n" + body, method, end::close);
 				const bool framed = response.has_content_length() || response.chunked();
-				CPPUNIT_ASSERT_MESSAGE(body, 200U != response.result_int() || !framed);
-				CPPUNIT_ASSERT_MESSAGE(body, !response.keep_alive());
+				const std::string seen =
+				    method + (" \"" + std::string(body) + "\" got: ") + head_of(response);
+				CPPUNIT_ASSERT_MESSAGE(seen, 200U != response.result_int() || !framed);
+				CPPUNIT_ASSERT_MESSAGE(seen, !response.keep_alive());
 			}
 		}
 	}
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -519,7 +519,8 @@
 		    });
 	}
 	/// @param[in] _head Whether the request was HEAD: its response has no body.
-	/// @returns The next response; status 0 when the connection ended without a response.
+	/// @returns The next response; status 0 and the error as its reason when the connection ended without a
+	/// response.
 	caller_response receive(bool _head = false)
 	{
 		bool done = false;
@@ -543,6 +544,7 @@
 		{
 			caller_response none;
 			none.result(0);
+			none.reason(failure.message());
 			return none;
 		}
 		return parser.release();
--- a/tests/steering_path_test.cpp
+++ b/tests/steering_path_test.cpp
@@ -266,8 +266,10 @@
 	std::vector<path_request> change_mix(const request_kind& _kind)
 	{
 		answer_regularly(k_domain_a, k_usual_gap, k_usual_time, 200);
+		constexpr int k_count = 2 * k_min_unanswered;
 		std::vector<path_request> running;
-		for (int i = 0; i < 2 * k_min_unanswered; ++i)
+		running.reserve(k_count);
+		for (int i = 0; i < k_count; ++i)
 		{
 			running.push_back(start(k_domain_a, _kind));
 		}
