Packed messages of other nodes are read whatever the bit at which they end

Seen: random messages (a test that follows) found that a valid packed digest was refused. What is known of a failure domain was then one interval older, and a page, which is packed once, was refused by each node that copied from there.

Cause: Boost.Beast's decompressor asks for 9 bits before each code, also where the one that ends the stream has 7 and nothing follows.

Change: two bytes stand behind the input; a stream that ends only in these is refused, as a cut one was.

--- a/src/entry_node/deflate.cpp
+++ b/src/entry_node/deflate.cpp
@@ -21,6 +21,17 @@
 constexpr int k_memory_level = 8;
 /// Bytes by which the output buffer of the decompressor grows.
 constexpr std::size_t k_output_step = 65536;
+/// Bytes behind the input. The decompressor looks up to 15 bits ahead, also where the code that ends the
+/// stream is shorter and stands in the last byte.
+constexpr std::size_t k_look_ahead_bytes = 2;
+/// Bits of z_params::data_type with the number of bits that were taken from the input and not used.
+constexpr int k_unused_bits_mask = 63;
+
+/// @returns Bytes of the input that hold the stream, once it has ended.
+std::size_t stream_bytes(const zlib::z_params& _parameters)
+{
+	return _parameters.total_in - static_cast<std::size_t>(_parameters.data_type & k_unused_bits_mask) / 8;
+}
 } // namespace
 
 std::string deflate_bytes(const std::vector<std::uint8_t>& _bytes)
@@ -44,9 +55,10 @@
 	zlib::inflate_stream stream;
 	stream.reset(k_window_bits);
 	std::vector<std::uint8_t> bytes;
+	const std::string input = std::string(_packed) + std::string(k_look_ahead_bytes, '\0');
 	zlib::z_params parameters;
-	parameters.next_in = _packed.data();
-	parameters.avail_in = _packed.size();
+	parameters.next_in = input.data();
+	parameters.avail_in = input.size();
 	boost::system::error_code ended;
 	while (!ended && parameters.total_out < _max_bytes)
 	{
@@ -60,7 +72,7 @@
 			break; // No progress: the input is truncated.
 		}
 	}
-	if (zlib::error::end_of_stream != ended)
+	if (zlib::error::end_of_stream != ended || stream_bytes(parameters) > _packed.size())
 	{
 		return error{"bad_bytes", "deflate stream is invalid, truncated or larger than permitted"};
 	}
--- a/tests/state_replica_test.cpp
+++ b/tests/state_replica_test.cpp
@@ -42,6 +42,8 @@
 	CPPUNIT_TEST(copy_removes_missing_keys);
 	CPPUNIT_TEST(page_invalid_is_rejected);
 	CPPUNIT_TEST(deflated_bytes_are_inflated_up_to_the_limit);
+	CPPUNIT_TEST(deflated_bytes_of_any_length_are_inflated);
+	CPPUNIT_TEST(deflated_bytes_cut_anywhere_are_refused);
 	CPPUNIT_TEST(changes_requested_by_many_are_compressed_once);
 	CPPUNIT_TEST(pages_requested_by_many_are_compressed_once_and_expire);
 	CPPUNIT_TEST(changes_split_and_joined_are_unchanged);
@@ -430,6 +432,42 @@
 		CPPUNIT_ASSERT(std::holds_alternative<error>(inflate_bytes("no packed bytes", 1000)));
 	}
 
+	/// Guards against messages that no node can read, since the code that ends them is the last one of a
+	/// byte.
+	void deflated_bytes_of_any_length_are_inflated()
+	{
+		for (std::size_t size = 0; size < 2000; ++size)
+		{
+			const std::vector<std::uint8_t> bytes = varied_bytes(size);
+			result<std::vector<std::uint8_t>> same = inflate_bytes(deflate_bytes(bytes), size + 1);
+			CPPUNIT_ASSERT_MESSAGE(
+			    std::to_string(size), nullptr != value_of(same) && bytes == *value_of(same));
+		}
+	}
+	void deflated_bytes_cut_anywhere_are_refused()
+	{
+		for (std::size_t size = 1; size < 300; ++size)
+		{
+			const std::string packed = deflate_bytes(varied_bytes(size));
+			for (std::size_t kept = 0; kept < packed.size(); ++kept)
+			{
+				CPPUNIT_ASSERT(std::holds_alternative<error>(inflate_bytes(packed.substr(0, kept), 1000)));
+			}
+		}
+	}
+	/// @returns Bytes of which some occur often, as in messages.
+	static std::vector<std::uint8_t> varied_bytes(std::size_t _size)
+	{
+		std::vector<std::uint8_t> bytes(_size);
+		std::uint32_t state = static_cast<std::uint32_t>(_size) + 1;
+		for (std::uint8_t& byte : bytes)
+		{
+			state = state * 1664525U + 1013904223U;
+			byte = static_cast<std::uint8_t>((state >> 24U) % (1U << (_size % 9)));
+		}
+		return bytes;
+	}
+
 	/// After an announcement, a third of a region requests the same changes.
 	void changes_requested_by_many_are_compressed_once()
 	{
