Answers to a process's own calls have 64 MB at most

response_of_a_large_configuration_is_read (32 MB) fails with 16 MB; response_beyond_the_limit_is_none is new, for the control client, which had no test of its limit. A comment in planned_stop_p.h moves above its member.

--- a/src/base/http_p.h
+++ b/src/base/http_p.h
@@ -42,8 +42,9 @@
 /// states a Content-Length.
 constexpr std::uint64_t k_unlimited_body_bytes = INT64_MAX;
 /// Maximum bytes of the body of a response to this process's own calls, of the store or of another node.
-/// More: a faulty peer takes the memory of the process. Fewer: a long list of changes is never read.
-constexpr std::uint64_t k_max_control_body_bytes = 16U << 20U;
+/// More: a faulty peer takes the memory of the process. Fewer: a configuration of 100,000 routes is never
+/// read.
+constexpr std::uint64_t k_max_control_body_bytes = 64U << 20U;
 
 using http_request = http::request<http::string_body>;
 using http_response = http::response<http::string_body>;
--- a/src/steering/planned_stop_p.h
+++ b/src/steering/planned_stop_p.h
@@ -87,8 +87,8 @@
 {
 	steady_time::duration until_deadline{}; ///< The longest time that it can take.
 	route_time_estimate of_route;
-	bool at_most_once =
-	    false; ///< An answer in place of its backend server's would leave open whether it ran.
+	/// An answer in place of its backend server's would leave open whether it ran.
+	bool at_most_once = false;
 };
 
 /// @returns Whether a stopping node takes a request; if not, the request is refused as not run.
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -22,6 +22,8 @@
 	CPPUNIT_TEST(request_when_body_too_large_is_refused);
 	CPPUNIT_TEST(request_when_not_http_is_refused);
 	CPPUNIT_TEST(request_when_another_stalls_is_still_answered);
+	CPPUNIT_TEST(response_of_a_large_configuration_is_read);
+	CPPUNIT_TEST(response_beyond_the_limit_is_none);
 	CPPUNIT_TEST(query_when_percent_encoded_is_decoded);
 	CPPUNIT_TEST(traceparent_when_sampled_makes_child_span);
 	CPPUNIT_TEST(traceparent_when_malformed_is_ignored);
@@ -35,7 +37,7 @@
 		    [this](http_session& _session, http_request&, const yield_context& _yield)
 		    {
 			    ++m_handled;
-			    http_response response = make_json(http::status::ok, "{}");
+			    http_response response = make_json(http::status::ok, m_body);
 			    _session.send(response, _yield);
 		    });
 		m_server->listen({"127.0.0.1", 0});
@@ -78,6 +80,28 @@
 	asio::io_context m_context{1};
 	std::unique_ptr<http_server> m_server;
 	int m_handled = 0;
+	std::string m_body = "{}"; ///< Of each response.
+
+	/// @returns Bytes of the body that a call of this process gets; nothing: the call failed.
+	std::optional<std::size_t> called()
+	{
+		http_caller caller(m_context.get_executor());
+		std::optional<result<http_response>> got;
+		start(m_context,
+		    [&](const yield_context& _yield)
+		    {
+			    const endpoint server{"127.0.0.1", m_server->port()};
+			    const http_request request = make_request(http::verb::get, "/", server);
+			    got = caller.call(server, request, std::chrono::milliseconds(60000), _yield);
+		    });
+		run_until(m_context,
+		    [&]
+		    {
+			    return got.has_value();
+		    });
+		const http_response* response = value_of(*got);
+		return nullptr == response ? std::nullopt : std::optional<std::size_t>(response->body().size());
+	}
 
 public:
 	void request_when_both_lengths_given_is_refused()
@@ -119,6 +143,17 @@
 		CPPUNIT_ASSERT_EQUAL(
 		    std::size_t{0}, exchange("GET / HTTP/1.1\r\nHost: a\r\n\r\n").rfind("HTTP/1.1 200", 0));
 	}
+	void response_of_a_large_configuration_is_read()
+	{
+		m_body.assign(std::size_t{32} << 20U, 'x');
+		CPPUNIT_ASSERT(m_body.size() == called());
+	}
+	/// Guards against an answer that a faulty store or node sends until the memory is used up.
+	void response_beyond_the_limit_is_none()
+	{
+		m_body.assign(k_max_control_body_bytes + 1, 'x');
+		CPPUNIT_ASSERT(!called());
+	}
 	void query_when_percent_encoded_is_decoded()
 	{
 		CPPUNIT_ASSERT_EQUAL(std::string("a b/c"), query_value("/x?n=1&v=a%20b%2fc", "v"));
