The depth of CBOR is checked by short functions

has_bounded_depth() had 50 lines. What follows inside of an item and which containers are open stand on their own now.

--- a/src/base/cbor.cpp
+++ b/src/base/cbor.cpp
@@ -3,7 +3,6 @@
 
 #include "base/cbor_p.h"
 
-#include <algorithm>
 #include <array>
 
 namespace larkrack
@@ -91,56 +90,101 @@
 	}
 	return at;
 }
+/// Items that follow inside of a container whose length is not stated; a break ends it.
+constexpr std::uint64_t k_until_break = UINT64_MAX;
+
+/// @returns Whether the head at a place leaves the length of its item open, or is a break.
+bool is_unstated(std::string_view _message, std::size_t _at)
+{
+	return k_unstated_length == (static_cast<unsigned char>(_message[_at]) & k_unstated_length);
+}
+
+/// @returns Items that follow inside of one with that head; 0: none, it ends behind its data.
+std::uint64_t items_inside(const item_head& _head, bool _unstated)
+{
+	const std::uint64_t stated = _unstated ? k_until_break : _head.argument;
+	switch (_head.major)
+	{
+	case k_tag:
+		return 1;
+	case k_array:
+		return stated;
+	case k_map:
+		return stated > k_until_break / 2 ? k_until_break : 2 * stated;
+	case k_bytes:
+	case k_text:
+		return _unstated ? k_until_break : 0; // Its pieces are items.
+	default:
+		return 0;
+	}
+}
+
+/// Containers that are open at a place of a message.
+class open_containers
+{
+public:
+	/// @returns Whether there was room for one more.
+	bool begin(std::uint64_t _items)
+	{
+		if (k_max_cbor_depth == m_depth)
+		{
+			return false;
+		}
+		m_due[m_depth++] = _items;
+		return true;
+	}
+	void end_innermost()
+	{
+		m_depth -= m_depth > 0 ? 1 : 0;
+	}
+	/// An item has ended, and with it each container whose last one it was.
+	void end_item()
+	{
+		while (m_depth > 0 && 0 == --m_due[m_depth - 1])
+		{
+			--m_depth;
+		}
+	}
+
+private:
+	std::array<std::uint64_t, k_max_cbor_depth> m_due{}; ///< Items that each one still lacks.
+	std::size_t m_depth = 0;
+};
 } // namespace
 
 bool has_bounded_depth(std::string_view _message)
 {
-	std::array<std::uint64_t, k_max_cbor_depth> left{}; // Items that are due in each open container.
-	std::size_t depth = 0;
+	open_containers open;
 	std::size_t at = 0;
 	while (at < _message.size())
 	{
-		const unsigned first = static_cast<unsigned char>(_message[at]);
-		const bool unstated = k_unstated_length == (first & 31U);
-		const std::optional<item_head> head =
-		    unstated ? item_head{first >> 5U, UINT64_MAX, at + 1} : head_at(_message, at);
+		const bool unstated = is_unstated(_message, at);
+		const unsigned major = static_cast<unsigned char>(_message[at]) >> 5U;
+		const std::optional<item_head> head = unstated ? item_head{major, 0, at + 1} : head_at(_message, at);
 		if (!head)
 		{
 			return true; // Malformed: the library stops here as well.
 		}
-		at = head->end;
-		const bool is_break = unstated && k_simple == head->major;
-		const bool is_string = k_bytes == head->major || k_text == head->major;
-		if (is_string && !unstated)
+		const bool has_data = !unstated && (k_bytes == major || k_text == major);
+		if (has_data && head->argument > _message.size() - head->end)
 		{
-			if (head->argument > _message.size() - at)
-			{
-				return true;
-			}
-			at += head->argument;
+			return true;
 		}
-		const bool opens =
-		    k_array == head->major || k_map == head->major || k_tag == head->major || (is_string && unstated);
-		if (opens && (unstated || 0 != head->argument || k_tag == head->major))
+		at = head->end + (has_data ? head->argument : 0);
+		const std::uint64_t inside = items_inside(*head, unstated);
+		if (inside > 0)
 		{
-			if (k_max_cbor_depth == depth)
+			if (!open.begin(inside))
 			{
 				return false;
 			}
-			const bool is_map = k_map == head->major && !unstated;
-			const std::uint64_t items =
-			    is_map ? std::min(head->argument, UINT64_MAX / 2) * 2 : head->argument;
-			left[depth++] = k_tag == head->major ? 1 : items;
 			continue;
 		}
-		if (is_break && depth > 0)
-		{
-			--depth;
-		}
-		while (depth > 0 && 0 == --left[depth - 1])
+		if (unstated && k_simple == major)
 		{
-			--depth;
+			open.end_innermost();
 		}
+		open.end_item();
 	}
 	return true;
 }
