Odd bytes of the random messages hold no embedded end of text

clang-tidy takes \x00 in a literal for a mistake (bugprone-string-literal-with-embedded-nul). The half-precision value keeps its bytes; one byte of the large double is another, it stays large.

--- a/tests/forms/odd_messages_form_test.cpp
+++ b/tests/forms/odd_messages_form_test.cpp
@@ -258,9 +258,9 @@
 		    std::string(k_deep, '['), std::string(k_deep, '[') + std::string(k_deep, ']')};
 		static const std::vector<std::string> s_bytes = {std::string("\x9b\x7f\xff\xff\xff\xff\xff\xff\xff"),
 		    std::string("\x1b\xff\xff\xff\xff\xff\xff\xff\xff"),
-		    std::string("\xfb\x7e\x37\xe4\x3c\x88\x00\x75"),
+		    std::string("\xfb\x7e\x37\xe4\x3c\x88\x01\x75"),
 		    std::string("\x5b\xff\xff\xff\xff\xff\xff\xff\xff"), std::string("\x9f"), std::string("\xbf"),
-		    std::string("\xff"), std::string("\xf9\x7e\x00", 3), std::string(k_deep, '\x81'),
+		    std::string("\xff"), std::string{'\xf9', '\x7e', '\0'}, std::string(k_deep, '\x81'),
 		    std::string(k_deep, '\xc1')};
 		const std::vector<std::string>& parts = _is_text ? s_texts : s_bytes;
 		return parts[below(parts.size())];
